--- /dev/null
+++ b/src/lycheepath/console/__init__.py
@@ -0,0 +1,3 @@
+"""The command line: parses arguments, calls the library and prints."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/lycheepath/core/environment/__init__.py
@@ -0,0 +1,3 @@
+"""The environment document: its data model, reading, checks and differences."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/lycheepath/core/environment/model.py
@@ -0,0 +1,218 @@
+"""
+The data model of an environment document.
+
+One document describes one environment: its regions, availability zones,
+hosts, targets, models, services, residency rules, limits and weights.
+Operators publish it through the platform's configuration service under an
+ever higher revision. All durations end in their unit; identifiers are unique
+within their kind.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Stage(Enum):
+    """Where an environment stands between trial and production."""
+
+    TRIAL = "trial"
+    PRODUCTION = "production"
+
+
+class TargetKind(Enum):
+    """Whether a target serves models (a runner) or a plain service."""
+
+    RUNNER = "runner"
+    SERVICE = "service"
+
+
+@dataclass(frozen=True, slots=True)
+class Region:
+    """A region: the unit of data residency and of lost links."""
+
+    id: str
+
+
+@dataclass(frozen=True, slots=True)
+class Zone:
+    """An availability zone of one region."""
+
+    id: str
+    region: str
+
+
+@dataclass(frozen=True, slots=True)
+class Link:
+    """A wide-area link between two regions, shared by all traffic."""
+
+    regions: tuple[str, str]
+    one_way_ms: float
+    bits_per_second: int = 1_000_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class Host:
+    """
+    An entry host, addressed by IP number and port.
+
+    ``callers_address`` takes HTTP from callers and peers;
+    ``peers_address`` takes datagrams from peers.
+    """
+
+    id: str
+    zone: str
+    callers_address: str
+    peers_address: str
+
+
+@dataclass(frozen=True, slots=True)
+class Model:
+    """A model: weights of ``weights_bytes`` fetched from the weight store."""
+
+    id: str
+    context_tokens: int = 8192
+    weights_bytes: int = 0
+    version: str = "1"
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """
+    A back end: a runner that serves models, or an instance of a service.
+
+    ``slots`` bounds the requests that it works on at once.
+    ``prefill_tokens_per_s`` and ``decode_tokens_per_s`` are its nominal
+    rates; ``kv_tokens`` is the size of its prefix cache.
+    ``checks_fencing`` says whether it refuses an order that carries an old
+    fencing number. ``accelerators`` is the cost weight of keeping it busy.
+    """
+
+    id: str
+    zone: str
+    address: str
+    kind: TargetKind
+    models: tuple[str, ...] = ()
+    service: str = ""
+    slots: int = 16
+    prefill_tokens_per_s: float = 4000.0
+    decode_tokens_per_s: float = 40.0
+    kv_tokens: int = 100_000
+    checks_fencing: bool = False
+    accelerators: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Operation:
+    """A call of a plain service, matched by method and path prefix."""
+
+    method: str
+    path_prefix: str
+    repeatable: bool
+    timeout_ms: int = 10_000
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """
+    A plain service that targets provide.
+
+    ``resend_window_s`` is how long a caller may resend a call that must run
+    at most once under the same idempotency key.
+    """
+
+    id: str
+    operations: tuple[Operation, ...]
+    resend_window_s: float = 120.0
+
+
+@dataclass(frozen=True, slots=True)
+class ResidencyRule:
+    """
+    Binds requests to a region.
+
+    A request is bound when it matches every non-empty selector. A rule with
+    no selector binds nothing.
+    """
+
+    id: str
+    region: str
+    teams: tuple[str, ...] = ()
+    models: tuple[str, ...] = ()
+    services: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Limit:
+    """
+    The limit of one team over the whole environment.
+
+    The team ``*`` holds the default. ``tokens_per_s`` counts prompt and
+    generated tokens; ``burst_tokens`` may be spent at once; ``priority`` is
+    0 for the most urgent work up to 9.
+    """
+
+    team: str
+    tokens_per_s: float
+    burst_tokens: float
+    requests_per_s: float = 100.0
+    priority: int = 5
+
+
+@dataclass(frozen=True, slots=True)
+class Weights:
+    """
+    What the environment values: ``cost`` against ``tail_latency``.
+
+    Both lie between 0 and 1 and sum to 1.
+    """
+
+    cost: float = 0.5
+    tail_latency: float = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class Issuers:
+    """
+    The hosts that may run actions under callers' idempotency keys.
+
+    ``hosts`` names the hosts that share the keys; empty means all hosts.
+    ``previous`` names the set that the last change replaced and ``ended``
+    those of its hosts that an operator vouches to have been stopped.
+    """
+
+    hosts: tuple[str, ...] = ()
+    previous: tuple[str, ...] = ()
+    ended: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class WeightStore:
+    """The store of model weights with its rate limit over all readers."""
+
+    region: str
+    bytes_per_s: int = 125_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class Environment:
+    """One environment document, read and checked."""
+
+    name: str
+    revision: int
+    stage: Stage
+    regions: tuple[Region, ...]
+    zones: tuple[Zone, ...]
+    hosts: tuple[Host, ...]
+    targets: tuple[Target, ...]
+    models: tuple[Model, ...] = ()
+    services: tuple[Service, ...] = ()
+    links: tuple[Link, ...] = ()
+    residency: tuple[ResidencyRule, ...] = ()
+    limits: tuple[Limit, ...] = ()
+    weights: Weights = Weights()
+    issuers: Issuers = Issuers()
+    weight_store: WeightStore | None = None
+    shuffle_hosts: int = 3
+    drain_s: float = 30.0
--- /dev/null
+++ b/src/lycheepath/core/reasons.py
@@ -0,0 +1,57 @@
+"""
+Sentinel values that carry the reason why there is no result.
+
+A decision that can refuse returns either its result or an ``Absent``. An
+``Absent`` is falsy, names its reason from a closed set, and may say when the
+caller should ask again::
+
+    choice = choose_target(request, targets, now)
+    if isinstance(choice, Absent):
+        return refuse(choice.reason, choice.retry_after_s)
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Reason(Enum):
+    """Why a decision yields no result."""
+
+    NO_SUCH_MODEL = "no-such-model"
+    NO_SUCH_SERVICE = "no-such-service"
+    NO_TARGET = "no-target"
+    RESIDENCY = "residency"
+    OVERLOADED = "overloaded"
+    DEADLINE = "deadline"
+    LIMIT = "limit"
+    QUARANTINED = "quarantined"
+    DRAINING = "draining"
+    ALREADY_FORWARDED = "already-forwarded"
+    VIEW_TOO_OLD = "view-too-old"
+    RETRIES_SPENT = "retries-spent"
+    TICKET_FORGED = "ticket-forged"
+    TICKET_EXPIRED = "ticket-expired"
+    TICKET_VOID = "ticket-void"
+    OWNER_UNREACHABLE = "owner-unreachable"
+    KEY_TOO_OLD = "key-too-old"
+    KEY_REUSED = "key-reused"
+    IN_PROGRESS = "in-progress"
+
+
+@dataclass(frozen=True, slots=True)
+class Absent:
+    """
+    A missing result with its reason.
+
+    ``retry_after_s`` is in seconds; zero means that asking again will not
+    help. ``detail`` is for people and never parsed.
+    """
+
+    reason: Reason
+    retry_after_s: float = 0.0
+    detail: str = ""
+
+    def __bool__(self) -> bool:
+        return False
--- /dev/null
+++ b/src/lycheepath/ports/__init__.py
@@ -0,0 +1,3 @@
+"""Typed protocols between the core and the outside."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/core/environment/test_model.py
@@ -0,0 +1,15 @@
+from __future__ import annotations
+
+from lycheepath.core.environment.model import Issuers, Weights
+from lycheepath.core.reasons import Absent, Reason
+
+
+def test_absent_is_falsy_and_carries_its_reason() -> None:
+    absent = Absent(Reason.LIMIT, retry_after_s=1.5)
+    assert not absent
+    assert absent.reason is Reason.LIMIT
+
+
+def test_model_defaults_weigh_cost_and_tail_alike() -> None:
+    assert Weights().cost + Weights().tail_latency == 1
+    assert Issuers().hosts == ()
