--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -1,3 +1,3 @@
-"""Small stand-ins for the outside systems, each startable as its own process."""
+"""Small processes that stand in for what surrounds the gateway."""
 
 from __future__ import annotations
