Read environment documents and settings with all findings at once

Cause: nothing read a document; the thin path needs both readers. Ruled out: a schema library (none at hand reports lines, duplicate keys and units), and stopping at the first fault.

--- /dev/null
+++ b/src/lycheepath/core/environment/schema.py
@@ -0,0 +1,313 @@
+"""
+Readers that turn JSON values into typed values and collect findings.
+
+A reader takes a value, its place and the report; it returns the typed value,
+or ``INVALID`` after it has added its findings to the report. Readers are
+closures that combine::
+
+    read_zone = read_record(
+        Zone,
+        {"id": Field(read_identifier), "region": Field(read_identifier)},
+    )
+    read_zones = read_list(read_zone)
+
+Lists keep ``INVALID`` in the place of a bad element, so that later checks
+still know the index of the good ones.
+"""
+
+from __future__ import annotations
+
+import difflib
+import ipaddress
+import math
+import re
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import TYPE_CHECKING, Final, Protocol
+
+from .findings import Finding, Findings
+from .json_text import escape_key, locate_members
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+MAX_FINDINGS = 100
+
+_IDENTIFIER = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:/@+-]{0,127}")
+_IPV4_ADDRESS = re.compile(r"(\d{1,3}\.\d{1,3}\.\d{1,3}\.\d{1,3}):(\d{1,5})")
+_IPV6_ADDRESS = re.compile(r"\[([0-9A-Fa-f:.]+)\]:(\d{1,5})")
+_UNITS = ("ms", "s", "us", "ns", "min", "minutes", "seconds", "bytes", "bits", "tokens")
+
+
+class Invalid(Enum):
+    """The type of ``INVALID``."""
+
+    INVALID = "invalid"
+
+
+INVALID: Final = Invalid.INVALID
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """The place of a value: its key or index inside its parent's place."""
+
+    parent: Place | None
+    key: str | int
+
+    def write_pointer(self) -> str:
+        """Return the place as a JSON pointer."""
+        above = self.parent.write_pointer() if self.parent else ""
+        return f"{above}/{escape_key(str(self.key))}"
+
+
+@dataclass(slots=True)
+class Report:
+    """The findings of one reading, before their lines are known."""
+
+    entries: list[tuple[str, str, str]] = field(default_factory=list)
+
+    def add(self, place: Place | None, message: str, advice: str) -> None:
+        """Add a finding at ``place``; None is the whole document."""
+        pointer = place.write_pointer() if place else ""
+        self.entries.append((pointer, message, advice))
+
+    def close(self, text: str) -> Findings:
+        """Return the findings with their lines, at most ``MAX_FINDINGS``."""
+        places = locate_members(text)
+        found = [
+            Finding(pointer, places.find_line(pointer), message, advice)
+            for pointer, message, advice in self.entries
+        ]
+        found.sort(key=lambda finding: finding.line)
+        return Findings(_shorten(found))
+
+
+class Reader(Protocol):
+    """Reads one value at a place and adds what is wrong to the report."""
+
+    def __call__(
+        self, value: object, place: Place | None, report: Report, /
+    ) -> object: ...
+
+
+@dataclass(frozen=True, slots=True)
+class Field:
+    """One member of a record: its reader and whether it must be there."""
+
+    read: Reader
+    required: bool = True
+
+
+def read_members(
+    value: dict[str, object],
+    fields: Mapping[str, Field],
+    place: Place | None,
+    report: Report,
+) -> dict[str, object]:
+    """Return the known members of an object, bad ones as ``INVALID``."""
+    members: dict[str, object] = {}
+    for name, item in value.items():
+        member = fields.get(name)
+        if member is None:
+            _report_unknown(report, Place(place, name), name, fields)
+        else:
+            members[name] = member.read(item, Place(place, name), report)
+    for name, member in fields.items():
+        if member.required and name not in value:
+            report.add(Place(place, name), f"{name} is missing", f"Add {name}")
+    return members
+
+
+def read_record(build: Callable[..., object], fields: Mapping[str, Field]) -> Reader:
+    """Return a reader of objects that calls ``build`` with the members read."""
+
+    def read(value: object, place: Place | None, report: Report) -> object:
+        if not isinstance(value, dict):
+            return refuse(report, place, value, "an object")
+        before = len(report.entries)
+        members = read_members(value, fields, place, report)
+        return build(**members) if len(report.entries) == before else INVALID
+
+    return read
+
+
+def read_list(read_element: Reader) -> Reader:
+    """Return a reader of arrays; a bad element leaves ``INVALID`` in its place."""
+
+    def read(value: object, place: Place | None, report: Report) -> object:
+        if not isinstance(value, list):
+            return refuse(report, place, value, "an array")
+        return tuple(
+            read_element(element, Place(place, index), report)
+            for index, element in enumerate(value)
+        )
+
+    return read
+
+
+def read_number(low: float, high: float) -> Reader:
+    """Return a reader of finite numbers between ``low`` and ``high``, as float."""
+
+    def read(value: object, place: Place | None, report: Report) -> object:
+        if not isinstance(value, (int, float)) or isinstance(value, bool):
+            return refuse(report, place, value, "a number")
+        if not low <= value <= high:
+            return _refuse_range(report, place, value, low, high)
+        return float(value)
+
+    return read
+
+
+def read_integer(low: int, high: int) -> Reader:
+    """Return a reader of integers between ``low`` and ``high``."""
+
+    def read(value: object, place: Place | None, report: Report) -> object:
+        if not isinstance(value, int) or isinstance(value, bool):
+            return refuse(report, place, value, "a whole number")
+        if not low <= value <= high:
+            return _refuse_range(report, place, value, low, high)
+        return value
+
+    return read
+
+
+def read_boolean(value: object, place: Place | None, report: Report) -> object:
+    """Read true or false."""
+    if not isinstance(value, bool):
+        return refuse(report, place, value, "true or false")
+    return value
+
+
+def read_string(pattern: re.Pattern[str], wanted: str) -> Reader:
+    """Return a reader of strings that match ``pattern`` as a whole."""
+
+    def read(value: object, place: Place | None, report: Report) -> object:
+        if not isinstance(value, str) or pattern.fullmatch(value) is None:
+            return refuse(report, place, value, wanted)
+        return value
+
+    return read
+
+
+read_identifier = read_string(
+    _IDENTIFIER,
+    "an identifier of 1 to 128 letters, digits and . _ : / @ + -",
+)
+
+
+def read_choice(
+    choices: type[Enum],
+) -> Reader:
+    """Return a reader of the values of an enumeration."""
+    by_value = {choice.value: choice for choice in choices}
+    wanted = "one of " + ", ".join(f'"{value}"' for value in by_value)
+
+    def read(value: object, place: Place | None, report: Report) -> object:
+        if not isinstance(value, str) or value not in by_value:
+            return refuse(report, place, value, wanted)
+        return by_value[value]
+
+    return read
+
+
+def read_address(value: object, place: Place | None, report: Report) -> object:
+    """Read ``IP:port``, an IPv6 number in brackets."""
+    if isinstance(value, str) and _is_address(value):
+        return value
+    return refuse(report, place, value, "an IP number and a port, like 10.0.0.1:8080")
+
+
+def refuse(report: Report, place: Place | None, value: object, wanted: str) -> Invalid:
+    """Report that ``value`` is not what was ``wanted``."""
+    report.add(place, f"{_quote(value)} is not {wanted}", f"Give {wanted}")
+    return INVALID
+
+
+def _is_address(value: str) -> bool:
+    match = _IPV4_ADDRESS.fullmatch(value) or _IPV6_ADDRESS.fullmatch(value)
+    if match is None or not 0 < int(match[2]) <= 65535:
+        return False
+    try:
+        ipaddress.ip_address(match[1])
+    except ValueError:
+        return False
+    return True
+
+
+def _quote(value: object) -> str:
+    if isinstance(value, dict):
+        return "an object"
+    if isinstance(value, list):
+        return "an array"
+    if isinstance(value, str):
+        return ascii(value if len(value) <= 40 else value[:37] + "...")
+    if value is None:
+        return "null"
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    if isinstance(value, int) and abs(value) >= 10**18:
+        return "a number of more than 18 digits"
+    return str(value)
+
+
+def _refuse_range(
+    report: Report,
+    place: Place | None,
+    value: float,
+    low: float,
+    high: float,
+) -> Invalid:
+    name = str(place.key) if place else "the value"
+    unit = _find_unit(name)
+    hint = f" (the unit is {unit})" if unit else ""
+    shown = "an infinite number" if _is_infinite(value) else _quote(value)
+    report.add(
+        place,
+        f"{shown} is out of range",
+        f"Give {name}{hint} between {low:g} and {high:g}",
+    )
+    return INVALID
+
+
+def _is_infinite(value: float) -> bool:
+    return isinstance(value, float) and not math.isfinite(value)
+
+
+def _report_unknown(
+    report: Report, place: Place, name: str, fields: Mapping[str, Field]
+) -> None:
+    message = f"the field {_quote(name)} is unknown"
+    report.add(place, message, _advise_unknown(name, fields))
+
+
+def _advise_unknown(name: str, fields: Mapping[str, Field]) -> str:
+    stem = _drop_unit(name)
+    for known in fields:
+        if stem in (known, _drop_unit(known)) and _find_unit(known):
+            return f"Say {known}, and give it in {_find_unit(known)}"
+    close = difflib.get_close_matches(name, fields, n=1)
+    if close:
+        return f"Did you mean {close[0]}? Rename or remove it"
+    return "Remove it, or use one of " + ", ".join(fields)
+
+
+def _find_unit(name: str) -> str:
+    for ending in ("bits_per_second", "bytes_per_s", "tokens_per_s", "requests_per_s"):
+        if name.endswith(ending):
+            return ending.replace("_", " ")
+    unit = name.rpartition("_")[2]
+    return unit if "_" in name and unit in _UNITS else ""
+
+
+def _drop_unit(name: str) -> str:
+    stem, _, unit = name.rpartition("_")
+    return stem if stem and unit in _UNITS else name
+
+
+def _shorten(found: list[Finding]) -> tuple[Finding, ...]:
+    if len(found) <= MAX_FINDINGS:
+        return tuple(found)
+    hidden = len(found) - MAX_FINDINGS
+    last = Finding("", 1, f"{hidden} more findings are not shown", "Mend these first")
+    return (*found[:MAX_FINDINGS], last)
