Serve a chat completion end to end: caller, entry host, engine

Cause: nothing served a request. Ruled out: doing the checks inside the web framework, since it reads bodies as they arrive; an ASGI layer stands before it. Conclusion: the path stands as separate processes; decisions are wired next.

--- /dev/null
+++ b/src/lycheepath/adapters/http/__init__.py
@@ -0,0 +1,3 @@
+"""HTTP towards callers, operators and peers (quart-trio on hypercorn)."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/lycheepath/adapters/http/chat.py
@@ -0,0 +1,137 @@
+"""The chat completions endpoint: whole answers and event streams."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING, Any, cast
+
+import orjson
+from quart import Response, request
+
+from ...core.chat import Malformed, read_chat_request
+from ...core.outcomes import RequestFailedError, Run
+from ...host.chat import answer_chat
+from .answers import ProblemError
+from .gate import CLIENT_KEY, FORWARD_KEY
+from .problems import Problem, problem_from_absent
+from .signatures import REQUEST_ID_HEADER
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from ...core.chat import ChatRequest
+    from ...core.tokens import Token
+    from ...host.node import Node
+
+DONE = b"data: [DONE]\n\n"
+
+
+async def handle_chat(node: Node) -> Response:
+    """Serve one chat completion."""
+    chat = await _read_chat()
+    named_model = request.headers.get("lycheepath-model")
+    if named_model and named_model != chat.model:
+        raise ProblemError(
+            Problem(
+                400,
+                "model-mismatch",
+                Run.NOT_RUN,
+                "The header Lycheepath-Model must name the model of the body.",
+            )
+        )
+    request_id = request.headers.get(REQUEST_ID_HEADER) or _draw_request_id(node)
+    started = node.now()
+    scope = cast("dict[str, Any]", request.scope)
+    tokens = answer_chat(
+        node,
+        chat,
+        scope[CLIENT_KEY],
+        scope.get(FORWARD_KEY),
+        request_id,
+    )
+    first = await anext(tokens)
+    node.metrics.record_ms("first_token_ms", (node.now() - started) * 1000)
+    if chat.stream:
+        return _respond_stream(tokens, first, request_id)
+    return await _respond_whole(tokens, first, chat, request_id)
+
+
+async def _read_chat() -> ChatRequest:
+    try:
+        value = orjson.loads(await request.get_data())
+    except orjson.JSONDecodeError as error:
+        raise ProblemError(
+            Problem(400, "malformed-json", Run.NOT_RUN, str(error))
+        ) from error
+    chat = read_chat_request(value)
+    if isinstance(chat, Malformed):
+        raise ProblemError(
+            Problem(400, "malformed-request", Run.NOT_RUN, chat.detail())
+        )
+    return chat
+
+
+def _draw_request_id(node: Node) -> str:
+    return f"chatcmpl-{node.random.getrandbits(96):024x}"
+
+
+def _respond_stream(
+    tokens: AsyncIterator[list[Token]], first: list[Token], request_id: str
+) -> Response:
+    response = Response(_write_events(tokens, first), content_type="text/event-stream")
+    response.timeout = None
+    response.headers["cache-control"] = "no-store"
+    response.headers[REQUEST_ID_HEADER] = request_id
+    return response
+
+
+async def _write_events(
+    tokens: AsyncIterator[list[Token]], first: list[Token]
+) -> AsyncIterator[bytes]:
+    try:
+        yield _encode_events(first)
+        async for batch in tokens:
+            yield _encode_events(batch)
+    except RequestFailedError as error:
+        problem = problem_from_absent(error.absent, error.run)
+        yield b"event: error\ndata: " + problem.body() + b"\n\n"
+        return
+    finally:
+        await tokens.aclose()  # type: ignore[attr-defined]
+    yield DONE
+
+
+def _encode_events(batch: list[Token]) -> bytes:
+    return b"".join(b"data: " + token.raw + b"\n\n" for token in batch)
+
+
+async def _respond_whole(
+    tokens: AsyncIterator[list[Token]],
+    first: list[Token],
+    chat: ChatRequest,
+    request_id: str,
+) -> Response:
+    collected = list(first)
+    async for batch in tokens:
+        collected.extend(batch)
+    last = collected[-1]
+    body: dict[str, Any] = {
+        "id": request_id,
+        "object": "chat.completion",
+        "created": int(time.time()),
+        "model": chat.model,
+        "choices": [
+            {
+                "index": 0,
+                "message": {
+                    "role": "assistant",
+                    "content": "".join(token.text for token in collected),
+                },
+                "finish_reason": last.finish_reason,
+            }
+        ],
+        "usage": last.usage,
+    }
+    response = Response(orjson.dumps(body), content_type="application/json")
+    response.headers[REQUEST_ID_HEADER] = request_id
+    return response
--- /dev/null
+++ b/src/lycheepath/adapters/http/server.py
@@ -0,0 +1,121 @@
+"""The HTTP application of a host and the server that runs it."""
+
+from __future__ import annotations
+
+import logging
+from functools import partial
+from typing import TYPE_CHECKING, Any
+
+from hypercorn.config import Config
+from hypercorn.trio import serve
+from quart import Response
+from quart_trio import QuartTrio
+
+from ...core.outcomes import RequestFailedError, Run
+from .answers import ProblemError, respond_problem
+from .chat import handle_chat
+from .checks import check_head
+from .gate import LARGEST_BODY_BYTES, build_gate
+from .problems import Problem, problem_from_absent
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from ...host.node import Node
+
+KEEP_ALIVE_S = 75
+HEADERS_TIMEOUT_S = 10
+BACKLOG = 1024
+CLOSE_GRACE_S = 3.0
+
+
+def build_application(node: Node) -> Any:
+    """Return the ASGI application of a host."""
+    application = QuartTrio("lycheepath")
+    application.config["MAX_CONTENT_LENGTH"] = LARGEST_BODY_BYTES
+    application.config["RESPONSE_TIMEOUT"] = None
+    logging.getLogger("quart.app").setLevel(logging.ERROR)
+    _add_errors(application, node)
+    _add_routes(application, node)
+
+    def count(reason: str) -> None:
+        node.metrics.count("refused_total", reason=reason, stage="headers")
+
+    inner: Any = application
+    return build_gate(inner, partial(check_head, node), count)
+
+
+async def serve_http(
+    node: Node, wait_shutdown: Callable[[], Awaitable[None]], task_status: Any
+) -> None:
+    """Serve callers, operators and peers until the shutdown is asked for."""
+    config = Config()
+    config.bind = [node.settings.listen_callers]
+    config.accesslog = None
+    config.errorlog = None
+    config.keep_alive_timeout = KEEP_ALIVE_S
+    config.read_timeout = None
+    config.backlog = BACKLOG
+    config.graceful_timeout = CLOSE_GRACE_S
+    config.include_server_header = False
+    await serve(
+        build_application(node),
+        config,
+        shutdown_trigger=wait_shutdown,
+        task_status=task_status,
+        mode="asgi",
+    )
+
+
+def _add_routes(application: QuartTrio, node: Node) -> None:
+    def route(
+        path: str, handler: Callable[..., Awaitable[Response]], *methods: str
+    ) -> None:
+        application.add_url_rule(
+            path, path, partial(handler, node), methods=methods or ("GET",)
+        )
+
+    route("/health", _answer_health)
+    route("/ready", _answer_ready)
+    route("/metrics", _answer_metrics)
+    route("/v1/chat/completions", handle_chat, "POST")
+
+
+def _add_errors(application: QuartTrio, node: Node) -> None:
+    async def answer_problem(error: ProblemError) -> Response:
+        node.metrics.count("refused_total", reason=error.problem.reason, stage="body")
+        return respond_problem(error.problem)
+
+    async def answer_failure(error: RequestFailedError) -> Response:
+        reason = error.absent.reason.value
+        node.metrics.count("refused_total", reason=reason, stage="serving")
+        return respond_problem(problem_from_absent(error.absent, error.run))
+
+    async def answer_http_error(error: Any) -> Response:
+        status = int(getattr(error, "code", 500) or 500)
+        reason = {404: "no-such-path", 405: "no-such-method", 413: "body-too-large"}
+        node.metrics.count("refused_total", reason=str(status), stage="http")
+        run = Run.NOT_RUN if status < 500 else Run.UNKNOWN
+        return respond_problem(
+            Problem(status, reason.get(status, "http-error"), run, str(error))
+        )
+
+    application.register_error_handler(ProblemError, answer_problem)
+    application.register_error_handler(RequestFailedError, answer_failure)
+    for status in (400, 404, 405, 408, 413, 500):
+        application.register_error_handler(status, answer_http_error)
+
+
+async def _answer_health(node: Node) -> Response:
+    return Response("ok\n", content_type="text/plain")
+
+
+async def _answer_ready(node: Node) -> Response:
+    if node.ready:
+        return Response("ready\n", content_type="text/plain")
+    text = "draining\n" if node.draining else "no configuration yet\n"
+    return Response(text, 503, content_type="text/plain")
+
+
+async def _answer_metrics(node: Node) -> Response:
+    return Response(node.metrics.render(), content_type="text/plain; version=0.0.4")
--- /dev/null
+++ b/src/lycheepath/adapters/targets/__init__.py
@@ -0,0 +1,3 @@
+"""HTTP towards targets (httpx)."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/lycheepath/adapters/targets/engine.py
@@ -0,0 +1,116 @@
+"""
+A model engine, spoken to over its OpenAI-style HTTP interface.
+
+An attempt is always streamed, also when the caller wants a whole answer, so
+that it can be resumed after the engine's death. The stream is read in the
+pieces that arrive: one piece may hold several events.
+"""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING, Any
+
+import httpx
+import orjson
+
+from ...ports.targets import EngineRequest, TargetFailureError
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+CONNECT_TIMEOUT_S = 1.0
+LARGEST_EVENT_BYTES = 1_000_000
+
+
+class EngineClient:
+    """Streams chat completions from engines and reads their load."""
+
+    def __init__(self, read_timeout_s: float = 30.0) -> None:
+        self._client = httpx.AsyncClient(
+            timeout=httpx.Timeout(CONNECT_TIMEOUT_S, read=read_timeout_s),
+            limits=httpx.Limits(max_connections=None, max_keepalive_connections=64),
+            trust_env=False,
+        )
+
+    @asynccontextmanager
+    async def stream(
+        self, address: str, request: EngineRequest
+    ) -> AsyncIterator[AsyncIterator[list[bytes]]]:
+        """
+        Open a stream and yield an iterator over lists of event payloads.
+
+        Raises ``TargetFailureError``. Leaving the context closes the
+        connection, which cancels the work at the engine.
+        """
+        url = f"http://{address}/v1/chat/completions"
+        content = orjson.dumps(_engine_body(request))
+        headers = {
+            "content-type": "application/json",
+            "x-request-id": request.request_id,
+        }
+        try:
+            async with self._client.stream(
+                "POST", url, content=content, headers=headers
+            ) as answer:
+                if answer.status_code != 200:
+                    raise TargetFailureError(
+                        f"status {answer.status_code}",
+                        sent=True,
+                        status=answer.status_code,
+                    )
+                yield _read_events(answer)
+        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+            raise TargetFailureError(repr(error), sent=False) from error
+        except httpx.HTTPError as error:
+            raise TargetFailureError(repr(error), sent=True) from error
+
+    async def read_load(self, address: str, timeout_s: float) -> dict[str, Any] | None:
+        """Return the engine's load report, or None if it gave none in time."""
+        try:
+            answer = await self._client.get(
+                f"http://{address}/v1/load", timeout=timeout_s
+            )
+            report = orjson.loads(answer.content)
+        except (httpx.HTTPError, orjson.JSONDecodeError):
+            return None
+        return report if isinstance(report, dict) else None
+
+    async def order(
+        self, address: str, order: dict[str, Any], timeout_s: float
+    ) -> int | None:
+        """Send an order; return the status, or None if there was no answer."""
+        try:
+            answer = await self._client.post(
+                f"http://{address}/v1/orders", json=order, timeout=timeout_s
+            )
+        except httpx.HTTPError:
+            return None
+        return answer.status_code
+
+    async def aclose(self) -> None:
+        """Close the connections."""
+        await self._client.aclose()
+
+
+def _engine_body(request: EngineRequest) -> dict[str, Any]:
+    body = {**request.body, "stream": True, "priority": request.priority}
+    if request.resume_tokens:
+        body["resume"] = {
+            "text": request.resume_text,
+            "tokens": request.resume_tokens,
+        }
+    return body
+
+
+async def _read_events(answer: httpx.Response) -> AsyncIterator[list[bytes]]:
+    pending = b""
+    async for piece in answer.aiter_raw():
+        pending += piece
+        if b"\n\n" not in pending:
+            if len(pending) > LARGEST_EVENT_BYTES:
+                raise TargetFailureError("an event exceeds its bound", sent=True)
+            continue
+        events = pending.split(b"\n\n")
+        pending = events.pop()
+        yield [event[6:] for event in events if event.startswith(b"data: ")]
--- /dev/null
+++ b/src/lycheepath/adapters/targets/service.py
@@ -0,0 +1,83 @@
+"""
+A plain service, spoken to over HTTP.
+
+Each call takes a fresh connection: a kept one that the target closes at the
+wrong moment would leave it unknown whether the call was run. ``before_send``
+is called after the connection stands and before the first byte leaves, so
+that a process which paused in between can still refuse.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import httpx
+
+from ...ports.targets import ServiceAnswer, ServiceRequest, TargetFailureError
+from .engine import CONNECT_TIMEOUT_S
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+LARGEST_ANSWER_BYTES = 8_000_000
+BEFORE_FIRST_BYTE = "http11.send_request_headers.started"
+
+
+class ServiceClient:
+    """Calls plain services."""
+
+    def __init__(self) -> None:
+        self._client = httpx.AsyncClient(
+            limits=httpx.Limits(max_connections=None, max_keepalive_connections=0),
+            trust_env=False,
+        )
+
+    async def call(
+        self,
+        address: str,
+        request: ServiceRequest,
+        before_send: Callable[[], None] | None = None,
+    ) -> ServiceAnswer:
+        """
+        Call the service and return its answer, whatever the status.
+
+        Raises ``TargetFailureError`` where there is no whole answer, and
+        ``SendRefusedError`` as ``before_send`` raised it.
+        """
+
+        async def trace(event: str, info: dict[str, Any]) -> None:
+            if event == BEFORE_FIRST_BYTE and before_send is not None:
+                before_send()
+
+        timeout = httpx.Timeout(request.timeout_s, connect=CONNECT_TIMEOUT_S)
+        try:
+            async with self._client.stream(
+                request.method,
+                f"http://{address}{request.path}",
+                content=request.body,
+                headers=dict(request.headers),
+                timeout=timeout,
+                extensions={"trace": trace, "timeout": timeout.as_dict()},
+            ) as answer:
+                return await _read_answer(answer)
+        except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+            raise TargetFailureError(repr(error), sent=False) from error
+        except httpx.HTTPError as error:
+            raise TargetFailureError(repr(error), sent=True) from error
+
+    async def aclose(self) -> None:
+        """Close the connections."""
+        await self._client.aclose()
+
+
+async def _read_answer(answer: httpx.Response) -> ServiceAnswer:
+    body = b""
+    async for piece in answer.aiter_raw():
+        body += piece
+        if len(body) > LARGEST_ANSWER_BYTES:
+            raise TargetFailureError("the answer exceeds its bound", sent=True)
+    return ServiceAnswer(
+        answer.status_code,
+        answer.headers.get("content-type", "application/octet-stream"),
+        body,
+    )
