Add the decision core: target choice, limits, retries, host selection

Cause: nothing decides yet where a request goes, who may ask how much and what is repeated; the host needs a stable interface to wire.

All pure; time and randomness are injected. Absent.__bool__ is typed Literal[False], so that the type checker narrows 'if choice:' for every decision that can refuse.

--- /dev/null
+++ b/src/lycheepath/core/hosts/__init__.py
@@ -0,0 +1,3 @@
+"""Which hosts a caller should use."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/lycheepath/core/limits/queue.py
@@ -0,0 +1,160 @@
+"""
+The queue of one host before its targets, fair between teams.
+
+Within a priority, teams are served by start-time fair queueing over tokens: a
+team that floods gets its weight's part, and the others do not wait behind it.
+The queue is bounded in time: a request that would wait past its deadline or
+past ``MAX_WAIT_S`` is refused when it arrives, with when to come back, and one
+whose deadline has passed is handed back instead of served. While the oldest
+request has waited longer than ``LIFO_AFTER_S``, each team's newest request
+goes first (adaptive LIFO): under overload some are served in time instead of
+all too late.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from ..reasons import Absent, Reason
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+MAX_WAIT_S = 2.0
+LIFO_AFTER_S = 0.5
+RATE_STEP = 0.1
+PRIORITIES = 10
+DEFAULT_WEIGHT = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Waiting:
+    """A queued request; times in seconds of the monotonic clock."""
+
+    id: str
+    team: str
+    cost_tokens: float
+    priority: int
+    deadline: float
+    queued_at: float
+
+
+@dataclass(slots=True)
+class _Line:
+    requests: deque[Waiting] = field(default_factory=deque)
+    finish_tag: float = 0.0
+
+
+class FairQueue:
+    """State: the lines of the teams for each priority and the virtual time."""
+
+    def __init__(self, weights: Mapping[str, float] | None = None) -> None:
+        self._weights = weights or {}
+        self._lines: tuple[dict[str, _Line], ...] = tuple({} for _ in range(PRIORITIES))
+        self._virtual_time = 0.0
+        self._queued_tokens = [0.0] * PRIORITIES
+        self._tokens_per_s = 0.0
+        self._served_at = float("-inf")
+
+    def __len__(self) -> int:
+        return sum(
+            len(line.requests) for lines in self._lines for line in lines.values()
+        )
+
+    def push(self, waiting: Waiting, now: float) -> Waiting | Absent:
+        """Queue a request, or refuse it at once with when to come back."""
+        wait = self.estimate_wait(waiting.team, waiting.priority)
+        if wait > MAX_WAIT_S or now + wait > waiting.deadline:
+            return Absent(Reason.OVERLOADED, wait, "the queue is longer than the wait")
+        lines = self._lines[waiting.priority]
+        line = lines.setdefault(waiting.team, _Line())
+        if not line.requests:
+            line.finish_tag = max(line.finish_tag, self._virtual_time)
+        line.requests.append(waiting)
+        self._queued_tokens[waiting.priority] += waiting.cost_tokens
+        return waiting
+
+    def pop(self, now: float) -> tuple[Waiting | None, tuple[Waiting, ...]]:
+        """
+        Return the next request and those that expired in the queue.
+
+        Expired requests get their final answer from the host at once.
+        """
+        expired = self._drop_expired(now)
+        for priority, lines in enumerate(self._lines):
+            waiting = self._pop_line(lines, now)
+            if waiting is not None:
+                self._queued_tokens[priority] -= waiting.cost_tokens
+                self._learn_rate(waiting.cost_tokens, now)
+                return waiting, expired
+        return None, expired
+
+    def cancel(self, request_id: str) -> bool:
+        """Remove a request whose caller hung up; tell whether it was queued."""
+        for priority, lines in enumerate(self._lines):
+            for line in lines.values():
+                for waiting in line.requests:
+                    if waiting.id == request_id:
+                        line.requests.remove(waiting)
+                        self._queued_tokens[priority] -= waiting.cost_tokens
+                        return True
+        return False
+
+    def estimate_wait(self, team: str, priority: int) -> float:
+        """Return the seconds that a new request of a team would wait."""
+        if self._tokens_per_s <= 0.0:
+            return 0.0
+        urgent = sum(self._queued_tokens[:priority])
+        lines = self._lines[priority]
+        line = lines.get(team)
+        own = sum(item.cost_tokens for item in line.requests) if line else 0.0
+        others = self._queued_tokens[priority] - own
+        competing = max(1, sum(bool(item.requests) for item in lines.values()))
+        ahead = urgent + min(others, own * competing) + own
+        return ahead / self._tokens_per_s
+
+    def _pop_line(self, lines: dict[str, _Line], now: float) -> Waiting | None:
+        busy = [
+            (line.finish_tag, team) for team, line in lines.items() if line.requests
+        ]
+        if not busy:
+            return None
+        tag, team = min(busy)
+        line = lines[team]
+        late = now - line.requests[0].queued_at > LIFO_AFTER_S
+        waiting = line.requests.pop() if late else line.requests.popleft()
+        self._virtual_time = max(self._virtual_time, tag)
+        weight = self._weights.get(team, DEFAULT_WEIGHT)
+        line.finish_tag = tag + waiting.cost_tokens / weight
+        if not line.requests and line.finish_tag <= self._virtual_time:
+            del lines[team]
+        return waiting
+
+    def _drop_expired(self, now: float) -> tuple[Waiting, ...]:
+        expired: list[Waiting] = []
+        for priority, lines in enumerate(self._lines):
+            for team in list(lines):
+                line = lines[team]
+                late = [item for item in line.requests if _has_expired(item, now)]
+                for item in late:
+                    line.requests.remove(item)
+                    self._queued_tokens[priority] -= item.cost_tokens
+                expired.extend(late)
+                if not line.requests and line.finish_tag <= self._virtual_time:
+                    del lines[team]
+        return tuple(expired)
+
+    def _learn_rate(self, tokens: float, now: float) -> None:
+        elapsed = now - self._served_at
+        self._served_at = now
+        if 0.0 < elapsed < MAX_WAIT_S:
+            observed = tokens / elapsed
+            if self._tokens_per_s == 0.0:
+                self._tokens_per_s = observed
+            self._tokens_per_s += RATE_STEP * (observed - self._tokens_per_s)
+
+
+def _has_expired(waiting: Waiting, now: float) -> bool:
+    return now >= waiting.deadline or now - waiting.queued_at > MAX_WAIT_S
--- a/src/lycheepath/core/reasons.py
+++ b/src/lycheepath/core/reasons.py
@@ -14,6 +14,7 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from typing import Literal
 
 
 class Reason(Enum):
@@ -53,5 +54,5 @@
     retry_after_s: float = 0.0
     detail: str = ""
 
-    def __bool__(self) -> bool:
+    def __bool__(self) -> Literal[False]:
         return False
--- /dev/null
+++ b/src/lycheepath/core/retries/__init__.py
@@ -0,0 +1,3 @@
+"""What may be repeated, how often, and when."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/lycheepath/core/retries/budget.py
@@ -0,0 +1,79 @@
+"""
+The budgets that keep retries from sustaining an overload.
+
+A request carries one budget end to end. Whoever forwards it hands over what is
+left and spends nothing more on it, so attempts add up and never multiply. A
+host has a budget of its own over all requests: retries are at most a share of
+what succeeded lately.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+
+MAX_ATTEMPTS = 3
+RETRY_RATIO = 0.1
+MAX_SAVED_RETRIES = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class RequestBudget:
+    """
+    What a request may still use: attempts (the first counts) and time.
+
+    ``deadline`` is in seconds of this host's monotonic clock.
+    """
+
+    attempts_left: int
+    deadline: float
+
+    def spend(self) -> RequestBudget:
+        """Return the budget after one more attempt."""
+        if self.attempts_left <= 0:
+            raise AttemptsError("an attempt was made on an empty budget")
+        return replace(self, attempts_left=self.attempts_left - 1)
+
+
+class AttemptsError(AssertionError):
+    """More attempts were made than the request's budget allows."""
+
+
+def open_budget(deadline: float) -> RequestBudget:
+    """Return the budget of a request that came from a caller."""
+    return RequestBudget(MAX_ATTEMPTS, deadline)
+
+
+def encode_budget(budget: RequestBudget, now: float) -> str:
+    """Return the budget for a header, as attempts and milliseconds left."""
+    left_ms = max(0, int((budget.deadline - now) * 1000.0))
+    return f"attempts={budget.attempts_left};ms={left_ms}"
+
+
+def decode_budget(text: str, now: float) -> RequestBudget | None:
+    """Return the budget that another host handed over, or None if malformed."""
+    fields = dict(part.partition("=")[::2] for part in text.split(";"))
+    attempts = fields.get("attempts", "")
+    left_ms = fields.get("ms", "")
+    if not (attempts.isdecimal() and left_ms.isdecimal()):
+        return None
+    if len(attempts) > 2 or len(left_ms) > 9:
+        return None
+    return RequestBudget(min(int(attempts), MAX_ATTEMPTS), now + int(left_ms) / 1000.0)
+
+
+@dataclass(slots=True)
+class HostBudget:
+    """State: retries that this host may still make, earned by successes."""
+
+    saved: float = MAX_SAVED_RETRIES
+
+    def earn(self) -> None:
+        """Count a success."""
+        self.saved = min(MAX_SAVED_RETRIES, self.saved + RETRY_RATIO)
+
+    def take(self) -> bool:
+        """Take one retry; tell whether there was one."""
+        if self.saved < 1.0:
+            return False
+        self.saved -= 1.0
+        return True
--- /dev/null
+++ b/src/lycheepath/core/routing/__init__.py
@@ -0,0 +1,3 @@
+"""Which target serves a request: the book of targets, the choice, the spill."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/lycheepath/core/routing/choice.py
@@ -0,0 +1,255 @@
+"""
+The choice of a target for one request.
+
+Each candidate gets an estimate of the time to the first token and to the end
+and a score in seconds, in which the environment's weights set the processor
+time of prefilling tokens again against the caller's wait. The lowest score
+wins. Every choice carries the scores of the best candidates, for
+``lycheepath explain``.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ..reasons import Absent, Reason
+from .health import PROBES_AT_ONCE
+from .reports import ModelState
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
+    from random import Random
+
+    from .facts import Facts
+    from .request import RoutedRequest
+    from .targets import TargetView
+
+REPORT_TRUST_S = 5.0
+EXPLAINED_CANDIDATES = 8
+DEFAULT_SERVICE_S = 2.0
+HALF_LOADED_SHARE = 0.5
+FAILURE_COST_S = 4.0
+TIE_S = 0.02
+AWAY_COST_S = 0.2
+MIN_RETRY_AFTER_S = 0.5
+
+
+class ResidencyError(AssertionError):
+    """A request bound to a region was about to leave it."""
+
+
+@dataclass(frozen=True, slots=True)
+class Score:
+    """
+    One candidate as the choice saw it; all times in seconds.
+
+    ``score_s`` is what was compared, lowest first.
+    """
+
+    target: str
+    region: str
+    score_s: float
+    first_token_s: float
+    finish_s: float
+    cached_tokens: int
+    load: float
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """The chosen target with its estimates and the reasons for it."""
+
+    target: str
+    region: str
+    first_token_s: float
+    finish_s: float
+    cached_tokens: int
+    away: bool
+    scores: tuple[Score, ...]
+    rejected: Mapping[str, str]
+
+
+def choose_target(
+    request: RoutedRequest,
+    views: Sequence[TargetView],
+    cached: Mapping[str, int],
+    facts: Facts,
+    now: float,
+    random: Random,
+) -> Choice | Absent:
+    """
+    Return the best target, or why there is none and when to come back.
+
+    ``cached`` holds the tokens of the prompt that each target probably has
+    in its cache. Draining and ejected targets and those outside the bound
+    region are never chosen.
+    """
+    rejected: dict[str, str] = {}
+    candidates = _find_candidates(request, views, now, rejected)
+    if not candidates:
+        return _explain_absence(request, views)
+    scores = [
+        score_target(request, view, cached.get(view.id, 0), facts, now)
+        for view in candidates
+    ]
+    scores.sort(key=lambda score: score.score_s)
+    best = _break_tie(scores, random)
+    if now + best.finish_s > request.deadline:
+        best = min(scores, key=lambda score: score.finish_s)
+        if now + best.finish_s > request.deadline:
+            return _refuse_late(candidates)
+    assert_residency(request, best.region)
+    return Choice(
+        target=best.target,
+        region=best.region,
+        first_token_s=best.first_token_s,
+        finish_s=best.finish_s,
+        cached_tokens=best.cached_tokens,
+        away=best.region != request.home_region,
+        scores=tuple(scores[:EXPLAINED_CANDIDATES]),
+        rejected=rejected,
+    )
+
+
+def assert_residency(request: RoutedRequest, region: str) -> None:
+    """Raise ``ResidencyError`` if the request may not enter the region."""
+    if request.bound_region is not None and request.bound_region != region:
+        raise ResidencyError(
+            f"request {request.id} is bound to {request.bound_region}, not {region}"
+        )
+
+
+def score_target(
+    request: RoutedRequest,
+    view: TargetView,
+    cached_tokens: int,
+    facts: Facts,
+    now: float,
+) -> Score:
+    """Return the estimates and the score of one candidate."""
+    cached = min(cached_tokens, max(0, request.prompt_tokens - 1))
+    load = estimate_load(view, facts.sharers, now)
+    slowness = estimate_slowness(view, now)
+    prefill_s = (request.prompt_tokens - cached) / view.prefill_tokens_per_s
+    backlog_s = view.prefill_tokens / view.prefill_tokens_per_s
+    first_token_s = (
+        2.0 * facts.delay_s.get(view.region, 0.0)
+        + _load_model_s(request.model, view, facts)
+        + _slot_wait_s(view, load)
+        + (backlog_s + prefill_s) * slowness
+    )
+    decode_s = request.max_tokens / view.decode_tokens_per_s * view.decode_slowness
+    weights = facts.weights
+    score_s = (
+        weights.tail_latency * first_token_s
+        + weights.cost * prefill_s * view.accelerators
+        + view.failure_ratio * FAILURE_COST_S
+    )
+    if view.region != request.home_region:
+        score_s += weights.cost * AWAY_COST_S
+    return Score(
+        target=view.id,
+        region=view.region,
+        score_s=score_s,
+        first_token_s=first_token_s,
+        finish_s=first_token_s + decode_s,
+        cached_tokens=cached,
+        load=load,
+    )
+
+
+def estimate_load(view: TargetView, sharers: int, now: float) -> float:
+    """
+    Return the estimated number of requests at a target.
+
+    Own requests are known. Those of others are discounted by the age of the
+    report that told of them.
+    """
+    age = max(0.0, now - view.measured_at)
+    return view.in_flight + view.others * REPORT_TRUST_S / (REPORT_TRUST_S + age)
+
+
+def estimate_slowness(view: TargetView, now: float) -> float:
+    """
+    Return how much slower than expected a target now is.
+
+    A request that still waits counts as soon as it is overdue, not only when
+    its first token comes.
+    """
+    if view.oldest_wait_at >= now:
+        return view.slowness
+    overdue = (now - view.oldest_wait_at) / view.oldest_wait_estimate_s
+    return max(view.slowness, overdue)
+
+
+def _find_candidates(
+    request: RoutedRequest,
+    views: Sequence[TargetView],
+    now: float,
+    rejected: dict[str, str],
+) -> list[TargetView]:
+    candidates = []
+    for view in views:
+        reason = _reject(request, view, now)
+        if reason is None:
+            candidates.append(view)
+        elif len(rejected) < EXPLAINED_CANDIDATES:
+            rejected[view.id] = reason
+    return candidates
+
+
+def _reject(request: RoutedRequest, view: TargetView, now: float) -> str | None:
+    if request.model not in view.models:
+        return "does not serve the model"
+    if request.bound_region not in (None, view.region):
+        return "outside the bound region"
+    if view.draining:
+        return "draining"
+    if now < view.ejected_until:
+        return "ejected"
+    if view.on_probation and view.in_flight >= PROBES_AT_ONCE:
+        return "on probation with a probe in flight"
+    return None
+
+
+def _explain_absence(request: RoutedRequest, views: Sequence[TargetView]) -> Absent:
+    serving = [view for view in views if request.model in view.models]
+    if not serving:
+        return Absent(Reason.NO_SUCH_MODEL, detail=f"no runner for {request.model}")
+    if request.bound_region is not None:
+        serving = [view for view in serving if view.region == request.bound_region]
+        if not serving:
+            return Absent(
+                Reason.RESIDENCY, detail=f"no runner in {request.bound_region}"
+            )
+    return Absent(Reason.NO_TARGET, MIN_RETRY_AFTER_S, "all runners drain or are out")
+
+
+def _refuse_late(candidates: Sequence[TargetView]) -> Absent:
+    shortest = min(view.service_s or DEFAULT_SERVICE_S for view in candidates)
+    return Absent(
+        Reason.DEADLINE,
+        max(MIN_RETRY_AFTER_S, shortest),
+        "no runner can answer before the deadline",
+    )
+
+
+def _break_tie(scores: Sequence[Score], random: Random) -> Score:
+    limit = scores[0].score_s + TIE_S
+    near = [score for score in scores if score.score_s <= limit]
+    return random.choice(near)
+
+
+def _load_model_s(model: str, view: TargetView, facts: Facts) -> float:
+    state = view.model_states.get(model, ModelState.LOADED)
+    if state is ModelState.LOADED:
+        return 0.0
+    load_s = facts.load_s.get(model, 0.0)
+    return load_s * HALF_LOADED_SHARE if state is ModelState.LOADING else load_s
+
+
+def _slot_wait_s(view: TargetView, load: float) -> float:
+    if load < view.slots:
+        return 0.0
+    return (load - view.slots + 1) / view.slots * (view.service_s or DEFAULT_SERVICE_S)
--- /dev/null
+++ b/src/lycheepath/core/routing/facts.py
@@ -0,0 +1,75 @@
+"""
+What the environment document says that a host's decisions need.
+
+The facts are computed once for each revision, not for each request::
+
+    facts = read_facts(environment, host="host-1")
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from types import MappingProxyType
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from ..environment.model import Environment, Link, Weights
+
+DEFAULT_ONE_WAY_S = 0.05
+DEFAULT_LOAD_S = 60.0
+
+
+@dataclass(frozen=True, slots=True)
+class Facts:
+    """
+    The environment as one host sees it.
+
+    ``delay_s`` is the one-way delay from this host to each region.
+    ``load_s`` is the time to fetch each model's weights at the full rate of
+    the weight store. ``sharers`` is the number of hosts that use the same
+    targets.
+    """
+
+    host: str
+    region: str
+    weights: Weights
+    delay_s: Mapping[str, float]
+    load_s: Mapping[str, float]
+    sharers: int
+
+
+def read_facts(environment: Environment, host: str, region: str) -> Facts:
+    """Return the facts for a host in a region."""
+    delays = {
+        item.id: _delay_s(environment.links, region, item.id)
+        for item in environment.regions
+    }
+    return Facts(
+        host=host,
+        region=region,
+        weights=environment.weights,
+        delay_s=MappingProxyType(delays),
+        load_s=MappingProxyType(_load_seconds(environment)),
+        sharers=max(1, len(environment.hosts)),
+    )
+
+
+def _delay_s(links: tuple[Link, ...], here: str, there: str) -> float:
+    if here == there:
+        return 0.0
+    for link in links:
+        if set(link.regions) == {here, there}:
+            return link.one_way_ms / 1000.0
+    return DEFAULT_ONE_WAY_S
+
+
+def _load_seconds(environment: Environment) -> dict[str, float]:
+    store = environment.weight_store
+    if store is None:
+        return {model.id: DEFAULT_LOAD_S for model in environment.models}
+    return {
+        model.id: model.weights_bytes / store.bytes_per_s
+        for model in environment.models
+    }
--- /dev/null
+++ b/src/lycheepath/core/routing/health.py
@@ -0,0 +1,82 @@
+"""
+Whether a target that still accepts connections can be trusted with work.
+
+Judged by what its requests meet (passive outlier detection): failures in a
+row, the share of failures, and wrong answers. A suspect is ejected for a time
+that doubles with each ejection in short order and is then probed by single
+requests. The floor on what may be ejected together is kept by the caller, who
+knows the other targets; see ``may_eject``.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+CONSECUTIVE_FAILURES = 3
+FAILURE_SHARE = 0.5
+FAILURE_MEMORY = 0.9
+MIN_OBSERVATIONS = 8
+FIRST_EJECTION_S = 5.0
+LONGEST_EJECTION_S = 120.0
+FORGIVE_AFTER_S = 120.0
+PROBES_AT_ONCE = 1
+MAX_EJECTED_SHARE = 0.5
+
+
+@dataclass(slots=True)
+class TargetHealth:
+    """State: what the requests of one target have met."""
+
+    consecutive: int = 0
+    observations: int = 0
+    failure_ratio: float = 0.0
+    ejected_until: float = 0.0
+    ejections: int = 0
+    last_ejection: float = float("-inf")
+    on_probation: bool = False
+
+    def record_success(self) -> None:
+        """Count a whole answer; it ends the probation of an ejected target."""
+        self.consecutive = 0
+        self.observations += 1
+        self.failure_ratio *= FAILURE_MEMORY
+        if self.on_probation:
+            self.on_probation = False
+            self.failure_ratio = 0.0
+            self.observations = 0
+
+    def record_failure(self, wrong_answer: bool) -> bool:
+        """Count a failure; return whether the target should be ejected."""
+        self.consecutive += CONSECUTIVE_FAILURES if wrong_answer else 1
+        self.observations += 1
+        self.failure_ratio = self.failure_ratio * FAILURE_MEMORY + (1 - FAILURE_MEMORY)
+        if self.on_probation or self.consecutive >= CONSECUTIVE_FAILURES:
+            return True
+        often = self.failure_ratio >= FAILURE_SHARE
+        return often and self.observations >= MIN_OBSERVATIONS
+
+    def eject(self, now: float) -> None:
+        """Take the target out for a time that doubles with each repetition."""
+        if now - self.last_ejection > FORGIVE_AFTER_S + LONGEST_EJECTION_S:
+            self.ejections = 0
+        duration = min(FIRST_EJECTION_S * 2**self.ejections, LONGEST_EJECTION_S)
+        self.ejections += 1
+        self.last_ejection = now
+        self.ejected_until = now + duration
+        self.consecutive = 0
+        self.on_probation = True
+
+    def is_ejected(self, now: float) -> bool:
+        """Tell whether the target is out at this time."""
+        return now < self.ejected_until
+
+
+def may_eject(ejected: int, total: int) -> bool:
+    """
+    Tell whether one more of ``total`` like targets may be ejected.
+
+    Half of them at most are out at once, and one always stays: when most
+    look sick, the fault is more likely in the observer or shared by all, and
+    spreading work beats refusing it.
+    """
+    return ejected + 1 <= total * MAX_EJECTED_SHARE
--- /dev/null
+++ b/src/lycheepath/core/routing/router.py
@@ -0,0 +1,71 @@
+"""
+The state of routing at one host, as the host wires it.
+
+A thin composition of the book, the facts and the choice::
+
+    router = Router(host="host-1", region="accra", random=Random())
+    router.apply(environment)
+    choice = router.choose(request, now)
+    if choice:
+        assert_residency(request, choice.region)
+        router.start(request, choice, now)
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..reasons import Absent, Reason
+from .choice import assert_residency, choose_target
+from .facts import read_facts
+from .targets import TargetBook
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from ..environment.model import Environment
+    from .choice import Choice
+    from .facts import Facts
+    from .request import RoutedRequest
+
+
+class Router:
+    """State: the book of targets and the facts of the environment in force."""
+
+    def __init__(self, host: str, region: str, random: Random) -> None:
+        self.host = host
+        self.region = region
+        self.book = TargetBook(host)
+        self._random = random
+        self._facts: Facts | None = None
+
+    def apply(self, environment: Environment) -> None:
+        """Put an environment document in force."""
+        self._facts = read_facts(environment, self.host, self.region)
+        self.book.apply(environment)
+
+    def choose(
+        self,
+        request: RoutedRequest,
+        now: float,
+        excluded: frozenset[str] = frozenset(),
+    ) -> Choice | Absent:
+        """
+        Return the target for a request, or why there is none.
+
+        ``excluded`` names targets that this request has already tried.
+        """
+        if self._facts is None:
+            return Absent(Reason.VIEW_TOO_OLD, 1.0, "no environment is in force yet")
+        views = self.book.views()
+        if excluded:
+            views = tuple(view for view in views if view.id not in excluded)
+        cached = self.book.cached_tokens(request)
+        return choose_target(request, views, cached, self._facts, now, self._random)
+
+    def start(self, request: RoutedRequest, choice: Choice, now: float) -> None:
+        """Record that the chosen target is being sent the request."""
+        assert_residency(request, choice.region)
+        self.book.started(
+            request, choice.target, now, choice.first_token_s, choice.cached_tokens
+        )
