--- /dev/null
+++ b/standins/processes.py
@@ -0,0 +1,166 @@
+"""
+Processes started by tests, the demo and the benchmarks.
+
+Each writes its output to a file of its own and is ended by its id::
+
+    process = await start_process("engine", ["-m", "standins.engine"], directory)
+    process.stop()
+    process.resume()
+    await process.kill()
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import trio
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+ROOT = Path(__file__).resolve().parent.parent
+LOOPBACK = "127.0.0.1"
+POLL_S = 0.02
+READY_LIMIT_S = 20.0
+END_LIMIT_S = 5.0
+
+
+class ProcessEndedError(Exception):
+    """A process that ended before it was ready, with what it wrote."""
+
+
+@dataclass(slots=True, eq=False)
+class Process:
+    """A running process, its port on loopback and the file of its output."""
+
+    name: str
+    popen: subprocess.Popen[bytes]
+    output: Path
+    port: int = 0
+
+    @property
+    def pid(self) -> int:
+        """The id of the process."""
+        return self.popen.pid
+
+    @property
+    def address(self) -> str:
+        """``IP:port`` that the process listens on."""
+        return f"{LOOPBACK}:{self.port}"
+
+    @property
+    def url(self) -> str:
+        """The base URL of the process."""
+        return f"http://{self.address}"
+
+    @property
+    def running(self) -> bool:
+        """Whether the process has not ended yet."""
+        return self.popen.poll() is None
+
+    def stop(self) -> None:
+        """Pause the process."""
+        self._signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let a paused process go on."""
+        self._signal(signal.SIGCONT)
+
+    def terminate(self) -> None:
+        """Ask the process to end gracefully."""
+        self._signal(signal.SIGTERM)
+
+    async def kill(self) -> None:
+        """End the process at once and wait until it is gone."""
+        self._signal(signal.SIGKILL)
+        await self.wait()
+
+    async def wait(self, limit_s: float = END_LIMIT_S) -> int:
+        """Return the exit code; raises ``trio.TooSlowError`` after ``limit_s``."""
+        with trio.fail_after(limit_s):
+            while True:
+                code = self.popen.poll()
+                if code is not None:
+                    return code
+                await trio.sleep(POLL_S)
+
+    def read_output(self) -> str:
+        """Return all that the process has written."""
+        return self.output.read_text(errors="replace")
+
+    def _signal(self, number: signal.Signals) -> None:
+        if self.running:
+            self.popen.send_signal(number)
+
+
+def launch_process(name: str, arguments: Sequence[str], directory: Path) -> Process:
+    """Start ``python ARGUMENTS`` without waiting for it."""
+    output = directory / f"{name}.log"
+    environment = {**os.environ, "PYTHONPATH": f"{ROOT / 'src'}:{ROOT}"}
+    with output.open("ab") as log:
+        popen = subprocess.Popen(
+            [sys.executable, *arguments],
+            cwd=ROOT,
+            env=environment,
+            stdin=subprocess.DEVNULL,
+            stdout=log,
+            stderr=subprocess.STDOUT,
+        )
+    return Process(name, popen, output)
+
+
+async def start_process(
+    name: str, arguments: Sequence[str], directory: Path
+) -> Process:
+    """Start a process and wait for the line that tells its port."""
+    written = directory / f"{name}.log"
+    skip = written.stat().st_size if written.exists() else 0
+    process = launch_process(name, arguments, directory)
+    with trio.fail_after(READY_LIMIT_S):
+        while True:
+            port = _find_port(written.read_bytes()[skip:])
+            if port is not None:
+                process.port = port
+                return process
+            require_running(process)
+            await trio.sleep(POLL_S)
+
+
+def require_running(process: Process) -> None:
+    """Raise ``ProcessEndedError`` when the process has ended."""
+    if not process.running:
+        raise ProcessEndedError(
+            f"{process.name} ended with {process.popen.returncode}:\n"
+            f"{process.read_output()[-2000:]}"
+        )
+
+
+def pick_port() -> int:
+    """Return a port on loopback that is free for TCP and UDP just now."""
+    while True:
+        with (
+            socket.socket(socket.AF_INET, socket.SOCK_STREAM) as stream,
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams,
+        ):
+            stream.bind((LOOPBACK, 0))
+            port = int(stream.getsockname()[1])
+            try:
+                datagrams.bind((LOOPBACK, port))
+            except OSError:
+                continue
+            return port
+
+
+def _find_port(written: bytes) -> int | None:
+    for line in written.splitlines(keepends=True):
+        if line.startswith(b'{"ready"') and line.endswith(b"\n"):
+            return int(json.loads(line)["port"])
+    return None
