--- a/src/lycheepath/adapters/http/chat.py
+++ b/src/lycheepath/adapters/http/chat.py
@@ -12,17 +12,20 @@
 from ...core.outcomes import RequestFailedError, Run
 from ...host.chat import answer_chat
 from .answers import ProblemError
-from .gate import CLIENT_KEY, FORWARD_KEY
+from .gate import CLIENT_KEY
 from .problems import Problem, problem_from_absent
 from .signatures import REQUEST_ID_HEADER
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncGenerator
 
     from ...core.chat import ChatRequest
     from ...core.tokens import Token
     from ...host.node import Node
 
+TIMEOUT_HEADER = "lycheepath-timeout-ms"
+DEFAULT_TIMEOUT_S = 60.0
+LONGEST_TIMEOUT_MS = 600_000
 DONE = b"data: [DONE]\n\n"
 
 
@@ -46,8 +49,8 @@
         node,
         chat,
         scope[CLIENT_KEY],
-        scope.get(FORWARD_KEY),
         request_id,
+        _read_timeout(),
     )
     first = await anext(tokens)
     node.metrics.record_ms("first_token_ms", (node.now() - started) * 1000)
@@ -71,12 +74,28 @@
     return chat
 
 
+def _read_timeout() -> float:
+    text = request.headers.get(TIMEOUT_HEADER, "")
+    if not text:
+        return DEFAULT_TIMEOUT_S
+    if not text.isdecimal() or not 1 <= int(text) <= LONGEST_TIMEOUT_MS:
+        raise ProblemError(
+            Problem(
+                400,
+                "malformed-timeout",
+                Run.NOT_RUN,
+                f"Send {TIMEOUT_HEADER} as 1 to {LONGEST_TIMEOUT_MS} milliseconds.",
+            )
+        )
+    return int(text) / 1000
+
+
 def _draw_request_id(node: Node) -> str:
     return f"chatcmpl-{node.random.getrandbits(96):024x}"
 
 
 def _respond_stream(
-    tokens: AsyncIterator[list[Token]], first: list[Token], request_id: str
+    tokens: AsyncGenerator[list[Token], None], first: list[Token], request_id: str
 ) -> Response:
     response = Response(_write_events(tokens, first), content_type="text/event-stream")
     response.timeout = None
@@ -86,8 +105,8 @@
 
 
 async def _write_events(
-    tokens: AsyncIterator[list[Token]], first: list[Token]
-) -> AsyncIterator[bytes]:
+    tokens: AsyncGenerator[list[Token], None], first: list[Token]
+) -> AsyncGenerator[bytes, None]:
     try:
         yield _encode_events(first)
         async for batch in tokens:
@@ -97,7 +116,7 @@
         yield b"event: error\ndata: " + problem.body() + b"\n\n"
         return
     finally:
-        await tokens.aclose()  # type: ignore[attr-defined]
+        await tokens.aclose()
     yield DONE
 
 
@@ -106,7 +125,7 @@
 
 
 async def _respond_whole(
-    tokens: AsyncIterator[list[Token]],
+    tokens: AsyncGenerator[list[Token], None],
     first: list[Token],
     chat: ChatRequest,
     request_id: str,
--- a/src/lycheepath/adapters/targets/engine.py
+++ b/src/lycheepath/adapters/targets/engine.py
@@ -20,13 +20,14 @@
     from collections.abc import AsyncIterator
 
 CONNECT_TIMEOUT_S = 1.0
+STALL_TIMEOUT_S = 10.0
 LARGEST_EVENT_BYTES = 1_000_000
 
 
 class EngineClient:
     """Streams chat completions from engines and reads their load."""
 
-    def __init__(self, read_timeout_s: float = 30.0) -> None:
+    def __init__(self, read_timeout_s: float = STALL_TIMEOUT_S) -> None:
         self._client = httpx.AsyncClient(
             timeout=httpx.Timeout(CONNECT_TIMEOUT_S, read=read_timeout_s),
             limits=httpx.Limits(max_connections=None, max_keepalive_connections=64),
@@ -63,7 +64,10 @@
         except (httpx.ConnectError, httpx.ConnectTimeout) as error:
             raise TargetFailureError(repr(error), sent=False) from error
         except httpx.HTTPError as error:
-            raise TargetFailureError(repr(error), sent=True) from error
+            timed_out = isinstance(error, httpx.TimeoutException)
+            raise TargetFailureError(
+                repr(error), sent=True, timed_out=timed_out
+            ) from error
 
     async def read_load(self, address: str, timeout_s: float) -> dict[str, Any] | None:
         """Return the engine's load report, or None if it gave none in time."""
--- a/src/lycheepath/core/clients.py
+++ b/src/lycheepath/core/clients.py
@@ -34,6 +34,13 @@
         digest = hashlib.sha256(api_key.encode()).hexdigest()
         return self.by_key_digest.get(digest)
 
+    def team_regions(self) -> dict[str, tuple[str, ...]]:
+        """Return the home regions of each team's clients, sorted."""
+        regions: dict[str, set[str]] = {}
+        for client in self.by_key_digest.values():
+            regions.setdefault(client.team, set()).add(client.region)
+        return {team: tuple(sorted(found)) for team, found in regions.items()}
+
 
 EMPTY_DIRECTORY = Directory({})
 
--- a/src/lycheepath/core/reasons.py
+++ b/src/lycheepath/core/reasons.py
@@ -32,6 +32,7 @@
     ALREADY_FORWARDED = "already-forwarded"
     VIEW_TOO_OLD = "view-too-old"
     RETRIES_SPENT = "retries-spent"
+    REFUSED_BY_TARGET = "refused-by-target"
     TICKET_FORGED = "ticket-forged"
     TICKET_EXPIRED = "ticket-expired"
     TICKET_VOID = "ticket-void"
--- a/src/lycheepath/host/configuration.py
+++ b/src/lycheepath/host/configuration.py
@@ -49,7 +49,7 @@
     if value.name == "directory":
         directory = read_directory(orjson.loads(value.body))
         if isinstance(directory, Directory):
-            node.directory = directory
+            node.adopt_directory(directory)
         return
     environment = read_environment(value.body)
     if not isinstance(environment, Environment):
--- a/src/lycheepath/host/node.py
+++ b/src/lycheepath/host/node.py
@@ -19,6 +19,10 @@
 from ..adapters.targets.engine import EngineClient
 from ..adapters.targets.service import ServiceClient
 from ..core.clients import EMPTY_DIRECTORY, Directory
+from ..core.limits.admission import Limiter
+from ..core.retries.budget import HostBudget
+from ..core.routing.router import Router
+from .explanations import Explanations
 
 if TYPE_CHECKING:
     from ..core.environment.model import Environment, Host, Target
@@ -53,6 +57,15 @@
     draining: bool = False
     in_flight: int = 0
     zone_regions: dict[str, str] = field(default_factory=dict)
+    targets: dict[str, Target] = field(default_factory=dict)
+    explanations: Explanations = field(default_factory=Explanations)
+    retry_budget: HostBudget = field(default_factory=HostBudget)
+    router: Router = field(init=False)
+    limiter: Limiter = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.router = Router(self.settings.host, self.settings.region, self.random)
+        self.limiter = Limiter(self.settings.host)
 
     def now(self) -> float:
         """Return the loop's monotonic time in seconds."""
@@ -71,6 +84,18 @@
             raise AssertionError(message)
         self.environment = environment
         self.zone_regions = {zone.id: zone.region for zone in environment.zones}
+        self.targets = {target.id: target for target in environment.targets}
+        self.router.apply(environment)
+        self._apply_limits()
+
+    def adopt_directory(self, directory: Directory) -> None:
+        """Put a directory of clients in force."""
+        self.directory = directory
+        self._apply_limits()
+
+    def _apply_limits(self) -> None:
+        if self.environment is not None:
+            self.limiter.apply(self.environment, self.directory.team_regions())
 
     def record(self, kind: str, source: str, before: str, after: str) -> None:
         """Add a record to the audit trail."""
--- a/src/lycheepath/ports/targets.py
+++ b/src/lycheepath/ports/targets.py
@@ -17,13 +17,17 @@
     A target did not answer as it should.
 
     ``sent`` is False only when no byte of the request left for the target.
-    ``status`` is the HTTP status that it answered with, or 0.
+    ``status`` is the HTTP status that it answered with, or 0. ``timed_out``
+    says that it kept the connection but was silent for too long.
     """
 
-    def __init__(self, detail: str, *, sent: bool, status: int = 0) -> None:
+    def __init__(
+        self, detail: str, *, sent: bool, status: int = 0, timed_out: bool = False
+    ) -> None:
         super().__init__(detail)
         self.sent = sent
         self.status = status
+        self.timed_out = timed_out
 
 
 class SendRefusedError(Exception):
