--- /dev/null
+++ b/src/lycheepath/core/actions/tickets.py
@@ -0,0 +1,150 @@
+"""
+Tickets: keys for actions that a host makes and authenticates.
+
+A ticket names the one process incarnation that may run the action. It costs
+its owner no memory until it is used, since the text itself proves that the
+owner issued it and when it expires on the owner's monotonic clock::
+
+    text = encode_ticket(ticket, peer_keys[0])
+    ticket = verify_ticket(text, peer_keys, team, service)
+"""
+
+from __future__ import annotations
+
+import hmac
+from base64 import urlsafe_b64decode, urlsafe_b64encode
+from binascii import Error as Base64Error
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ..reasons import Absent, Reason
+from .claims import Claim, KeyOrigin
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from ...host.settings import PeerKey
+
+VERSION = "lp1"
+MAX_TICKET_CHARS = 2048
+_CONTEXT = b"lycheepath ticket 1\0"
+_SEPARATOR = "\x1f"
+
+
+@dataclass(frozen=True, slots=True)
+class Owner:
+    """
+    The process incarnation that alone may run a claim.
+
+    ``address`` is the callers' address to which the process is bound;
+    ``incarnation`` is fresh for each start of a process.
+    """
+
+    host: str
+    incarnation: str
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class Ticket:
+    """
+    A claim with its owner and its expiry.
+
+    ``expires_at`` is in seconds on the owner's monotonic clock and means
+    nothing to any other process.
+    """
+
+    owner: Owner
+    claim: Claim
+    expires_at: float
+
+
+def issue_ticket(owner: Owner, claim: Claim, window_s: float, now: float) -> Ticket:
+    """
+    Make a ticket that lives for the service's resend window.
+
+    For a caller without a key the claim is ``make_claim`` of a fresh nonce.
+    For a caller's own key the owner must be the key's issuer, and its ledger
+    is told with ``extend_for_ticket``.
+    """
+    return Ticket(owner, claim, now + window_s)
+
+
+def make_claim(team: str, service: str, nonce: bytes) -> Claim:
+    """Make the claim of a ticket without a caller's key."""
+    return Claim(team, service, nonce.hex(), KeyOrigin.TICKET)
+
+
+def encode_ticket(ticket: Ticket, key: PeerKey) -> str:
+    """Write a ticket as printable text, authenticated with ``key``."""
+    payload = _join_fields(ticket, key.id)
+    return f"{VERSION}.{_to_text(payload)}.{_to_text(_sign(payload, key.secret))}"
+
+
+def verify_ticket(
+    text: str, keys: Sequence[PeerKey], team: str, service: str
+) -> Ticket | Absent:
+    """
+    Read a ticket and check that one of our hosts issued it for this use.
+
+    Returns ``TICKET_FORGED`` for text that no host with one of ``keys``
+    wrote, or that was written for another team or service.
+    """
+    parts = text.split(".")
+    if len(text) > MAX_TICKET_CHARS or len(parts) != 3 or parts[0] != VERSION:
+        return _forged("not a ticket; ask for one with POST /v1/tickets")
+    payload = _from_text(parts[1])
+    mac = _from_text(parts[2])
+    if not any(hmac.compare_digest(_sign(payload, key.secret), mac) for key in keys):
+        return _forged("the ticket's signature is not by one of our keys")
+    ticket = _split_fields(payload)
+    if (ticket.claim.team, ticket.claim.service) != (team, service):
+        return _forged("the ticket was issued for another team or service")
+    return ticket
+
+
+def _forged(detail: str) -> Absent:
+    return Absent(Reason.TICKET_FORGED, detail=detail)
+
+
+def _sign(payload: bytes, secret: bytes) -> bytes:
+    return hmac.digest(secret, _CONTEXT + payload, "sha256")
+
+
+def _join_fields(ticket: Ticket, key_id: str) -> bytes:
+    owner, claim = ticket.owner, ticket.claim
+    fields = (
+        key_id,
+        owner.host,
+        owner.incarnation,
+        owner.address,
+        claim.team,
+        claim.service,
+        claim.origin.value,
+        repr(ticket.expires_at),
+        claim.key,
+    )
+    if any(_SEPARATOR in field for field in fields):
+        raise ValueError("a ticket's fields must not hold the separator U+001F")
+    return _SEPARATOR.join(fields).encode()
+
+
+def _split_fields(payload: bytes) -> Ticket:
+    fields = payload.decode().split(_SEPARATOR)
+    _, host, incarnation, address, team, service, origin, expires_at, key = fields
+    return Ticket(
+        owner=Owner(host, incarnation, address),
+        claim=Claim(team, service, key, KeyOrigin(origin)),
+        expires_at=float(expires_at),
+    )
+
+
+def _to_text(raw: bytes) -> str:
+    return urlsafe_b64encode(raw).rstrip(b"=").decode()
+
+
+def _from_text(text: str) -> bytes:
+    try:
+        return urlsafe_b64decode(text + "=" * (-len(text) % 4))
+    except (Base64Error, ValueError):
+        return b""
--- a/src/lycheepath/core/reasons.py
+++ b/src/lycheepath/core/reasons.py
@@ -38,6 +38,13 @@
     KEY_TOO_OLD = "key-too-old"
     KEY_REUSED = "key-reused"
     IN_PROGRESS = "in-progress"
+    KEY_TOO_LONG = "key-too-long"
+    KEY_MOVED = "key-moved"
+    NOT_OWNER = "not-owner"
+    PERMIT_TOO_OLD = "permit-too-old"
+    ANSWER_LOST = "answer-lost"
+    NO_HANDOVER = "no-handover"
+    TICKET_NEEDED = "ticket-needed"
 
 
 @dataclass(frozen=True, slots=True)
