Call plain services at most once: tickets, keys, forwards, handovers

Cause: actions had a decision core but no process ran it. Change: the owner of a claim runs it with a permit that is checked again after the connection stands and before the first byte; other hosts forward once, with a reading of the owner's clock that lies before the request; a leaving process hands its claims to one host of its region and the next process asks for them; a pause of the process is seen at every reading of the clock and lengthens its memory. A request with a key or ticket that is refused on its headers is said to be of unknown outcome, since only the owner knows of earlier copies. Ruled out: asking for the owner's clock after the request was read without taking the time in between off it, since a paused forwarder would look fresh.

--- a/src/lycheepath/adapters/http/checks.py
+++ b/src/lycheepath/adapters/http/checks.py
@@ -5,11 +5,12 @@
 from __future__ import annotations
 
 import time
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
 from ...core.outcomes import Run
 from ...core.residency import Subject, possible_regions
-from .gate import CLIENT_KEY, FORWARD_KEY, OPEN_PATHS, operator_allowed
+from .gate import ARRIVED_KEY, CLIENT_KEY, FORWARD_KEY, OPEN_PATHS, operator_allowed
 from .problems import Problem
 from .signatures import PASSED_HEADER, PEER_HEADER, verify_request
 
@@ -19,13 +20,34 @@
     from .gate import RequestHead
 
 SERVICES_PREFIX = "/v1/services/"
+HOST_QUESTION_PATH = "/v1/host"
 RETRY_UNREADY_S = 1.0
+RETRY_DRAINING_S = 1.0
 
 
 def check_head(node: Node, head: RequestHead, scope: dict[str, Any]) -> Problem | None:
     """Return why the request is refused, or None where its body may be read."""
+    problem = _check(node, head, scope)
+    return None if problem is None else weaken_for_claim(problem, head.headers)
+
+
+def weaken_for_claim(problem: Problem, headers: Any) -> Problem:
+    """
+    Say "unknown" in place of "not run" for a request with a key or a ticket.
+
+    Only the owner of the claim knows whether an earlier copy was run.
+    """
+    if problem.run is not Run.NOT_RUN:
+        return problem
+    if "idempotency-key" not in headers and "lycheepath-ticket" not in headers:
+        return problem
+    return replace(problem, run=Run.UNKNOWN)
+
+
+def _check(node: Node, head: RequestHead, scope: dict[str, Any]) -> Problem | None:
     if head.path in OPEN_PATHS:
         return None
+    scope[ARRIVED_KEY] = node.now()
     if head.path.startswith("/operator/"):
         return _check_operator(node, head)
     problem = _check_forward(node, head, scope)
@@ -90,7 +112,29 @@
             "Send your API key as 'Authorization: Bearer KEY'.",
         )
     scope[CLIENT_KEY] = client
-    return _check_residency(node, head, client)
+    if head.path == HOST_QUESTION_PATH:
+        return None
+    return _check_draining(node, scope) or _check_residency(node, head, client)
+
+
+def _check_draining(node: Node, scope: dict[str, Any]) -> Problem | None:
+    """Refuse new work of a leaving host, but not answers to what it still owns."""
+    if not node.draining or FORWARD_KEY in scope:
+        return None
+    return Problem(
+        503,
+        "draining",
+        Run.NOT_RUN,
+        f"This host is leaving; ask GET {HOST_QUESTION_PATH} for others.",
+        RETRY_DRAINING_S,
+        {"hosts": _other_hosts(node)},
+    )
+
+
+def _other_hosts(node: Node) -> list[dict[str, str]]:
+    region = frozenset({node.settings.region})
+    others = _hosts_in(node, region)
+    return [host for host in others if host["id"] != node.settings.host]
 
 
 def _check_residency(node: Node, head: RequestHead, client: Client) -> Problem | None:
@@ -101,7 +145,7 @@
         _service_of(head.path),
     )
     elsewhere = possible_regions(node.environment, subject) - {node.settings.region}
-    if not elsewhere or head.path == "/v1/host":
+    if not elsewhere:
         return None
     return Problem(
         421,
--- a/src/lycheepath/adapters/http/gate.py
+++ b/src/lycheepath/adapters/http/gate.py
@@ -30,6 +30,7 @@
 OPEN_PATHS = frozenset({"/health", "/ready", "/metrics", "/openapi.json"})
 CLIENT_KEY = "lycheepath.client"
 FORWARD_KEY = "lycheepath.forward"
+ARRIVED_KEY = "lycheepath.arrived"
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/lycheepath/adapters/http/peers.py
@@ -0,0 +1,65 @@
+"""The pages that hosts ask of each other."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import orjson
+from quart import Response, request
+
+from ...core.outcomes import Run
+from ...host.handover import accept_handover, release_handover, release_moved
+from .answers import ProblemError
+from .problems import Problem
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ...host.node import Node
+
+
+async def handle_state(node: Node) -> Response:
+    """Say who this process is, what it has in force and what its clock shows."""
+    environment = node.environment
+    return respond_json(
+        {
+            "host": node.settings.host,
+            "incarnation": node.owner.incarnation,
+            "revision": -1 if environment is None else environment.revision,
+            "established": node.vouching.established,
+            "draining": node.draining,
+            "clock": node.now(),
+        }
+    )
+
+
+async def handle_handover(node: Node) -> Response:
+    """Take a leaving process's claims into keeping."""
+    return await _answer(node, accept_handover)
+
+
+async def handle_handover_release(node: Node) -> Response:
+    """Give claims to the process that follows the one that left them."""
+    return await _answer(node, release_handover)
+
+
+async def handle_moved(node: Node) -> Response:
+    """Give up the keys that a document moved to the asking host."""
+    return await _answer(node, release_moved)
+
+
+def respond_json(value: Any, status: int = 200) -> Response:
+    """Return a JSON response."""
+    return Response(orjson.dumps(value), status, content_type="application/json")
+
+
+async def _answer(
+    node: Node, handle: Callable[[Node, dict[str, Any]], dict[str, Any]]
+) -> Response:
+    try:
+        return respond_json(handle(node, orjson.loads(await request.get_data())))
+    except (KeyError, TypeError, ValueError) as error:
+        node.metrics.count("peer_messages_malformed_total")
+        raise ProblemError(
+            Problem(400, "malformed-message", Run.NOT_RUN, repr(error))
+        ) from error
--- a/src/lycheepath/adapters/http/server.py
+++ b/src/lycheepath/adapters/http/server.py
@@ -8,21 +8,31 @@
 
 from hypercorn.config import Config
 from hypercorn.trio import serve
-from quart import Response
+from quart import Response, request
 from quart_trio import QuartTrio
 
 from ...core.outcomes import RequestFailedError, Run
 from .answers import ProblemError, respond_problem
 from .chat import handle_chat
-from .checks import check_head
+from .checks import check_head, weaken_for_claim
 from .gate import LARGEST_BODY_BYTES, build_gate
+from .hosts import handle_host_question
+from .operators import handle_audit, handle_explain, handle_status
+from .peers import (
+    handle_handover,
+    handle_handover_release,
+    handle_moved,
+    handle_state,
+)
 from .problems import Problem, problem_from_absent
+from .services import handle_service, handle_ticket
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
     from ...host.node import Node
 
+SERVICE_METHODS = ("GET", "POST", "PUT", "PATCH", "DELETE")
 KEEP_ALIVE_S = 75
 HEADERS_TIMEOUT_S = 10
 BACKLOG = 1024
@@ -42,7 +52,23 @@
         node.metrics.count("refused_total", reason=reason, stage="headers")
 
     inner: Any = application
-    return build_gate(inner, partial(check_head, node), count)
+    return build_gate(count_in_flight(node, inner), partial(check_head, node), count)
+
+
+def count_in_flight(node: Node, application: Any) -> Any:
+    """Return an application that counts callers' requests until they end."""
+
+    async def serve_counted(scope: Any, receive: Any, send: Any) -> None:
+        if not scope.get("path", "").startswith("/v1/"):
+            await application(scope, receive, send)
+            return
+        node.in_flight += 1
+        try:
+            await application(scope, receive, send)
+        finally:
+            node.in_flight -= 1
+
+    return serve_counted
 
 
 async def serve_http(
@@ -79,12 +105,23 @@
     route("/ready", _answer_ready)
     route("/metrics", _answer_metrics)
     route("/v1/chat/completions", handle_chat, "POST")
+    route("/v1/host", handle_host_question)
+    route("/v1/tickets", handle_ticket, "POST")
+    route("/v1/services/<service>", handle_service, *SERVICE_METHODS)
+    route("/v1/services/<service>/<path:path>", handle_service, *SERVICE_METHODS)
+    route("/operator/status", handle_status)
+    route("/operator/explain/<request_id>", handle_explain)
+    route("/operator/audit", handle_audit)
+    route("/peer/state", handle_state)
+    route("/peer/handover", handle_handover, "POST")
+    route("/peer/handover/release", handle_handover_release, "POST")
+    route("/peer/moved", handle_moved, "POST")
 
 
 def _add_errors(application: QuartTrio, node: Node) -> None:
     async def answer_problem(error: ProblemError) -> Response:
         node.metrics.count("refused_total", reason=error.problem.reason, stage="body")
-        return respond_problem(error.problem)
+        return respond_problem(weaken_for_claim(error.problem, request.headers))
 
     async def answer_failure(error: RequestFailedError) -> Response:
         reason = error.absent.reason.value
@@ -96,9 +133,8 @@
         reason = {404: "no-such-path", 405: "no-such-method", 413: "body-too-large"}
         node.metrics.count("refused_total", reason=str(status), stage="http")
         run = Run.NOT_RUN if status < 500 else Run.UNKNOWN
-        return respond_problem(
-            Problem(status, reason.get(status, "http-error"), run, str(error))
-        )
+        problem = Problem(status, reason.get(status, "http-error"), run, str(error))
+        return respond_problem(weaken_for_claim(problem, request.headers))
 
     application.register_error_handler(ProblemError, answer_problem)
     application.register_error_handler(RequestFailedError, answer_failure)
--- a/src/lycheepath/adapters/http/signatures.py
+++ b/src/lycheepath/adapters/http/signatures.py
@@ -31,6 +31,7 @@
     "lycheepath-ticket",
     "idempotency-key",
     "lycheepath-model",
+    "lycheepath-heard-at",
 )
 LIFETIME_S = 30.0
 
--- a/src/lycheepath/core/actions/claims.py
+++ b/src/lycheepath/core/actions/claims.py
@@ -18,6 +18,8 @@
 from hashlib import blake2b
 from typing import TYPE_CHECKING, TypeAlias
 
+from ..outcomes import Run as Run
+
 if TYPE_CHECKING:
     from ..reasons import Reason
 
@@ -29,18 +31,6 @@
     """A step that could run an action twice or contradict an answer."""
 
 
-class Run(Enum):
-    """
-    What a caller is told about an action.
-
-    ``NOT_RUN`` is final: the claim is cancelled and will never run.
-    """
-
-    RUN = "run"
-    NOT_RUN = "not-run"
-    UNKNOWN = "unknown"
-
-
 class KeyOrigin(Enum):
     """Who made the key of a claim."""
 
--- a/src/lycheepath/core/actions/ledger.py
+++ b/src/lycheepath/core/actions/ledger.py
@@ -251,6 +251,16 @@
         self.counts.forgotten += forgotten
         return forgotten
 
+    def note_pause(self, pause_s: float) -> None:
+        """
+        Remember every claim for longer, after the process stood still.
+
+        Copies of a request may have waited in the process's own buffers for
+        as long as it was paused.
+        """
+        for record in self._records.values():
+            record.expires_at += pause_s
+
     def close(self) -> None:
         """Stop beginning claims, before the process leaves."""
         self._closed = True
--- /dev/null
+++ b/src/lycheepath/host/actions.py
@@ -0,0 +1,283 @@
+"""
+Calls of plain services: repeatable ones with retries, others at most once.
+
+An action that may not be repeated is run only by the process that owns its
+claim. Everyone else forwards it once to the owner, or answers that the
+outcome is unknown and when to ask again.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, TypeAlias
+
+import trio
+
+from ..core.actions.claims import (
+    KeyOrigin,
+    Permit,
+    RecordedAnswer,
+    Refusal,
+    Replay,
+    Terms,
+    fingerprint_request,
+)
+from ..core.actions.ownership import (
+    ActionRequest,
+    AnswerVoid,
+    ForwardTo,
+    locate_owner,
+    refuse_unvouched,
+)
+from ..core.actions.tickets import encode_ticket, issue_ticket, make_claim
+from ..core.outcomes import Run
+from ..core.reasons import Absent, Reason
+from ..core.residency import Subject, assert_resident, bound_region
+from ..core.retries.budget import open_budget
+from ..core.retries.decision import decide_retry
+from ..core.routing.services import choose_instance
+from ..ports.targets import (
+    SendRefusedError,
+    ServiceAnswer,
+    ServiceRequest,
+    TargetFailureError,
+)
+
+if TYPE_CHECKING:
+    from ..core.clients import Client
+    from ..core.environment.model import Environment, Operation, Service, Target
+    from .node import Node
+
+NONCE_BITS = 128
+RETRY_AFTER_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class ActionCall:
+    """
+    A caller's call of a plain service.
+
+    ``target`` is the path with the query, starting with a slash.
+    ``heard_at`` is a time of this host's clock known to lie before the
+    request was read.
+    """
+
+    service: Service
+    operation: Operation
+    client: Client
+    request: ServiceRequest
+    key: str
+    ticket: str
+    forwarded: bool
+    heard_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Ran:
+    """The service's answer; ``replayed`` if it is that of an earlier call."""
+
+    answer: ServiceAnswer
+    replayed: bool = False
+
+
+ActionOutcome: TypeAlias = Ran | Refusal | ForwardTo
+
+
+async def run_call(node: Node, call: ActionCall) -> ActionOutcome:
+    """Run, refuse or direct a call; a ``ForwardTo`` is the caller's to carry out."""
+    environment = node.environment
+    assert environment is not None
+    subject = Subject(call.client.team, service=call.service.id)
+    bound = bound_region(environment, subject)
+    assert_resident(bound, node.settings.region, "serving")
+    if call.operation.repeatable:
+        return await _run_repeatable(node, environment, call, bound)
+    return await _run_once(node, environment, call, bound)
+
+
+def issue_new_ticket(node: Node, team: str, service: Service) -> str:
+    """Return a ticket that only this process can run."""
+    nonce = node.random.getrandbits(NONCE_BITS).to_bytes(NONCE_BITS // 8, "big")
+    claim = make_claim(team, service.id, nonce)
+    ticket = issue_ticket(node.owner, claim, service.resend_window_s, node.now())
+    return encode_ticket(ticket, node.settings.peer_keys[0])
+
+
+async def _run_repeatable(
+    node: Node, environment: Environment, call: ActionCall, bound: str | None
+) -> ActionOutcome:
+    budget = open_budget(node.now() + call.request.timeout_s).spend()
+    excluded: frozenset[str] = frozenset()
+    while True:
+        target = _choose(node, environment, call, bound, excluded)
+        if isinstance(target, Absent):
+            return _refuse(target, Run.NOT_RUN if not excluded else Run.UNKNOWN)
+        try:
+            answer = await _send(node, call, target, bound)
+            node.retry_budget.earn()
+            return Ran(answer)
+        except TargetFailureError as error:
+            _note_failure(node, target, error)
+            excluded |= {target.id}
+            retry = decide_retry(
+                budget, node.retry_budget, True, 0.0, node.now(), node.random
+            )
+        if isinstance(retry, Absent):
+            return _refuse(retry, Run.UNKNOWN)
+        budget = retry.budget
+        await trio.sleep(retry.after_s)
+
+
+async def _run_once(
+    node: Node, environment: Environment, call: ActionCall, bound: str | None
+) -> ActionOutcome:
+    region = bound or call.client.region
+    request = ActionRequest(
+        call.client.team, call.service.id, region, call.key, call.ticket, call.forwarded
+    )
+    located = locate_owner(request, node.owner, environment, node.settings.peer_keys)
+    if isinstance(located, Refusal | ForwardTo):
+        return located
+    fingerprint = fingerprint_request(
+        call.request.method, call.request.path, call.request.body
+    )
+    now = node.now()
+    if isinstance(located, AnswerVoid):
+        void = node.ledger.answer_void_ticket(
+            located.claim, fingerprint, located.expires_at, located.incarnation, now
+        )
+        return _replay(void) if isinstance(void, Replay) else void
+    window_s = call.service.resend_window_s
+    if located.claim.origin is KeyOrigin.CALLER:
+        absent = node.vouching.check(environment, region, located.claim, window_s, now)
+        if absent is not None:
+            return refuse_unvouched(absent)
+    terms = Terms(
+        call.heard_at,
+        window_s,
+        now + call.request.timeout_s,
+        environment.revision,
+        located.ticket_expires_at,
+    )
+    begun = node.ledger.begin(located.claim, fingerprint, terms, now)
+    if isinstance(begun, Permit):
+        return await _spend_permit(node, call, begun, bound)
+    return _replay(begun) if isinstance(begun, Replay) else begun
+
+
+async def _spend_permit(
+    node: Node, call: ActionCall, permit: Permit, bound: str | None
+) -> ActionOutcome:
+    """Send the action once; a cancelled handler leaves the outcome unknown."""
+    excluded: frozenset[str] = frozenset()
+    try:
+        while True:
+            environment = node.environment
+            assert environment is not None
+            target = _choose(node, environment, call, bound, excluded)
+            if isinstance(target, Absent):
+                return node.ledger.fail(permit, target.reason)
+            try:
+                answer = await _send(node, call, target, bound, permit)
+            except TargetFailureError as error:
+                _note_failure(node, target, error)
+                if error.sent:
+                    return node.ledger.fail(permit, Reason.ANSWER_LOST)
+                excluded |= {target.id}
+                renewed = node.ledger.renew_permit(
+                    permit, node.now(), environment.revision
+                )
+                if isinstance(renewed, Refusal):
+                    return renewed
+                permit = renewed
+                continue
+            body = RecordedAnswer(answer.status, answer.content_type, answer.body)
+            node.ledger.complete(permit, body)
+            return Ran(answer)
+    except _PermitRefusedError as error:
+        return error.refusal
+    except BaseException:
+        node.ledger.fail(permit, Reason.ANSWER_LOST)
+        raise
+
+
+class _PermitRefusedError(SendRefusedError):
+    """Carries the ledger's refusal out of the client."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.reason.value)
+        self.refusal = refusal
+
+
+async def _send(
+    node: Node,
+    call: ActionCall,
+    target: Target,
+    bound: str | None,
+    permit: Permit | None = None,
+) -> ServiceAnswer:
+    assert_resident(bound, node.region_of(target), "sending")
+
+    def authorise() -> None:
+        if permit is None:
+            return
+        environment = node.environment
+        assert environment is not None
+        refusal = node.ledger.authorise_send(permit, node.now(), environment.revision)
+        if refusal is not None:
+            raise _PermitRefusedError(refusal)
+
+    request = call.request
+    if permit is not None:
+        headers = {**request.headers, "idempotency-key": permit.claim.key}
+        request = ServiceRequest(
+            request.method, request.path, headers, request.body, request.timeout_s
+        )
+    node.service_book.started(target.id)
+    try:
+        return await node.services.call(target.address, request, authorise)
+    finally:
+        node.service_book.ended(target.id)
+
+
+def _choose(
+    node: Node,
+    environment: Environment,
+    call: ActionCall,
+    bound: str | None,
+    excluded: frozenset[str],
+) -> Target | Absent:
+    return choose_instance(
+        environment,
+        node.zone_regions,
+        call.service.id,
+        node.settings.region,
+        bound,
+        node.service_book,
+        excluded,
+        node.now(),
+        node.random,
+    )
+
+
+def _note_failure(node: Node, target: Target, error: TargetFailureError) -> None:
+    node.metrics.count(
+        "target_failures_total",
+        target=target.id,
+        kind="lost" if error.sent else "refused",
+    )
+    if not error.sent:
+        node.service_book.refused(target.id, node.now())
+
+
+def _refuse(absent: Absent, run: Run) -> Refusal:
+    status = 404 if absent.reason is Reason.NO_SUCH_SERVICE else 503
+    retry_after_s = absent.retry_after_s or RETRY_AFTER_S
+    return Refusal(status, run, absent.reason, retry_after_s, absent.detail)
+
+
+def _replay(replay: Replay) -> Ran:
+    answer = replay.answer
+    return Ran(
+        ServiceAnswer(answer.status, answer.content_type, answer.body or b""), True
+    )
--- a/src/lycheepath/host/configuration.py
+++ b/src/lycheepath/host/configuration.py
@@ -53,7 +53,8 @@
         return
     environment = read_environment(value.body)
     if not isinstance(environment, Environment):
-        logger.error("configuration revision {} refused", value.revision)
+        findings = [finding.describe() for finding in environment.items]
+        logger.error("configuration {} refused: {}", value.revision, findings)
         return
     if node.environment and environment.revision <= node.environment.revision:
         return
--- /dev/null
+++ b/src/lycheepath/host/handover.py
@@ -0,0 +1,283 @@
+"""
+Hands claims from a leaving process to the next one at the same address.
+
+A leaving process gives its claims to one host of its region. The process that
+starts next under the same host asks for them, and vouches at once for keys
+that its predecessor had. The same messages move keys when a document changes
+which host issues them.
+"""
+
+from __future__ import annotations
+
+from base64 import b64decode, b64encode
+from typing import TYPE_CHECKING, Any
+
+import trio
+from loguru import logger
+
+from ..adapters.peer_requests import PeerUnreachable
+from ..core.actions.claims import Claim, KeyOrigin, RecordedAnswer
+from ..core.actions.handover import Handover, HandoverRecord
+from ..core.actions.issuance import issuer_for, list_holders, list_issuers
+from ..core.actions.vouching import PeerState
+from ..core.reasons import Absent, Reason
+
+if TYPE_CHECKING:
+    from ..core.environment.model import Environment, Host
+    from .node import Node
+
+MOST_HOLDERS_ASKED = 3
+ASK_INTERVAL_S = 0.25
+RELEASE_RENEWAL_S = 5.0
+CLOSING_POLL_S = 0.05
+
+
+async def hand_over_claims(node: Node) -> None:
+    """Stop running actions for good and give the claims to one holder."""
+    environment = node.environment
+    if environment is None:
+        return
+    clocks = await _read_holder_clocks(node, environment)
+    node.ledger.close()
+    while node.ledger.in_flight:
+        await trio.sleep(CLOSING_POLL_S)
+    for holder, clock in clocks:
+        records = node.ledger.export_records(holder.id, node.now())
+        if await _offer(node, environment, holder, clock, records):
+            node.record("handover", holder.id, "", f"{len(records)} claims")
+            return
+
+
+async def claim_predecessor(node: Node) -> None:
+    """Ask the likely holders for the claims of this host's last process."""
+    environment = node.environment
+    assert environment is not None
+    for holder in _find_holders(node, environment):
+        question = {"host": node.settings.host, "incarnation": node.owner.incarnation}
+        answer = await node.peers.ask(
+            holder.callers_address, "/peer/handover/release", question
+        )
+        if isinstance(answer, PeerUnreachable) or not answer.get("handover"):
+            continue
+        handover = decode_handover(answer["handover"])
+        revision = environment.revision
+        if node.vouching.accept_handover(handover, revision, node.now()):
+            node.ledger.import_handover(handover, node.now())
+            count = len(handover.records)
+            node.record("handover", holder.id, handover.incarnation, f"{count} claims")
+        return
+
+
+async def establish_vouching(node: Node) -> None:
+    """Hear the other issuers of the region until one may be trusted."""
+    while not node.vouching.established:
+        environment = node.environment
+        assert environment is not None
+        region = node.settings.region
+        async with trio.open_nursery() as nursery:
+            for host in environment.hosts:
+                issues = host.id in list_issuers(environment, region)
+                if issues and host.id != node.settings.host:
+                    nursery.start_soon(_hear, node, environment, host)
+        await trio.sleep(ASK_INTERVAL_S)
+
+
+async def renew_releases(node: Node) -> None:
+    """Ask previous issuers, for ever, for the keys that a document moved here."""
+    while True:
+        environment = node.environment
+        if environment is not None and environment.issuers.previous:
+            for host in environment.hosts:
+                if _may_release_to(node, environment, host):
+                    await _ask_release(node, environment, host)
+        settled = node.vouching.established
+        await trio.sleep(RELEASE_RENEWAL_S if settled else ASK_INTERVAL_S)
+
+
+def release_moved(node: Node, question: dict[str, Any]) -> dict[str, Any]:
+    """Answer a host that asks for keys which this one issued before."""
+    environment = node.environment
+    assert environment is not None
+    if environment.revision < int(question["revision"]):
+        return {"reason": Reason.VIEW_TOO_OLD.value}
+    region = node.settings.region
+    window_s = float(question["window_s"])
+    absent = node.vouching.check_release(environment, region, window_s, node.now())
+    if absent is not None:
+        return {"reason": absent.reason.value}
+
+    def moved(claim: Claim) -> bool:
+        issuer = issuer_for(environment, region, claim.team, claim.service, claim.key)
+        return bool(issuer == question["host"])
+
+    records = node.ledger.export_moved(moved, node.now())
+    if isinstance(records, Absent):
+        return {"reason": records.reason.value}
+    return {
+        "revision": environment.revision,
+        "records": [_encode_record(record) for record in records],
+    }
+
+
+def accept_handover(node: Node, offer: dict[str, Any]) -> dict[str, Any]:
+    """Hold another host's claims for its next process."""
+    handover = decode_handover(offer["handover"])
+    refused = node.shelf.accept(handover, float(offer["heard_at"]), node.now())
+    return {"held": refused is None}
+
+
+def release_handover(node: Node, question: dict[str, Any]) -> dict[str, Any]:
+    """Give held claims to the next process of the host that left them."""
+    released = node.shelf.release(
+        str(question["host"]), str(question["incarnation"]), node.now()
+    )
+    if isinstance(released, Absent):
+        return {"handover": None}
+    return {"handover": encode_handover(released)}
+
+
+def encode_handover(handover: Handover) -> dict[str, Any]:
+    """Return a handover as JSON values."""
+    return {
+        "host": handover.host,
+        "incarnation": handover.incarnation,
+        "revision": handover.revision,
+        "wait_s": handover.wait_s,
+        "sealed_at": handover.sealed_at,
+        "records": [_encode_record(record) for record in handover.records],
+    }
+
+
+def decode_handover(value: dict[str, Any]) -> Handover:
+    """Read a handover from JSON values; raises on malformed ones."""
+    return Handover(
+        host=str(value["host"]),
+        incarnation=str(value["incarnation"]),
+        revision=int(value["revision"]),
+        wait_s=float(value["wait_s"]),
+        sealed_at=float(value["sealed_at"]),
+        records=tuple(_decode_record(record) for record in value["records"]),
+    )
+
+
+def _encode_record(record: HandoverRecord) -> dict[str, Any]:
+    claim = record.claim
+    answer = record.answer
+    return {
+        "claim": [claim.team, claim.service, claim.key, claim.origin.value],
+        "state": record.state,
+        "fingerprint": record.fingerprint.hex(),
+        "remaining_s": record.remaining_s,
+        "reason": record.reason.value,
+        "answer": None if answer is None else _encode_answer(answer),
+    }
+
+
+def _encode_answer(answer: RecordedAnswer) -> list[Any]:
+    body = None if answer.body is None else b64encode(answer.body).decode()
+    return [answer.status, answer.content_type, body]
+
+
+def _decode_record(value: dict[str, Any]) -> HandoverRecord:
+    team, service, key, origin = value["claim"]
+    answer = value["answer"]
+    return HandoverRecord(
+        claim=Claim(team, service, key, KeyOrigin(origin)),
+        state=str(value["state"]),
+        fingerprint=bytes.fromhex(value["fingerprint"]),
+        remaining_s=float(value["remaining_s"]),
+        reason=Reason(value["reason"]),
+        answer=None if answer is None else _decode_answer(answer),
+    )
+
+
+def _decode_answer(value: list[Any]) -> RecordedAnswer:
+    status, content_type, body = value
+    return RecordedAnswer(
+        int(status), str(content_type), None if body is None else b64decode(body)
+    )
+
+
+def _find_holders(node: Node, environment: Environment) -> list[Host]:
+    by_id = {host.id: host for host in environment.hosts}
+    holders = list_holders(environment, node.settings.host)
+    return [by_id[holder] for holder in holders[:MOST_HOLDERS_ASKED]]
+
+
+async def _read_holder_clocks(
+    node: Node, environment: Environment
+) -> list[tuple[Host, float]]:
+    clocks = []
+    for holder in _find_holders(node, environment):
+        answer = await node.peers.ask(holder.callers_address, "/peer/state")
+        if not isinstance(answer, PeerUnreachable) and not answer["draining"]:
+            clocks.append((holder, float(answer["clock"])))
+    return clocks
+
+
+async def _offer(
+    node: Node,
+    environment: Environment,
+    holder: Host,
+    clock: float,
+    records: tuple[HandoverRecord, ...],
+) -> bool:
+    handover = Handover(
+        host=node.settings.host,
+        incarnation=node.owner.incarnation,
+        revision=environment.revision,
+        wait_s=node.vouching.remaining_wait(_longest_window(environment), node.now()),
+        sealed_at=node.now(),
+        records=records,
+    )
+    offer = {"handover": encode_handover(handover), "heard_at": clock}
+    answer = await node.peers.ask(holder.callers_address, "/peer/handover", offer)
+    if isinstance(answer, PeerUnreachable):
+        if not answer.sent:
+            node.ledger.holder_refused(holder.id)
+            return False
+        logger.warning("handover to {} got no answer: {}", holder.id, answer.detail)
+        return True
+    if not answer["held"]:
+        node.ledger.holder_refused(holder.id)
+    return bool(answer["held"])
+
+
+def _longest_window(environment: Environment) -> float:
+    return max((s.resend_window_s for s in environment.services), default=0.0)
+
+
+async def _hear(node: Node, environment: Environment, host: Host) -> None:
+    answer = await node.peers.ask(host.callers_address, "/peer/state")
+    if isinstance(answer, PeerUnreachable):
+        return
+    state = PeerState(
+        str(answer["host"]),
+        str(answer["incarnation"]),
+        int(answer["revision"]),
+        bool(answer["established"]),
+    )
+    node.vouching.hear_peer(state, environment, node.settings.region)
+
+
+def _may_release_to(node: Node, environment: Environment, host: Host) -> bool:
+    return (
+        host.id != node.settings.host
+        and host.id in environment.issuers.previous
+        and node.region_of(host) == node.settings.region
+    )
+
+
+async def _ask_release(node: Node, environment: Environment, host: Host) -> None:
+    question = {
+        "host": node.settings.host,
+        "revision": environment.revision,
+        "window_s": _longest_window(environment),
+    }
+    asked_at = node.now()
+    answer = await node.peers.ask(host.callers_address, "/peer/moved", question)
+    if isinstance(answer, PeerUnreachable) or "records" not in answer:
+        return
+    records = tuple(_decode_record(record) for record in answer["records"])
+    node.ledger.import_records(records, node.now())
+    node.vouching.hear_release(host.id, int(answer["revision"]), asked_at)
--- /dev/null
+++ b/src/lycheepath/host/owners.py
@@ -0,0 +1,59 @@
+"""
+What this host knows of the clocks of the hosts that own claims.
+
+A forwarded request carries a reading of its owner's clock that lies before
+this host took the request, so that the owner can refuse one that waited too
+long in a paused process.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ..adapters.peer_requests import PeerUnreachable
+
+if TYPE_CHECKING:
+    from ..core.environment.model import Host
+    from .node import Node
+
+CLOCK_KEPT_S = 3.0
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerClock:
+    """The owner's clock stood at ``value`` at or before our ``received_at``."""
+
+    incarnation: str
+    value: float
+    received_at: float
+
+    def encode_before(self, arrived_at: float) -> str:
+        """Return a reading that lies before our time ``arrived_at``."""
+        since_arrival = max(0.0, self.received_at - arrived_at)
+        return f"{self.incarnation};{self.value - since_arrival!r}"
+
+
+def decode_heard_at(text: str, incarnation: str, arrived_at: float) -> float:
+    """Return the reading, or minus infinity if it isn't of this process."""
+    sender_of_clock, _, value = text.partition(";")
+    if sender_of_clock != incarnation:
+        return float("-inf")
+    try:
+        return min(arrived_at, float(value))
+    except ValueError:
+        return float("-inf")
+
+
+async def read_owner_clock(node: Node, owner: Host) -> OwnerClock | None:
+    """Return a recent reading of an owner's clock, or None if it is silent."""
+    known = node.owner_clocks.get(owner.id)
+    if known is not None and node.now() - known.received_at <= CLOCK_KEPT_S:
+        return known
+    answer = await node.peers.ask(owner.callers_address, "/peer/state")
+    if isinstance(answer, PeerUnreachable):
+        node.owner_clocks.pop(owner.id, None)
+        return None
+    clock = OwnerClock(str(answer["incarnation"]), float(answer["clock"]), node.now())
+    node.owner_clocks[owner.id] = clock
+    return clock
--- a/src/lycheepath/host/process.py
+++ b/src/lycheepath/host/process.py
@@ -12,24 +12,36 @@
 from ..adapters.http.server import serve_http
 from ..adapters.logs import set_up_logs
 from .configuration import follow_platform
+from .handover import (
+    claim_predecessor,
+    establish_vouching,
+    hand_over_claims,
+    renew_releases,
+)
 from .node import Node
 
 if TYPE_CHECKING:
     from .settings import Settings
 
 DRAIN_POLL_S = 0.05
+START_POLL_S = 0.02
+CLOCK_READING_S = 0.25
 
 
 def run_host(settings: Settings) -> None:
     """Run a host until it is told to end and has drained."""
     set_up_logs(settings.log)
-    trio.run(_run_node, Node(settings))
+    trio.run(_run_node, settings)
 
 
-async def _run_node(node: Node) -> None:
+async def _run_node(settings: Settings) -> None:
+    node = Node(settings)
     shutdown = trio.Event()
     async with trio.open_nursery() as nursery:
+        nursery.start_soon(_watch_clock, node)
         nursery.start_soon(follow_platform, node)
+        nursery.start_soon(_start_vouching, node)
+        nursery.start_soon(renew_releases, node)
         binds = await nursery.start(serve_http, node, shutdown.wait)
         _announce(node, binds)
         await _wait_for_signal()
@@ -50,10 +62,30 @@
             return
 
 
+async def _start_vouching(node: Node) -> None:
+    """Take over from the predecessor, then hear the other issuers."""
+    while node.environment is None:
+        await trio.sleep(START_POLL_S)
+    await claim_predecessor(node)
+    await establish_vouching(node)
+
+
+async def _watch_clock(node: Node) -> None:
+    """Read the clock often enough that a pause is seen as one."""
+    while True:
+        node.now()
+        node.shelf.expire(node.now())
+        node.ledger.expire(node.now())
+        await trio.sleep(CLOCK_READING_S)
+
+
 async def _drain(node: Node) -> None:
     """Let requests in flight end, for at most the drain time."""
     node.draining = True
     node.record("drain", "signal", "serving", "draining")
     with trio.move_on_after(node.settings.drain_s):
-        while node.in_flight:
-            await trio.sleep(DRAIN_POLL_S)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(hand_over_claims, node)
+            while node.in_flight:
+                await trio.sleep(DRAIN_POLL_S)
+    node.record("drain", "signal", "draining", f"{node.in_flight} in flight")
--- a/src/lycheepath/host/settings.py
+++ b/src/lycheepath/host/settings.py
@@ -34,6 +34,21 @@
     level: str = "INFO"
 
 
+@dataclass(frozen=True, slots=True)
+class ActionSettings:
+    """
+    Times of actions that run at most once; the same at all hosts.
+
+    ``freshness_s`` is how long a request may wait inside the system before
+    its owner refuses it. ``hold_s`` is how long a host keeps the claims of one
+    that left. Callers' keys wait for the longer of a service's resend window
+    plus ``freshness_s`` and ``hold_s`` after a start without a handover.
+    """
+
+    freshness_s: float = 10.0
+    hold_s: float = 60.0
+
+
 @dataclass(frozen=True, slots=True)
 class Settings:
     """
@@ -57,3 +72,4 @@
     drain_s: float = 30.0
     operator_key_sha256: str = ""
     log: LogSettings = LogSettings()
+    actions: ActionSettings = ActionSettings()
--- a/src/lycheepath/host/settings_reader.py
+++ b/src/lycheepath/host/settings_reader.py
@@ -30,13 +30,14 @@
     read_string,
     refuse,
 )
-from .settings import LogSettings, PeerKey, PlatformSettings, Settings
+from .settings import ActionSettings, LogSettings, PeerKey, PlatformSettings, Settings
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
 MIN_SECRET_BYTES = 16
 MAX_DRAIN_S = 3_600.0
+MAX_ACTION_S = 3_600.0
 LOG_LEVELS = ("TRACE", "DEBUG", "INFO", "SUCCESS", "WARNING", "ERROR", "CRITICAL")
 
 
@@ -117,6 +118,13 @@
         "level": Field(_read_level, required=False),
     },
 )
+_read_actions = read_record(
+    ActionSettings,
+    {
+        "freshness_s": Field(read_number(0.1, MAX_ACTION_S), required=False),
+        "hold_s": Field(read_number(0.1, MAX_ACTION_S), required=False),
+    },
+)
 
 _SETTINGS = {
     "host": Field(read_identifier),
@@ -129,4 +137,5 @@
     "drain_s": Field(read_number(0, MAX_DRAIN_S), required=False),
     "operator_key_sha256": Field(_read_digest, required=False),
     "log": Field(_read_log, required=False),
+    "actions": Field(_read_actions, required=False),
 }
