Write the fleet's environment through the package's own writer

Cause: the fleet turned the model into JSON by itself, which stood beside write_environment of the package.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -24,8 +24,7 @@
 
 import json
 from contextlib import asynccontextmanager
-from dataclasses import asdict, dataclass, field
-from enum import Enum
+from dataclasses import dataclass, field
 from hashlib import sha256
 from typing import TYPE_CHECKING, Any
 
@@ -45,6 +44,7 @@
     TargetKind,
     Zone,
 )
+from lycheepath.core.environment.reading import write_environment
 
 from .caller import MODEL, Caller
 from .processes import (
@@ -233,7 +233,9 @@
         ``replaced`` are fields of ``Environment``.
         """
         self.revision += 1
-        document = encode_environment(self.build_environment(**replaced))
+        document: dict[str, Any] = json.loads(
+            write_environment(self.build_environment(**replaced))
+        )
         await self.publish(f"environment/{ENVIRONMENT}", document["revision"], document)
         await self.publish_hosts()
         await self.publish_directory()
@@ -338,27 +340,11 @@
     return Service(name, operations)
 
 
-def encode_environment(environment: Environment) -> dict[str, Any]:
-    """Return the environment as the JSON document that operators publish."""
-    document: dict[str, Any] = _to_json(asdict(environment))
-    return document
-
-
 def read_region(zone: str) -> str:
     """Return the region of a zone: its name up to the last hyphen."""
     return zone.rsplit("-", 1)[0]
 
 
-def _to_json(value: Any) -> Any:
-    if isinstance(value, Enum):
-        return value.value
-    if isinstance(value, dict):
-        return {k: _to_json(v) for k, v in value.items() if v is not None}
-    if isinstance(value, list | tuple):
-        return [_to_json(member) for member in value]
-    return value
-
-
 def _spell_options(options: dict[str, Any]) -> list[str]:
     arguments = []
     for name, value in options.items():
