--- a/src/lycheepath/core/reasons.py
+++ b/src/lycheepath/core/reasons.py
@@ -32,6 +32,7 @@
     ALREADY_FORWARDED = "already-forwarded"
     VIEW_TOO_OLD = "view-too-old"
     RETRIES_SPENT = "retries-spent"
+    REFUSED_BY_TARGET = "refused-by-target"
     TICKET_FORGED = "ticket-forged"
     TICKET_EXPIRED = "ticket-expired"
     TICKET_VOID = "ticket-void"
@@ -39,6 +40,13 @@
     KEY_TOO_OLD = "key-too-old"
     KEY_REUSED = "key-reused"
     IN_PROGRESS = "in-progress"
+    KEY_TOO_LONG = "key-too-long"
+    KEY_MOVED = "key-moved"
+    NOT_OWNER = "not-owner"
+    PERMIT_TOO_OLD = "permit-too-old"
+    ANSWER_LOST = "answer-lost"
+    NO_HANDOVER = "no-handover"
+    TICKET_NEEDED = "ticket-needed"
 
 
 @dataclass(frozen=True, slots=True)
