--- /dev/null
+++ b/demo/promises.py
@@ -0,0 +1,47 @@
+"""What the demonstration checks of all that its callers saw."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from standins.caller import Kind, Outcome
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator, Mapping
+
+
+def list_broken_promises(
+    chats: Iterable[Outcome],
+    bookings: Mapping[str, Outcome],
+    executions: Mapping[str, int],
+    killed_addresses: frozenset[str],
+) -> list[str]:
+    """Return one line for each promise that was broken."""
+    return [
+        *_check_answers([*chats, *bookings.values()], killed_addresses),
+        *_check_executions(bookings, executions),
+    ]
+
+
+def _check_answers(
+    outcomes: Iterable[Outcome], killed_addresses: frozenset[str]
+) -> Iterator[str]:
+    for outcome in outcomes:
+        if outcome.kind is Kind.WRONG:
+            yield f"a wrong answer from {outcome.address}: {outcome.detail}"
+        if outcome.kind is Kind.BROKEN and outcome.address not in killed_addresses:
+            yield f"{outcome.address} broke a connection: {outcome.detail}"
+
+
+def _check_executions(
+    bookings: Mapping[str, Outcome], executions: Mapping[str, int]
+) -> Iterator[str]:
+    for key, count in executions.items():
+        if count > 1:
+            yield f"{key} was executed {count} times"
+    for key, outcome in bookings.items():
+        count = executions.get(key, 0)
+        if outcome.kind is Kind.WHOLE and count != 1:
+            yield f"{key} was answered as done, but executed {count} times"
+        if outcome.kind is Kind.REFUSED and count:
+            yield f"{key} was answered as not run, but executed"
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -12,9 +12,10 @@
 
 import json
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from typing import TYPE_CHECKING, Any
+from urllib.parse import urlsplit
 
 import httpx
 
@@ -46,11 +47,13 @@
     """
     One request as its caller saw it; times in seconds.
 
-    ``run`` is what the problem document said: ``run``, ``not-run`` or
-    ``unknown``.
+    ``address`` was asked and called the request ``request_id``; ``run`` is what
+    the problem document said: ``run``, ``not-run`` or ``unknown``.
     """
 
     kind: Kind
+    address: str = ""
+    request_id: str = ""
     status: int = 0
     run: str = ""
     reason: str = ""
@@ -66,7 +69,9 @@
 class _Reading:
     """The progress of one streamed answer."""
 
+    address: str
     expected: str
+    request_id: str = ""
     started: float = field(default_factory=time.perf_counter)
     text: str = ""
     first_token_s: float = 0.0
@@ -83,6 +88,7 @@
         if "error" in chunk or "run" in chunk:
             self.error = chunk
             return
+        self.request_id = chunk["id"]
         for choice in chunk["choices"]:
             self._take_choice(choice)
 
@@ -90,6 +96,8 @@
         """Return the outcome of an answer that has come to its end."""
         return Outcome(
             self._kind(detail),
+            self.address,
+            self.request_id,
             status=200,
             tokens=len(self.text.split()),
             first_token_s=self.first_token_s,
@@ -212,15 +220,15 @@
                 method, url, json=json, headers=headers, timeout=TIMEOUT
             )
         except httpx.HTTPError as error:
-            return Outcome(Kind.BROKEN, detail=repr(error))
+            return Outcome(Kind.BROKEN, read_address(url), detail=repr(error))
         return _judge_response(response, time.perf_counter() - started)
 
     async def _read_stream(self, request: httpx.Request, expected: str) -> Outcome:
-        reading = _Reading(expected)
+        reading = _Reading(read_address(str(request.url)), expected)
         try:
             response = await self.client.send(request, stream=True)
         except httpx.HTTPError as error:
-            return Outcome(Kind.BROKEN, detail=repr(error))
+            return reading.judge(repr(error))
         try:
             if response.status_code != httpx.codes.OK:
                 await response.aread()
@@ -239,6 +247,11 @@
         return {"Authorization": f"Bearer {self.key}"} if self.key else {}
 
 
+def read_address(url: str) -> str:
+    """Return the ``IP:port`` of a URL."""
+    return urlsplit(url).netloc
+
+
 def build_messages(text: str, system: str = "") -> list[Message]:
     """Return a chat of an optional system prompt and one question."""
     question: Message = {"role": "user", "content": text}
@@ -252,12 +265,20 @@
         body = response.json()
     except ValueError:
         body = response.text
+    address = read_address(str(response.url))
     if response.is_success:
-        return Outcome(Kind.WHOLE, response.status_code, total_s=total_s, body=body)
+        return Outcome(
+            Kind.WHOLE,
+            address,
+            status=response.status_code,
+            total_s=total_s,
+            body=body,
+        )
     problem = body if isinstance(body, dict) else {}
     run = str(problem.get("run", ""))
     return Outcome(
         _judge_problem(run),
+        address,
         status=response.status_code,
         run=run,
         reason=str(problem.get("reason", "")),
@@ -279,12 +300,11 @@
         return outcome
     choice = outcome.body["choices"][0]
     text = choice["message"]["content"]
-    if text == expected and choice["finish_reason"] is not None:
-        return Outcome(
-            Kind.WHOLE,
-            outcome.status,
-            tokens=len(text.split()),
-            total_s=outcome.total_s,
-            body=outcome.body,
-        )
-    return Outcome(Kind.WRONG, outcome.status, detail=f"unexpected text {text[-40:]!r}")
+    whole = text == expected and choice["finish_reason"] is not None
+    return replace(
+        outcome,
+        kind=Kind.WHOLE if whole else Kind.WRONG,
+        request_id=outcome.body["id"],
+        tokens=len(text.split()),
+        detail="" if whole else f"unexpected text {text[-40:]!r}",
+    )
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -11,9 +11,7 @@
         fleet.add_host("host-1", "accra-1")
         await fleet.publish_environment()
         host = await fleet.start_host("host-1")
-        outcome = await fleet.caller("bridal").ask(
-            host.address, build_messages("hello")
-        )
+        outcome = await fleet.caller().ask(host.address, build_messages("hello"))
         await engine.kill()
 
 A zone's region is its name up to the last hyphen. Leaving the block ends all
@@ -77,7 +75,7 @@
     processes: dict[str, Process] = field(default_factory=dict)
     hosts: dict[str, Host] = field(default_factory=dict)
     targets: dict[str, Target] = field(default_factory=dict)
-    keys: dict[str, str] = field(default_factory=dict)
+    keys: dict[tuple[str, str], str] = field(default_factory=dict)
     settings: dict[str, Any] = field(default_factory=dict)
     revision: int = 0
     published: dict[str, Any] = field(default_factory=dict)
@@ -87,9 +85,16 @@
         """The platform stand-in."""
         return self.processes["platform"]
 
-    def caller(self, team: str = TEAM) -> Caller:
-        """Return a caller of ``team`` with a key that the directory lists."""
-        return Caller(self.client, self.keys.setdefault(team, f"key-of-{team}"))
+    def caller(self, team: str = TEAM, region: str = "") -> Caller:
+        """
+        Return a caller of ``team`` whose home is ``region``.
+
+        The directory lists its key from the next ``publish_directory`` on. No
+        region stands for that of the first host.
+        """
+        home = region or read_region(next(iter(self.hosts.values())).zone)
+        key = self.keys.setdefault((team, home), f"key-of-{team}-{home}")
+        return Caller(self.client, key)
 
     async def start_platform(self, port: int = 0) -> Process:
         """Start the platform stand-in."""
@@ -257,15 +262,14 @@
     async def publish_directory(self) -> None:
         """Publish the directory of all clients that were given a key."""
         self.caller()
-        region = read_region(next(iter(self.hosts.values())).zone)
         clients = [
             {
-                "id": f"client-of-{team}",
+                "id": f"client-of-{team}-{region}",
                 "team": team,
                 "region": region,
                 "key_sha256": sha256(key.encode()).hexdigest(),
             }
-            for team, key in self.keys.items()
+            for (team, region), key in self.keys.items()
         ]
         await self.publish("directory", None, {"clients": clients})
 
@@ -331,13 +335,13 @@
                 await fleet.close()
 
 
-def build_service(name: str) -> Service:
+def build_service(name: str, resend_window_s: float = 120.0) -> Service:
     """Return a service whose reads may be repeated and whose rest may not."""
     operations = (
         Operation("GET", "/", repeatable=True),
         Operation("POST", "/", repeatable=False),
     )
-    return Service(name, operations)
+    return Service(name, operations, resend_window_s)
 
 
 def read_region(zone: str) -> str:
