--- a/src/lycheepath/core/environment/consistency.py
+++ b/src/lycheepath/core/environment/consistency.py
@@ -52,25 +52,37 @@
 
     def walk(self, name: str, kind: type[Record]) -> Iterator[tuple[Place, Record]]:
         """Yield the good records of a list with their places."""
+        parent = Place(None, name)
         records = self.members.get(name)
         if not isinstance(records, tuple):
             return
         for index, record in enumerate(records):
             if isinstance(record, kind):
-                yield Place(Place(None, name), index), record
+                yield Place(parent, index), record
+
+    def list_records(self, name: str, kind: type[Record]) -> list[Record]:
+        """Return the good records of a list."""
+        records = self.members.get(name)
+        if not isinstance(records, tuple):
+            return []
+        return [record for record in records if isinstance(record, kind)]
 
     def get(self, name: str, kind: type[Record]) -> Record | None:
         """Return a single good record."""
         record = self.members.get(name)
         return record if isinstance(record, kind) else None
 
-    def list_raw_ids(self, name: str) -> frozenset[str]:
-        """Return the ids of a list, of unreadable records too."""
+    def list_raw(self, name: str, member: str = "id") -> list[str]:
+        """Return a member of each record of a list, of unreadable records too."""
         records = self.raw.get(name)
         if not isinstance(records, list):
-            return frozenset()
-        ids = (record.get("id") for record in records if isinstance(record, dict))
-        return frozenset(value for value in ids if isinstance(value, str))
+            return []
+        values = [record.get(member) for record in records if isinstance(record, dict)]
+        return [value for value in values if isinstance(value, str)]
+
+    def list_raw_ids(self, name: str) -> frozenset[str]:
+        """Return the ids of a list, of unreadable records too."""
+        return frozenset(self.list_raw(name))
 
     def is_whole(self, name: str, kind: type[object]) -> bool:
         """Tell whether every record of a list was read; absent lists are whole."""
@@ -87,8 +99,10 @@
 
 
 def _check_repeats(draft: Draft, report: Report) -> None:
-    for name, member in _IDENTITIES.items():
-        _report_repeats(_list_keys(draft, name, member), member, report)
+    for name, member in _IDENTITIES:
+        values = draft.list_raw(name, member)
+        if len(set(values)) < len(values):
+            _report_repeats(_list_keys(draft, name, member), member, report)
     pairs = (
         (Place(place, "regions"), " and ".join(sorted(link.regions)))
         for place, link in draft.walk("links", Link)
@@ -135,14 +149,6 @@
             first[key] = place
 
 
-def _check_addresses(draft: Draft, report: Report) -> None:
-    callers = _list_keys(draft, "hosts", "callers_address")
-    _report_repeats(callers, "callers_address", report)
-    peers = _list_keys(draft, "hosts", "peers_address")
-    _report_repeats(peers, "peers_address", report)
-    _report_repeats(_list_keys(draft, "targets", "address"), "address", report)
-
-
 def _check_references(draft: Draft, report: Report) -> None:
     regions = draft.list_raw_ids("regions")
     zones = draft.list_raw_ids("zones")
@@ -282,7 +288,7 @@
     if not (draft.is_whole("hosts", Host) and draft.is_whole("zones", Zone)):
         return
     zones = _map_zones(draft)
-    served = {zones.get(host.zone) for _, host in draft.walk("hosts", Host)}
+    served = {zones.get(host.zone) for host in draft.list_records("hosts", Host)}
     for place, region in draft.walk("regions", Region):
         if region.id not in served:
             report.add(
@@ -295,7 +301,7 @@
 def _check_served(draft: Draft, report: Report) -> None:
     if not draft.is_whole("targets", Target):
         return
-    targets = [target for _, target in draft.walk("targets", Target)]
+    targets = draft.list_records("targets", Target)
     models = {model for target in targets for model in target.models}
     services = {target.service for target in targets}
     for place, model in draft.walk("models", Model):
@@ -316,6 +322,8 @@
 
 def _check_residency(draft: Draft, report: Report) -> None:
     rules = list(draft.walk("residency", ResidencyRule))
+    if not rules:
+        return
     for place, rule in rules:
         _check_selectors(place, rule, report)
     if draft.is_whole("targets", Target) and draft.is_whole("zones", Zone):
@@ -356,7 +364,7 @@
     zones = _map_zones(draft)
     models: set[tuple[str, str]] = set()
     services: set[tuple[str, str]] = set()
-    for _, target in draft.walk("targets", Target):
+    for target in draft.list_records("targets", Target):
         region = zones.get(target.zone, "")
         models.update((region, model) for model in target.models)
         services.add((region, target.service))
@@ -429,24 +437,26 @@
 
 
 def _map_zones(draft: Draft) -> dict[str, str]:
-    return {zone.id: zone.region for _, zone in draft.walk("zones", Zone)}
-
-
-_IDENTITIES = {
-    "regions": "id",
-    "zones": "id",
-    "hosts": "id",
-    "targets": "id",
-    "models": "id",
-    "services": "id",
-    "residency": "id",
-    "limits": "team",
-}
+    return {zone.id: zone.region for zone in draft.list_records("zones", Zone)}
+
+
+_IDENTITIES = (
+    ("regions", "id"),
+    ("zones", "id"),
+    ("hosts", "id"),
+    ("hosts", "callers_address"),
+    ("hosts", "peers_address"),
+    ("targets", "id"),
+    ("targets", "address"),
+    ("models", "id"),
+    ("services", "id"),
+    ("residency", "id"),
+    ("limits", "team"),
+)
 
 _CHECKS: tuple[Callable[[Draft, Report], None], ...] = (
     _check_presence,
     _check_repeats,
-    _check_addresses,
     _check_references,
     _check_issuers,
     _check_target_kinds,
--- a/src/lycheepath/core/environment/reading.py
+++ b/src/lycheepath/core/environment/reading.py
@@ -38,6 +38,7 @@
     Zone,
 )
 from .schema import (
+    NOT_AN_OBJECT,
     Field,
     Place,
     Report,
@@ -72,7 +73,7 @@
         return parsed
     report = Report()
     if not isinstance(parsed.value, dict):
-        refuse(report, None, parsed.value, "an object")
+        report.add(None, *NOT_AN_OBJECT)
         return report.close(parsed.text)
     members = read_members(parsed.value, _DOCUMENT, None, report)
     check_consistency(Draft(parsed.value, members), report)
@@ -114,10 +115,12 @@
     return value
 
 
-def _read_region_pair(value: object, place: Place | None, report: Report) -> object:
+def _read_region_pair(
+    value: object, parent: Place | None, key: str | int, report: Report
+) -> object:
     if not isinstance(value, list) or len(value) != 2:
-        return refuse(report, place, value, "a pair of region ids")
-    return _read_identifiers(value, place, report)
+        return refuse(report, parent, key, value, "a pair of region ids")
+    return _read_identifiers(value, parent, key, report)
 
 
 _read_identifiers = read_list(read_identifier)
@@ -239,8 +242,10 @@
 )
 
 
-def _read_optional_store(value: object, place: Place | None, report: Report) -> object:
-    return None if value is None else _read_weight_store(value, place, report)
+def _read_optional_store(
+    value: object, parent: Place | None, key: str | int, report: Report
+) -> object:
+    return None if value is None else _read_weight_store(value, parent, key, report)
 
 
 _DOCUMENT = {
--- a/src/lycheepath/core/environment/schema.py
+++ b/src/lycheepath/core/environment/schema.py
@@ -1,7 +1,8 @@
 """
 Readers that turn JSON values into typed values and collect findings.
 
-A reader takes a value, its place and the report; it returns the typed value,
+A reader takes a value, where it stands (its parent's place and its key
+there) and the report; it returns the typed value,
 or ``INVALID`` after it has added its findings to the report. Readers are
 closures that combine::
 
@@ -23,7 +24,7 @@
 import re
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import TYPE_CHECKING, Final, Protocol
+from typing import TYPE_CHECKING, Final, NamedTuple, Protocol
 
 from .findings import Finding, Findings
 from .json_text import escape_key, locate_members
@@ -32,10 +33,12 @@
     from collections.abc import Callable, Mapping
 
 MAX_FINDINGS = 100
+NOT_AN_OBJECT = ("the document is not an object", "Begin it with {")
 
 _IDENTIFIER = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:/@+-]{0,127}")
-_IPV4_ADDRESS = re.compile(r"(\d{1,3}\.\d{1,3}\.\d{1,3}\.\d{1,3}):(\d{1,5})")
-_IPV6_ADDRESS = re.compile(r"\[([0-9A-Fa-f:.]+)\]:(\d{1,5})")
+_OCTET = r"(?:25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9])"
+_IPV4_ADDRESS = re.compile(rf"{_OCTET}(?:\.{_OCTET}){{3}}:([0-9]{{1,5}})")
+_IPV6_ADDRESS = re.compile(r"\[([0-9A-Fa-f:.]+)\]:([0-9]{1,5})")
 _UNITS = ("ms", "s", "us", "ns", "min", "minutes", "seconds", "bytes", "bits", "tokens")
 
 
@@ -48,8 +51,7 @@
 INVALID: Final = Invalid.INVALID
 
 
-@dataclass(frozen=True, slots=True)
-class Place:
+class Place(NamedTuple):
     """The place of a value: its key or index inside its parent's place."""
 
     parent: Place | None
@@ -87,7 +89,7 @@
     """Reads one value at a place and adds what is wrong to the report."""
 
     def __call__(
-        self, value: object, place: Place | None, report: Report, /
+        self, value: object, parent: Place | None, key: str | int, report: Report, /
     ) -> object: ...
 
 
@@ -112,7 +114,9 @@
         if member is None:
             _report_unknown(report, Place(place, name), name, fields)
         else:
-            members[name] = member.read(item, Place(place, name), report)
+            members[name] = member.read(item, place, name, report)
+    if len(members) == len(fields):
+        return members
     for name, member in fields.items():
         if member.required and name not in value:
             report.add(Place(place, name), f"{name} is missing", f"Add {name}")
@@ -122,11 +126,13 @@
 def read_record(build: Callable[..., object], fields: Mapping[str, Field]) -> Reader:
     """Return a reader of objects that calls ``build`` with the members read."""
 
-    def read(value: object, place: Place | None, report: Report) -> object:
+    def read(
+        value: object, parent: Place | None, key: str | int, report: Report
+    ) -> object:
         if not isinstance(value, dict):
-            return refuse(report, place, value, "an object")
+            return refuse(report, parent, key, value, "an object")
         before = len(report.entries)
-        members = read_members(value, fields, place, report)
+        members = read_members(value, fields, Place(parent, key), report)
         return build(**members) if len(report.entries) == before else INVALID
 
     return read
@@ -135,12 +141,17 @@
 def read_list(read_element: Reader) -> Reader:
     """Return a reader of arrays; a bad element leaves ``INVALID`` in its place."""
 
-    def read(value: object, place: Place | None, report: Report) -> object:
+    def read(
+        value: object, parent: Place | None, key: str | int, report: Report
+    ) -> object:
         if not isinstance(value, list):
-            return refuse(report, place, value, "an array")
+            return refuse(report, parent, key, value, "an array")
+        place = Place(parent, key)
         return tuple(
-            read_element(element, Place(place, index), report)
-            for index, element in enumerate(value)
+            [
+                read_element(element, place, index, report)
+                for index, element in enumerate(value)
+            ]
         )
 
     return read
@@ -149,11 +160,13 @@
 def read_number(low: float, high: float) -> Reader:
     """Return a reader of finite numbers between ``low`` and ``high``, as float."""
 
-    def read(value: object, place: Place | None, report: Report) -> object:
+    def read(
+        value: object, parent: Place | None, key: str | int, report: Report
+    ) -> object:
         if not isinstance(value, (int, float)) or isinstance(value, bool):
-            return refuse(report, place, value, "a number")
+            return refuse(report, parent, key, value, "a number")
         if not low <= value <= high:
-            return _refuse_range(report, place, value, low, high)
+            return _refuse_range(report, Place(parent, key), value, low, high)
         return float(value)
 
     return read
@@ -162,29 +175,35 @@
 def read_integer(low: int, high: int) -> Reader:
     """Return a reader of integers between ``low`` and ``high``."""
 
-    def read(value: object, place: Place | None, report: Report) -> object:
+    def read(
+        value: object, parent: Place | None, key: str | int, report: Report
+    ) -> object:
         if not isinstance(value, int) or isinstance(value, bool):
-            return refuse(report, place, value, "a whole number")
+            return refuse(report, parent, key, value, "a whole number")
         if not low <= value <= high:
-            return _refuse_range(report, place, value, low, high)
+            return _refuse_range(report, Place(parent, key), value, low, high)
         return value
 
     return read
 
 
-def read_boolean(value: object, place: Place | None, report: Report) -> object:
+def read_boolean(
+    value: object, parent: Place | None, key: str | int, report: Report
+) -> object:
     """Read true or false."""
     if not isinstance(value, bool):
-        return refuse(report, place, value, "true or false")
+        return refuse(report, parent, key, value, "true or false")
     return value
 
 
 def read_string(pattern: re.Pattern[str], wanted: str) -> Reader:
     """Return a reader of strings that match ``pattern`` as a whole."""
 
-    def read(value: object, place: Place | None, report: Report) -> object:
+    def read(
+        value: object, parent: Place | None, key: str | int, report: Report
+    ) -> object:
         if not isinstance(value, str) or pattern.fullmatch(value) is None:
-            return refuse(report, place, value, wanted)
+            return refuse(report, parent, key, value, wanted)
         return value
 
     return read
@@ -203,33 +222,50 @@
     by_value = {choice.value: choice for choice in choices}
     wanted = "one of " + ", ".join(f'"{value}"' for value in by_value)
 
-    def read(value: object, place: Place | None, report: Report) -> object:
+    def read(
+        value: object, parent: Place | None, key: str | int, report: Report
+    ) -> object:
         if not isinstance(value, str) or value not in by_value:
-            return refuse(report, place, value, wanted)
+            return refuse(report, parent, key, value, wanted)
         return by_value[value]
 
     return read
 
 
-def read_address(value: object, place: Place | None, report: Report) -> object:
+def read_address(
+    value: object, parent: Place | None, key: str | int, report: Report
+) -> object:
     """Read ``IP:port``, an IPv6 number in brackets."""
     if isinstance(value, str) and _is_address(value):
         return value
-    return refuse(report, place, value, "an IP number and a port, like 10.0.0.1:8080")
+    return refuse(
+        report, parent, key, value, "an IP number and a port, like 10.0.0.1:8080"
+    )
 
 
-def refuse(report: Report, place: Place | None, value: object, wanted: str) -> Invalid:
-    """Report that ``value`` is not what was ``wanted``."""
-    report.add(place, f"{_quote(value)} is not {wanted}", f"Give {wanted}")
+def refuse(
+    report: Report, parent: Place | None, key: str | int, value: object, wanted: str
+) -> Invalid:
+    """Report that ``value``, the member ``key`` of ``parent``, is not ``wanted``."""
+    report.add(Place(parent, key), f"{_quote(value)} is not {wanted}", f"Give {wanted}")
     return INVALID
 
 
 def _is_address(value: str) -> bool:
-    match = _IPV4_ADDRESS.fullmatch(value) or _IPV6_ADDRESS.fullmatch(value)
-    if match is None or not 0 < int(match[2]) <= 65535:
-        return False
+    match = _IPV4_ADDRESS.fullmatch(value)
+    if match is not None:
+        return _is_port(match[1])
+    match = _IPV6_ADDRESS.fullmatch(value)
+    return match is not None and _is_port(match[2]) and _is_ipv6_number(match[1])
+
+
+def _is_port(digits: str) -> bool:
+    return 0 < int(digits) <= 65_535
+
+
+def _is_ipv6_number(text: str) -> bool:
     try:
-        ipaddress.ip_address(match[1])
+        ipaddress.IPv6Address(text)
     except ValueError:
         return False
     return True
--- a/src/lycheepath/host/settings_reader.py
+++ b/src/lycheepath/host/settings_reader.py
@@ -18,6 +18,7 @@
 from ..core.environment.json_text import parse_text
 from ..core.environment.schema import (
     INVALID,
+    NOT_AN_OBJECT,
     Field,
     Place,
     Report,
@@ -28,7 +29,6 @@
     read_number,
     read_record,
     read_string,
-    refuse,
 )
 from .settings import LogSettings, PeerKey, PlatformSettings, Settings
 
@@ -47,7 +47,7 @@
         return parsed
     report = Report()
     if not isinstance(parsed.value, dict):
-        refuse(report, None, parsed.value, "an object")
+        report.add(None, *NOT_AN_OBJECT)
         return report.close(parsed.text)
     members = read_members(parsed.value, _SETTINGS, None, report)
     _check_keys(members.get("peer_keys"), report)
@@ -78,12 +78,14 @@
             report.add(place, f"the key id {id_} is used twice", "Rename one of them")
 
 
-def _read_secret(value: object, place: Place | None, report: Report) -> object:
+def _read_secret(
+    value: object, parent: Place | None, key: str | int, report: Report
+) -> object:
     """Read hexadecimal bytes; the findings never show the secret."""
     wanted = f"at least {MIN_SECRET_BYTES} bytes in hexadecimal digits"
     if isinstance(value, str) and _HEXADECIMAL.fullmatch(value):
         return bytes.fromhex(value)
-    report.add(place, f"the secret is not {wanted}", f"Give {wanted}")
+    report.add(Place(parent, key), f"the secret is not {wanted}", f"Give {wanted}")
     return INVALID
 
 
