Keep configuration in force by revision, with alarms and an audit trail

Cause: nothing decided which published value is in force on a host. Conclusion: revisions never fall and all that hear the highest agree.

--- /dev/null
+++ b/src/lycheepath/core/configuration/keeper.py
@@ -0,0 +1,251 @@
+"""
+The keeper of the configuration values that are in force on one host.
+
+It is pure state: sources offer values, the keeper decides. A higher revision
+that is sound is accepted, a lower one never; the revision in force with other
+content is an alarm and changes nothing until a higher revision comes; an
+unsound value changes nothing and its findings stay visible. Accepting depends
+only on the value and the order of revisions, so that all hosts that hear the
+same highest revision agree::
+
+    keeper = Keeper(build_readers("bridal"))
+    outcome = keeper.offer("hosts", Offer(7, "", text, "platform"), now)
+"""
+
+from __future__ import annotations
+
+import hashlib
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from ..environment.findings import Finding, Findings
+from ..environment.model import Environment
+from .audit import AuditEvent, AuditRecord, AuditTrail
+from .issuers import check_issuers
+from .outcomes import (
+    Accepted,
+    AlreadyInForce,
+    Conflict,
+    Held,
+    Offer,
+    Outcome,
+    Rejected,
+    Stale,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from .values import ReadValue, ValueReader
+
+MAX_REMEMBERED_REJECTIONS = 8
+
+
+class RevisionFellError(AssertionError):
+    """A lower or equal revision was about to replace the one in force."""
+
+
+@dataclass(slots=True)
+class _Slot:
+    """What the keeper knows of one named value."""
+
+    held: Held | None = None
+    conflict: Conflict | None = None
+    rejections: dict[str, Rejected] = field(default_factory=dict)
+
+
+class Keeper:
+    """Holds the named values in force and the audit trail of their changes."""
+
+    def __init__(self, readers: Mapping[str, ValueReader]) -> None:
+        self._readers = readers
+        self._slots = {name: _Slot() for name in readers}
+        self.audit = AuditTrail()
+
+    def get(self, name: str) -> Held | None:
+        """Return the value in force, or None before the first."""
+        return self._slots[name].held
+
+    def get_conflict(self, name: str) -> Conflict | None:
+        """Return the alarm about the revision in force, if there is one."""
+        return self._slots[name].conflict
+
+    def list_rejections(self, name: str) -> tuple[Rejected, ...]:
+        """Return the rejected offers above the revision in force, oldest first."""
+        return tuple(self._slots[name].rejections.values())
+
+    def wants(self, name: str, revision: int) -> bool:
+        """Tell whether the content of a revision heard of is worth fetching."""
+        held = self._slots[name].held
+        return held is None or revision > held.revision
+
+    def offer(self, name: str, offer: Offer, now: float) -> Outcome:
+        """
+        Consider an offered value; ``now`` is in seconds, for the audit trail.
+
+        Raises KeyError for a name without a reader.
+        """
+        slot = self._slots[name]
+        outcome = self._decide(name, slot, offer, now)
+        self._record(name, slot, offer, outcome, now)
+        return outcome
+
+    def _decide(self, name: str, slot: _Slot, offer: Offer, now: float) -> Outcome:
+        held = slot.held
+        if held is not None and offer.revision < held.revision:
+            return Stale(offer.revision, held)
+        if held is not None and offer.revision == held.revision and offer.digest:
+            return _compare_digests(held, offer, offer.digest)
+        fingerprint = _mark_rejection(offer)
+        remembered = slot.rejections.get(fingerprint)
+        if remembered is not None:
+            return remembered
+        value = self._read(name, offer)
+        if isinstance(value, Findings):
+            rejected = Rejected(offer.revision, offer.source, value)
+            _remember_rejection(slot, fingerprint, rejected)
+            return rejected
+        if held is not None and offer.revision == held.revision:
+            return _compare_digests(held, offer, value.digest)
+        return self._accept(slot, offer, value, now)
+
+    def _read(self, name: str, offer: Offer) -> ReadValue | Findings:
+        value = self._readers[name](offer.text)
+        if isinstance(value, Findings):
+            return value
+        if value.revision is not None and value.revision != offer.revision:
+            return _report_revision(value.revision, offer.revision)
+        if offer.digest and value.digest != offer.digest:
+            return _report_digest()
+        return value
+
+    def _accept(
+        self, slot: _Slot, offer: Offer, value: ReadValue, now: float
+    ) -> Accepted:
+        replaced = slot.held
+        if replaced is not None and offer.revision <= replaced.revision:
+            raise RevisionFellError(f"{offer.revision} after {replaced.revision}")
+        held = Held(
+            revision=offer.revision,
+            digest=value.digest,
+            text=offer.text,
+            source=offer.source,
+            since_s=now,
+            content=value.content,
+        )
+        slot.held = held
+        slot.conflict = None
+        slot.rejections = _keep_above(slot.rejections, held.revision)
+        return Accepted(held, replaced, _list_warnings(replaced, held))
+
+    def _record(
+        self, name: str, slot: _Slot, offer: Offer, outcome: Outcome, now: float
+    ) -> None:
+        event = _EVENTS.get(type(outcome))
+        if event is None:
+            return
+        if isinstance(outcome, Conflict):
+            slot.conflict = outcome
+        self.audit.add(
+            AuditRecord(
+                at_s=now,
+                event=event,
+                name=name,
+                source=offer.source,
+                revision=offer.revision,
+                from_digest=_find_former_digest(slot, outcome),
+                to_digest=_find_offered_digest(offer, outcome),
+                view_revision=slot.held.revision if slot.held else 0,
+                view_digest=slot.held.digest if slot.held else "",
+                detail=_describe(outcome),
+            )
+        )
+
+
+_EVENTS: dict[type[object], AuditEvent] = {
+    Accepted: AuditEvent.ACCEPTED,
+    Stale: AuditEvent.STALE,
+    Conflict: AuditEvent.CONFLICT,
+    Rejected: AuditEvent.REJECTED,
+}
+
+
+def _compare_digests(
+    held: Held, offer: Offer, offered_digest: str
+) -> AlreadyInForce | Conflict:
+    if offered_digest == held.digest:
+        return AlreadyInForce(held)
+    return Conflict(held, offered_digest, offer.source)
+
+
+def _mark_rejection(offer: Offer) -> str:
+    """
+    Return the key of an offer among the rejected ones.
+
+    It comes from the text and not from the digest that the source claims, so
+    that garbage under a digest can't bar the content that the digest is of.
+    """
+    claim = f"{offer.revision} {offer.digest} ".encode()
+    return hashlib.sha256(claim + offer.text).hexdigest()
+
+
+def _remember_rejection(slot: _Slot, fingerprint: str, rejected: Rejected) -> None:
+    slot.rejections[fingerprint] = rejected
+    while len(slot.rejections) > MAX_REMEMBERED_REJECTIONS:
+        del slot.rejections[next(iter(slot.rejections))]
+
+
+def _keep_above(rejections: dict[str, Rejected], revision: int) -> dict[str, Rejected]:
+    return {
+        fingerprint: rejected
+        for fingerprint, rejected in rejections.items()
+        if rejected.offered_revision > revision
+    }
+
+
+def _list_warnings(replaced: Held | None, held: Held) -> tuple[Finding, ...]:
+    if replaced is None:
+        return ()
+    before, after = replaced.content, held.content
+    if isinstance(before, Environment) and isinstance(after, Environment):
+        return check_issuers(before, after)
+    return ()
+
+
+def _report_revision(found: int, offered: int) -> Findings:
+    finding = Finding(
+        "/revision",
+        1,
+        f"the document says revision {found} and was published as {offered}",
+        "Publish it under its own revision",
+    )
+    return Findings((finding,))
+
+
+def _report_digest() -> Findings:
+    finding = Finding(
+        "", 1, "the content does not match its digest", "Fetch it from another source"
+    )
+    return Findings((finding,))
+
+
+def _find_former_digest(slot: _Slot, outcome: Outcome) -> str:
+    if isinstance(outcome, Accepted):
+        return outcome.replaced.digest if outcome.replaced else ""
+    return slot.held.digest if slot.held else ""
+
+
+def _find_offered_digest(offer: Offer, outcome: Outcome) -> str:
+    if isinstance(outcome, Accepted):
+        return outcome.held.digest
+    if isinstance(outcome, Conflict):
+        return outcome.offered_digest
+    return offer.digest
+
+
+def _describe(outcome: Outcome) -> str:
+    if isinstance(outcome, Rejected):
+        return f"{len(outcome.findings.items)} findings"
+    if isinstance(outcome, Accepted):
+        return "; ".join(warning.message for warning in outcome.warnings)
+    return ""
--- /dev/null
+++ b/src/lycheepath/core/configuration/values.py
@@ -0,0 +1,223 @@
+"""
+The named values that a host reads from the platform, each with its reader.
+
+A reader checks a text and returns its content and digest, or findings::
+
+    read = build_environment_reader("bridal")
+    outcome = read(text)
+"""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import re
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING, Protocol
+
+from ..environment.findings import Finding, Findings
+from ..environment.json_text import ParsedText, parse_text
+from ..environment.reading import digest, read_environment
+from ..environment.schema import (
+    NOT_AN_OBJECT,
+    Field,
+    Report,
+    read_choice,
+    read_identifier,
+    read_list,
+    read_members,
+    read_record,
+    read_string,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+HOSTS = "hosts"
+DIRECTORY = "directory"
+
+
+class Presence(Enum):
+    """What the platform's list says of a host or target; it lags."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+@dataclass(frozen=True, slots=True)
+class ListedHost:
+    """A host of the platform's list; ``address`` is where peers reach it."""
+
+    id: str
+    address: str
+    state: Presence
+
+
+@dataclass(frozen=True, slots=True)
+class ListedTarget:
+    """A target of the platform's list."""
+
+    id: str
+    state: Presence
+
+
+@dataclass(frozen=True, slots=True)
+class HostList:
+    """The platform's list of live and leaving hosts and targets."""
+
+    hosts: tuple[ListedHost, ...]
+    targets: tuple[ListedTarget, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Client:
+    """A client of the directory; ``key_sha256`` is of its API key."""
+
+    id: str
+    team: str
+    region: str
+    key_sha256: str
+
+
+@dataclass(frozen=True, slots=True)
+class Directory:
+    """The directory of clients."""
+
+    clients: tuple[Client, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ReadValue:
+    """
+    A sound value: its content and the digest of its canonical form.
+
+    ``revision`` is the value's own; None when it carries none.
+    """
+
+    content: object
+    digest: str
+    revision: int | None = None
+
+
+class ValueReader(Protocol):
+    """Reads the text of one named value."""
+
+    def __call__(self, text: bytes, /) -> ReadValue | Findings: ...
+
+
+def name_environment(environment: str) -> str:
+    """Return the platform's name for an environment document."""
+    return f"environment/{environment}"
+
+
+def build_environment_reader(environment: str) -> ValueReader:
+    """Return a reader of the document of one environment."""
+
+    def read(text: bytes, /) -> ReadValue | Findings:
+        outcome = read_environment(text)
+        if isinstance(outcome, Findings):
+            return outcome
+        if outcome.name != environment:
+            return _report_name(outcome.name, environment)
+        return ReadValue(outcome, digest(outcome), outcome.revision)
+
+    return read
+
+
+def read_host_list(text: bytes, /) -> ReadValue | Findings:
+    """Read the platform's list of hosts and targets."""
+    return _read_value(text, _HOST_LIST, HostList)
+
+
+def read_directory(text: bytes, /) -> ReadValue | Findings:
+    """Read the directory of clients."""
+    return _read_value(text, _DIRECTORY, Directory)
+
+
+def build_readers(environment: str) -> dict[str, ValueReader]:
+    """Return the readers of all values that a host of ``environment`` needs."""
+    return {
+        name_environment(environment): build_environment_reader(environment),
+        HOSTS: read_host_list,
+        DIRECTORY: read_directory,
+    }
+
+
+def _read_value(
+    text: bytes, fields: Mapping[str, Field], build: Callable[..., object]
+) -> ReadValue | Findings:
+    parsed = parse_text(text)
+    if isinstance(parsed, Findings):
+        return parsed
+    report = Report()
+    if not isinstance(parsed.value, dict):
+        report.add(None, *NOT_AN_OBJECT)
+        return report.close(parsed.text)
+    members = read_members(parsed.value, fields, None, report)
+    if report.entries:
+        return report.close(parsed.text)
+    return ReadValue(build(**members), _digest_text(parsed))
+
+
+def _digest_text(parsed: ParsedText) -> str:
+    canonical = json.dumps(parsed.value, sort_keys=True, separators=(",", ":"))
+    return hashlib.sha256(canonical.encode()).hexdigest()
+
+
+def _report_name(found: str, wanted: str) -> Findings:
+    finding = Finding(
+        "/name",
+        1,
+        f"the document is of the environment {found}",
+        f"Publish it under environment/{found}; this host serves {wanted}",
+    )
+    return Findings((finding,))
+
+
+_read_state = read_choice(Presence)
+_read_network_address = read_string(
+    re.compile(r"[0-9A-Fa-f.:\[\]]{3,64}"), "an IP number, with or without a port"
+)
+_read_key_digest = read_string(
+    re.compile(r"[0-9a-f]{64}"), "64 hexadecimal digits in small letters"
+)
+
+_HOST_LIST = {
+    "hosts": Field(
+        read_list(
+            read_record(
+                ListedHost,
+                {
+                    "id": Field(read_identifier),
+                    "address": Field(_read_network_address),
+                    "state": Field(_read_state),
+                },
+            )
+        )
+    ),
+    "targets": Field(
+        read_list(
+            read_record(
+                ListedTarget,
+                {"id": Field(read_identifier), "state": Field(_read_state)},
+            )
+        ),
+        required=False,
+    ),
+}
+_DIRECTORY = {
+    "clients": Field(
+        read_list(
+            read_record(
+                Client,
+                {
+                    "id": Field(read_identifier),
+                    "team": Field(read_identifier),
+                    "region": Field(read_identifier),
+                    "key_sha256": Field(_read_key_digest),
+                },
+            )
+        )
+    )
+}
