Add membership between hosts: core, capnp codec, signed UDP on trio

Cause: hosts have to know one another, learn of a new configuration within 5 s and share news about targets, without shared state, votes or a leader. Ruled out: everyone-to-everyone (6,800 reports a second don't fit in 8 KB/s), wall-clock bounds against replay (a host with a wrong clock would be alone), and content in datagrams (values reach a megabyte). Change: probing with suspicion and indirect probes within a region, computed contacts between regions, digests and news as rumors on the same messages; freshness by cookie and by echoed sequence, then a window for each sender.

--- /dev/null
+++ b/bench/membership/network.py
@@ -0,0 +1,168 @@
+"""
+Memberships of one process, joined by an in-memory network.
+
+Time is virtual. Each message is encoded as on the wire so that its bytes are
+real; it arrives after a delay, or is lost, or is cut by the caller's rule.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from itertools import count
+from random import Random
+from typing import TYPE_CHECKING
+
+from lycheepath.adapters.peers.authentication import HEADER_BYTES
+from lycheepath.adapters.peers.codec import encode_message
+from lycheepath.core.membership.actions import Action, SendMessage
+from lycheepath.core.membership.model import Member, PublishedHost
+from lycheepath.core.membership.node import Membership
+from lycheepath.core.membership.options import Options
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lycheepath.core.membership.messages import Message
+
+TICK_S = 0.1
+IP_UDP_BYTES = 28
+
+
+@dataclass(slots=True)
+class Traffic:
+    """What one host sent and received."""
+
+    sent: int = 0
+    sent_bytes: int = 0
+    received: int = 0
+    received_bytes: int = 0
+
+
+@dataclass(slots=True)
+class Network:
+    """Hosts by address, the messages under way and the virtual time."""
+
+    hosts: dict[str, PublishedHost]
+    random: Random
+    options: Options = field(default_factory=Options)
+    loss: float = 0.0
+    delay_s: float = 0.001
+    encodes: bool = True
+    passes: Callable[[str, str], bool] = lambda source, target: True
+    now: float = 1000.0
+    nodes: dict[str, Membership] = field(default_factory=dict)
+    traffic: dict[str, Traffic] = field(default_factory=dict)
+    actions: list[tuple[float, str, Action]] = field(default_factory=list)
+    kinds: Counter[str] = field(default_factory=Counter)
+    _queue: list[tuple[float, int, str, str, Message]] = field(default_factory=list)
+    _ticks: list[tuple[float, int, str]] = field(default_factory=list)
+    _order: count[int] = field(default_factory=count)
+    _addresses: dict[str, str] = field(default_factory=dict)
+
+    def start(self, host_id: str, incarnation: int, at: float | None = None) -> None:
+        """Start a process on a host; a running one is killed."""
+        now = self.now if at is None else at
+        host = self.hosts[host_id]
+        own = Member(
+            id=host.id,
+            incarnation=incarnation,
+            peers_address=host.peers_address,
+            callers_address=host.callers_address,
+            zone=host.zone,
+            region=host.region,
+        )
+        random = Random(self.random.getrandbits(64))
+        node = Membership(own, self.options, random, now)
+        self.nodes[host_id] = node
+        self._addresses[host.peers_address] = host_id
+        self.traffic.setdefault(host_id, Traffic())
+        self.carry_out(host_id, node.start((), self.hosts.values(), now))
+        heappush(
+            self._ticks, (now + random.random() * TICK_S, next(self._order), host_id)
+        )
+
+    def kill(self, host_id: str) -> None:
+        """End a process without a word."""
+        self.nodes.pop(host_id, None)
+
+    def carry_out(self, host_id: str, actions: list[Action]) -> None:
+        """Send what ``host_id`` sends and note its other actions."""
+        for action in actions:
+            if isinstance(action, SendMessage):
+                self._send(host_id, action)
+            else:
+                self.actions.append((self.now, host_id, action))
+
+    def run(self, seconds: float, until: Callable[[], bool] | None = None) -> bool:
+        """Let time pass; stop early when ``until`` holds, and return whether."""
+        end = self.now + seconds
+        checked = self.now
+        while True:
+            at = min(
+                self._queue[0][0] if self._queue else end,
+                self._ticks[0][0] if self._ticks else end,
+            )
+            if at >= end:
+                self.now = end
+                return until is not None and until()
+            self.now = at
+            self._step()
+            if until is not None and self.now - checked >= TICK_S:
+                checked = self.now
+                if until():
+                    return True
+
+    def _step(self) -> None:
+        if self._queue and self._queue[0][0] <= self.now:
+            _, _, source, target, message = heappop(self._queue)
+            self._deliver(source, target, message)
+            return
+        _, _, host_id = heappop(self._ticks)
+        node = self.nodes.get(host_id)
+        if node is None:
+            return
+        self.carry_out(host_id, node.tick(self.now))
+        heappush(self._ticks, (self.now + TICK_S, next(self._order), host_id))
+
+    def _send(self, host_id: str, action: SendMessage) -> None:
+        size = 0
+        if self.encodes:
+            size = len(encode_message(action.message)) + HEADER_BYTES + IP_UDP_BYTES
+        traffic = self.traffic[host_id]
+        traffic.sent += 1
+        traffic.sent_bytes += size
+        self.kinds[action.message.kind.name] += size
+        target = self._addresses.get(action.address)
+        if target is None or self.random.random() < self.loss:
+            return
+        if not self.passes(host_id, target):
+            return
+        at = self.now + self.delay_s * (0.5 + self.random.random())
+        item = (at, next(self._order), host_id, target, action.message)
+        heappush(self._queue, item)
+        received = self.traffic[target]
+        received.received += 1
+        received.received_bytes += size
+
+    def _deliver(self, source: str, target: str, message: Message) -> None:
+        node = self.nodes.get(target)
+        if node is None or not self.passes(source, target):
+            return
+        address = self.hosts[source].peers_address
+        self.carry_out(target, node.receive(message, address, self.now))
+
+
+def make_hosts(count: int, zones: dict[str, str]) -> dict[str, PublishedHost]:
+    """Return ``count`` hosts spread over ``zones`` (a region for each)."""
+    names = sorted(zones)
+    hosts = {}
+    for number in range(count):
+        zone = names[number % len(names)]
+        ip = f"10.{number >> 16 & 255}.{number >> 8 & 255}.{number & 255}"
+        host_id = f"{zone}-{number:04d}"
+        hosts[host_id] = PublishedHost(
+            host_id, f"{ip}:7400", f"{ip}:8400", zone, zones[zone]
+        )
+    return hosts
--- /dev/null
+++ b/src/lycheepath/adapters/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Datagrams between hosts: capnp messages, authenticated, over trio's UDP."""
--- /dev/null
+++ b/src/lycheepath/core/gossip/__init__.py
@@ -0,0 +1,1 @@
+"""What rides the messages between hosts: values' digests, news and rumors."""
--- /dev/null
+++ b/src/lycheepath/core/membership/reception.py
@@ -0,0 +1,367 @@
+"""
+What a host does with a message that was authenticated.
+
+A message first has to be meant for this host and fresh; then what it carries
+is learned, and then its kind is answered.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from ..gossip.news import NewsKind
+from .actions import Joined
+from .messages import Kind
+from .model import State
+from .probes import Probe, Purpose
+from .spreading import NEWS_BYTES, age_news
+from .table import bucket_of
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..gossip.news import News
+    from .messages import Message, RegionSummary
+    from .model import Member
+    from .state import NodeState
+
+CHALLENGE_ECHO_SPAN = 100_000
+SUMMARIES_IN_SUMMARY = 2
+
+
+def handle_message(state: NodeState, message: Message, source: str, now: float) -> None:
+    """Take one authenticated message that came from the address ``source``."""
+    state.counters[f"received_{message.kind.name.lower()}"] += 1
+    if message.sender == state.own.id:
+        state.counters["dropped_from_self"] += 1
+        return
+    if message.kind is Kind.CHALLENGE:
+        _answer_challenge(state, message, source, now)
+        return
+    if not _is_fresh(state, message, source, now):
+        return
+    if message.to not in ("", state.own.id):
+        _say_not_me(state, message, source, now)
+        return
+    _learn(state, message, now)
+    HANDLERS[message.kind](state, message, source, now)
+
+
+def _is_fresh(state: NodeState, message: Message, source: str, now: float) -> bool:
+    window = state.fresh.window(message.sender)
+    if window is not None and window.incarnation == message.incarnation:
+        if window.accept(message.sequence):
+            return True
+        state.counters["dropped_replayed"] += 1
+        return False
+    if window is not None and message.incarnation < window.incarnation:
+        state.counters["dropped_old_incarnation"] += 1
+        _tell_old_incarnation(state, message, source, now)
+        return False
+    if _proves_freshness(state, message, now):
+        state.fresh.open(message.sender, message.incarnation, message.sequence)
+        return True
+    state.counters["dropped_unproven"] += 1
+    _challenge(state, message, source, now)
+    return False
+
+
+def _proves_freshness(state: NodeState, message: Message, now: float) -> bool:
+    if state.fresh.check_cookie(
+        message.sender, message.incarnation, message.cookie, now
+    ):
+        return True
+    probe = state.probes.get(message.echo)
+    if probe is None:
+        return False
+    return probe.member in ("", message.sender) or message.kind is Kind.NOT_ME
+
+
+def _challenge(state: NodeState, message: Message, source: str, now: float) -> None:
+    if state.challenges.available(now) < 1:
+        state.counters["challenges_withheld"] += 1
+        return
+    state.challenges.spend(1)
+    answer = state.compose(Kind.CHALLENGE, message.sender, now)
+    cookie = state.fresh.make_cookie(message.sender, message.incarnation, now)
+    state.send(source, replace(answer, echo=message.sequence, cookie=cookie))
+
+
+def _answer_challenge(
+    state: NodeState, message: Message, source: str, now: float
+) -> None:
+    asked = 0 <= state.sequence - message.echo < CHALLENGE_ECHO_SPAN
+    if message.to != state.own.id or not asked or state.challenges.available(now) < 1:
+        state.counters["dropped_challenge"] += 1
+        return
+    state.challenges.spend(1)
+    address = state.address_of(message.sender) or source
+    state.ping(message.sender, address, Purpose.CONTACT, now, cookie=message.cookie)
+
+
+def _tell_old_incarnation(
+    state: NodeState, message: Message, source: str, now: float
+) -> None:
+    if state.challenges.available(now) < 1:
+        return
+    state.challenges.spend(1)
+    state.ping(message.sender, source, Purpose.CONTACT, now)
+
+
+def _say_not_me(state: NodeState, message: Message, source: str, now: float) -> None:
+    state.counters["dropped_misaddressed"] += 1
+    if message.kind is not Kind.PING:
+        return
+    answer = state.compose(Kind.NOT_ME, message.sender, now)
+    members = state.with_statements(message.sender, ())
+    state.send(source, replace(answer, echo=message.sequence, members=members))
+
+
+def _learn(state: NodeState, message: Message, now: float) -> None:
+    for member in message.members:
+        _learn_member(state, message, member, now)
+    for value in message.values:
+        state.learn_value(value, message.sender, now)
+    for news in message.news:
+        state.learn_news(news, message.sender, now)
+    for summary in message.summaries:
+        state.learn_summary(summary, now)
+
+
+def _learn_member(
+    state: NodeState, message: Message, member: Member, now: float
+) -> None:
+    if member.id == state.own.id:
+        state.hear_about_self(member, now)
+        return
+    if (member.region or message.region) != state.own.region:
+        return
+    state.merge(member, message.sender, now)
+
+
+def _handle_ping(state: NodeState, message: Message, source: str, now: float) -> None:
+    address = _answer_address(state, message, source)
+    answer = state.compose(Kind.ACK, message.sender, now, state.piggyback_room(now))
+    values = answer.values
+    if message.values_hash != state.values.hash:
+        values = tuple(state.values)
+    answer = replace(
+        answer,
+        echo=message.sequence,
+        values=values,
+        members=state.with_statements(message.sender, answer.members),
+        summaries=_for_newcomer(state, message) + answer.summaries,
+        view_hash=state.table.view_hash,
+        values_hash=state.values.hash,
+    )
+    state.send(address, answer)
+    _compare_views(state, message, now)
+
+
+def _handle_ack(state: NodeState, message: Message, source: str, now: float) -> None:
+    probe = state.probes.get(message.echo)
+    if probe is None:
+        state.counters["late_answers"] += 1
+        return
+    probe.answered = True
+    if probe.relay_to:
+        _relay_ack(state, probe, now)
+    if message.values_hash != state.values.hash and _has_more(state, message):
+        state.send_values(message.sender, probe.address, now)
+    _compare_views(state, message, now)
+    if not state.joined and message.region == state.own.region:
+        _join_through(state, message.sender, now)
+
+
+def _handle_ping_request(
+    state: NodeState, message: Message, source: str, now: float
+) -> None:
+    address = state.address_of(message.subject)
+    if not address:
+        return
+    probe = Probe(message.subject, address, Purpose.RELAY, now)
+    probe.relay_to = message.sender
+    probe.relay_echo = message.sequence
+    state.send_ping(probe, now)
+
+
+def _relay_ack(state: NodeState, probe: Probe, now: float) -> None:
+    answer = state.compose(Kind.RELAYED_ACK, probe.relay_to, now)
+    answer = replace(answer, echo=probe.relay_echo, subject=probe.member)
+    state.send(state.address_of(probe.relay_to), answer)
+
+
+def _handle_relayed_ack(
+    state: NodeState, message: Message, source: str, now: float
+) -> None:
+    probe = state.probes.get(message.echo)
+    if probe is None or probe.member != message.subject:
+        state.counters["late_answers"] += 1
+        return
+    state.counters["reached_indirectly"] += not probe.answered
+    probe.answered = True
+
+
+def _handle_not_me(state: NodeState, message: Message, source: str, now: float) -> None:
+    probe = state.probes.get(message.echo)
+    if probe is None:
+        return
+    state.counters["address_reused"] += 1
+    probe.answered = True
+    if probe.purpose is Purpose.MEMBER:
+        state.suspect(probe.member, now)
+
+
+def _handle_gossip(state: NodeState, message: Message, source: str, now: float) -> None:
+    held = state.table.get(message.sender)
+    if held is not None and not held.live:
+        state.ping(message.sender, held.peers_address, Purpose.CONTACT, now)
+
+
+def _handle_sync_request(
+    state: NodeState, message: Message, source: str, now: float
+) -> None:
+    if state.served.available(now) <= 0:
+        state.counters["syncs_refused"] += 1
+        return
+    address = _answer_address(state, message, source)
+    pages = state.pages(_members_to_serve(state, message))
+    for number, page in enumerate(pages):
+        last = number == len(pages) - 1
+        answer = state.compose(Kind.SYNC, message.sender, now)
+        answer = replace(answer, echo=message.sequence, members=page, last=last)
+        if last:
+            answer = replace(
+                answer, values=tuple(state.values), values_hash=state.values.hash
+            )
+        state.served.spend(state.options.payload_bytes if not last else 200)
+        state.send(address, answer)
+    _serve_news(state, message, address, now)
+
+
+def _serve_news(state: NodeState, message: Message, address: str, now: float) -> None:
+    kinds = (NewsKind.QUARANTINE, NewsKind.TARGET_LEAVING, NewsKind.REGION_LOAD)
+    items = [
+        age_news(held, now) for kind in kinds for held in state.news.all(kind, now)
+    ]
+    size = state.options.payload_bytes // NEWS_BYTES
+    if state.served.available(now) <= 0:
+        return
+    for start in range(0, len(items), size):
+        page: tuple[News, ...] = tuple(items[start : start + size])
+        answer = state.compose(Kind.SYNC, message.sender, now)
+        state.served.spend(NEWS_BYTES * len(page))
+        state.send(address, replace(answer, echo=message.sequence, news=page))
+
+
+def _members_to_serve(state: NodeState, message: Message) -> list[Member]:
+    own = state.table.bucket_hashes
+    theirs = message.bucket_hashes
+    if len(theirs) != len(own):
+        return list(state.table)
+    return [
+        member
+        for member in state.table
+        if own[bucket_of(member.id)] != theirs[bucket_of(member.id)]
+    ]
+
+
+def _handle_sync(state: NodeState, message: Message, source: str, now: float) -> None:
+    probe = state.probes.get(message.echo)
+    if probe is None or not message.last:
+        return
+    probe.answered = True
+    state.view_old_until = 0.0
+    state.views_differ_since = None
+    finish_joining(state, answered=True)
+
+
+def _handle_summary(
+    state: NodeState, message: Message, source: str, now: float
+) -> None:
+    answer = compose_summary(state, Kind.SUMMARY_ACK, message.sender, now)
+    address = state.address_of(message.sender) or source
+    state.send(address, replace(answer, echo=message.sequence))
+
+
+def _handle_summary_ack(
+    state: NodeState, message: Message, source: str, now: float
+) -> None:
+    probe = state.probes.get(message.echo)
+    if probe is not None:
+        probe.answered = True
+        state.regions.note_answer(message.region)
+
+
+def _ignore(state: NodeState, message: Message, source: str, now: float) -> None:
+    return
+
+
+def compose_summary(state: NodeState, kind: Kind, to: str, now: float) -> Message:
+    """Return what this host tells another region."""
+    message = state.compose(kind, to, now)
+    kinds = (NewsKind.QUARANTINE, NewsKind.REGION_LOAD)
+    items = [held for kind in kinds for held in state.news.all(kind, now)]
+    newest = sorted(items, key=lambda held: -held.observed_at)
+    return replace(
+        message,
+        values=tuple(state.values),
+        values_hash=state.values.hash,
+        news=tuple(age_news(held, now) for held in newest[:10]),
+        summaries=state.some_summaries(SUMMARIES_IN_SUMMARY, now),
+    )
+
+
+def finish_joining(state: NodeState, answered: bool) -> None:
+    """Tell the host that it may act under its incarnation."""
+    if state.joined:
+        return
+    state.joined = True
+    state.emit(Joined(state.own.incarnation, answered))
+
+
+def _join_through(state: NodeState, member_id: str, now: float) -> None:
+    if any(probe.purpose is Purpose.SYNC for probe in state.probes):
+        return
+    state.request_sync(member_id, now)
+
+
+def _for_newcomer(state: NodeState, message: Message) -> tuple[RegionSummary, ...]:
+    held = state.regions.get(message.region)
+    return (held.summary,) if held is not None else ()
+
+
+def _compare_views(state: NodeState, message: Message, now: float) -> None:
+    if message.region != state.own.region or message.view_hash == state.table.view_hash:
+        state.views_differ_since = None
+        return
+    if state.views_differ_since is None:
+        state.views_differ_since = now
+
+
+def _has_more(state: NodeState, message: Message) -> bool:
+    theirs = {value.name: value.revision for value in message.values}
+    return any(value.revision > theirs.get(value.name, 0) for value in state.values)
+
+
+def _answer_address(state: NodeState, message: Message, source: str) -> str:
+    held = state.table.get(message.sender)
+    if held is not None and held.state is not State.ENDED and held.peers_address:
+        return held.peers_address
+    return source
+
+
+HANDLERS: dict[Kind, Callable[[NodeState, Message, str, float], None]] = {
+    Kind.PING: _handle_ping,
+    Kind.ACK: _handle_ack,
+    Kind.PING_REQUEST: _handle_ping_request,
+    Kind.RELAYED_ACK: _handle_relayed_ack,
+    Kind.CHALLENGE: _ignore,
+    Kind.GOSSIP: _handle_gossip,
+    Kind.SYNC_REQUEST: _handle_sync_request,
+    Kind.SYNC: _handle_sync,
+    Kind.SUMMARY: _handle_summary,
+    Kind.SUMMARY_ACK: _handle_summary_ack,
+    Kind.NOT_ME: _handle_not_me,
+}
--- /dev/null
+++ b/src/lycheepath/core/membership/rendezvous.py
@@ -0,0 +1,84 @@
+"""
+Sets of hosts that are computed, not agreed (rendezvous hashing).
+
+Every host that knows the same list computes the same set. A list that
+differs by one host yields sets that differ by that host at most. Example::
+
+    readers = computed_readers(hosts, zone="accra-a", count=2)
+"""
+
+from __future__ import annotations
+
+from hashlib import blake2b
+from heapq import nsmallest
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+    from .model import PublishedHost
+
+READERS_PER_ZONE = 2
+CONTACTS_PER_REGION = 3
+POLLERS_PER_TARGET = 2
+HOSTS_PER_CELL = 12
+
+
+def rank_hosts(key: str, hosts: Iterable[str], count: int) -> tuple[str, ...]:
+    """Return the ``count`` first of ``hosts`` in the order that ``key`` gives."""
+    return tuple(nsmallest(count, hosts, key=lambda host: _score(key, host)))
+
+
+def computed_readers(
+    hosts: Iterable[PublishedHost], zone: str, count: int = READERS_PER_ZONE
+) -> tuple[str, ...]:
+    """Return the ids of the hosts that watch the platform for ``zone``."""
+    ids = (host.id for host in hosts if host.zone == zone)
+    return rank_hosts(f"reader/{zone}", ids, count)
+
+
+def computed_contacts(
+    hosts: Iterable[PublishedHost], region: str, count: int = CONTACTS_PER_REGION
+) -> tuple[str, ...]:
+    """Return the ids of the hosts that speak for ``region`` to other regions."""
+    ids = (host.id for host in hosts if host.region == region)
+    return rank_hosts(f"contact/{region}", ids, count)
+
+
+def computed_pollers(
+    target: str, hosts: Iterable[str], count: int = POLLERS_PER_TARGET
+) -> tuple[str, ...]:
+    """Return the ids, among ``hosts``, that poll ``target`` for its load."""
+    return rank_hosts(f"poller/{target}", hosts, count)
+
+
+def computed_cell(
+    host: str, hosts: Sequence[str], size: int = HOSTS_PER_CELL
+) -> tuple[str, ...]:
+    """
+    Return the hosts of the cell that ``host`` belongs to, itself included.
+
+    The hosts of a region are split into cells of about ``size``; those of
+    one cell share the same targets and exchange their loads.
+    """
+    cells = max(1, round(len(hosts) / size))
+    own = _cell_of(host, cells)
+    return tuple(other for other in hosts if _cell_of(other, cells) == own)
+
+
+def cell_of_target(target: str, host_count: int, size: int = HOSTS_PER_CELL) -> int:
+    """Return the number of the cell that serves ``target``."""
+    return _cell_of(target, max(1, round(host_count / size)))
+
+
+def cell_of_host(host: str, host_count: int, size: int = HOSTS_PER_CELL) -> int:
+    """Return the number of the cell that ``host`` belongs to."""
+    return _cell_of(host, max(1, round(host_count / size)))
+
+
+def _cell_of(name: str, cells: int) -> int:
+    return min(range(cells), key=lambda cell: _score(f"cell/{cell}", name))
+
+
+def _score(key: str, host: str) -> bytes:
+    return blake2b(f"{key}|{host}".encode(), digest_size=8).digest()
--- /dev/null
+++ b/src/lycheepath/core/membership/schedule.py
@@ -0,0 +1,198 @@
+"""
+What a host does as time passes: probe, push rumors, compare, exchange.
+
+``pass_time`` is to be called ten times a second or so. A call that comes late
+is a pause of the process: nothing is concluded from answers that could not
+be read, and the own view counts as old until a peer has been asked.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from .actions import PauseNoticed
+from .messages import Kind
+from .model import State
+from .probes import Probe, Purpose, sample
+from .reception import compose_summary, finish_joining
+from .spreading import size_of_load
+from .table import condemned
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from .state import NodeState
+
+VIEW_OLD_S = 3.0
+SYNC_PEERS_AFTER_PAUSE = 2
+JOIN_FANOUT = 5
+NEWS_SWEEP_S = 5.0
+VIEWS_SETTLE_S = 5.0
+ALONE = 1
+
+
+def pass_time(state: NodeState, now: float) -> None:
+    """Do everything that is due at ``now``."""
+    notice_pause(state, now)
+    _conclude_probes(state, now)
+    _pass_verdicts(state, now)
+    for name, (task, interval) in TASKS.items():
+        if now < state.due.get(name, 0.0):
+            continue
+        period = interval(state)
+        state.due[name] = now + period * (0.9 + 0.2 * state.random.random())
+        task(state, now)
+
+
+def notice_pause(state: NodeState, now: float) -> None:
+    """Take a late call as a pause of the process."""
+    gap = now - state.last_active
+    state.last_active = now
+    if gap < state.options.pause_s:
+        return
+    state.counters["pauses"] += 1
+    state.probes.clear()
+    state.suspicions.restart(now)
+    state.spreading.rumors.clear()
+    state.view_old_until = now + VIEW_OLD_S
+    state.emit(PauseNoticed(gap))
+    others = sorted(state.table.live_ids - {state.own.id})
+    for member in sample(state.random, others, SYNC_PEERS_AFTER_PAUSE):
+        state.request_sync(member, now)
+
+
+def _conclude_probes(state: NodeState, now: float) -> None:
+    options = state.options
+    for probe in state.probes:
+        if probe.answered:
+            continue
+        waited = now - probe.sent_at
+        if probe.purpose is Purpose.MEMBER:
+            if waited >= options.probe_deadline_s:
+                probe.answered = True
+                state.suspect(probe.member, now)
+            elif waited >= options.probe_timeout_s and not probe.repeated:
+                _probe_indirectly(state, probe, now)
+        elif probe.purpose is Purpose.SUMMARY and waited >= options.probe_deadline_s:
+            probe.answered = True
+            state.counters["contacts_silent"] += 1
+            state.regions.note_silence(probe.relay_to)
+        elif probe.purpose is Purpose.SYNC and waited >= options.probe_deadline_s:
+            probe.answered = True
+    state.probes.expire(now)
+
+
+def _probe_indirectly(state: NodeState, probe: Probe, now: float) -> None:
+    probe.repeated = True
+    state.send_ping(probe, now)
+    others = state.table.live_ids - {state.own.id, probe.member}
+    for helper in sample(state.random, sorted(others), state.options.indirect_probes):
+        request = state.compose(Kind.PING_REQUEST, helper, now)
+        state.probes.add(request.sequence, probe)
+        address = state.address_of(helper)
+        state.send(address, replace(request, subject=probe.member))
+
+
+def _pass_verdicts(state: NodeState, now: float) -> None:
+    if now < state.view_old_until:
+        return
+    others = max(0, state.region_size - 2)
+    for member_id in state.suspicions.ripe(now, others):
+        held = state.table.get(member_id)
+        if held is None or held.state is not State.SUSPECT:
+            state.suspicions.drop(member_id)
+            continue
+        state.accept(condemned(held), now)
+
+
+def _probe_next(state: NodeState, now: float) -> None:
+    member_id = state.probes.next_member(state.table.live_ids, state.own.id)
+    if member_id is None:
+        return
+    state.ping(member_id, state.address_of(member_id), Purpose.MEMBER, now)
+
+
+def _push_rumors(state: NodeState, now: float) -> None:
+    others = sorted(state.table.live_ids - {state.own.id})
+    for member_id in sample(state.random, others, state.options.gossip_fanout):
+        if not state.spreading.rumors or state.spreading.budget.available(now) <= 0:
+            return
+        room = state.options.payload_bytes
+        message = state.compose(Kind.GOSSIP, member_id, now, room)
+        state.spreading.budget.spend(size_of_load(message))
+        state.send(state.address_of(member_id), message)
+
+
+def _send_directed(state: NodeState, now: float) -> None:
+    for member_id, news in state.spreading.take_directed(now):
+        message = state.compose(Kind.GOSSIP, member_id, now)
+        state.send(state.address_of(member_id), replace(message, news=news))
+
+
+def _compare_with_peer(state: NodeState, now: float) -> None:
+    since = state.views_differ_since
+    if since is None or now - since < VIEWS_SETTLE_S:
+        return
+    others = sorted(state.table.live_ids - {state.own.id})
+    for member_id in sample(state.random, others, 1):
+        state.request_sync(member_id, now)
+
+
+def _seek_absent(state: NodeState, now: float) -> None:
+    """Probe a host that is dead here or that only a list names."""
+    live = state.table.live_ids
+    absent = {host for host in state.published if host not in live}
+    absent.update(state.table.dead_ids())
+    absent.discard(state.own.id)
+    for member_id in sample(state.random, sorted(absent), 1):
+        state.ping(member_id, state.address_of(member_id), Purpose.CONTACT, now)
+    if state.region_size <= ALONE:
+        for address in sample(state.random, {*state.seeds, *state.hinted}, 1):
+            state.ping("", address, Purpose.CONTACT, now)
+
+
+def _join(state: NodeState, now: float) -> None:
+    if state.joined:
+        return
+    if now >= state.join_deadline:
+        finish_joining(state, answered=bool(state.counters["received_ack"]))
+        return
+    hosts = sorted(host for host in state.published if host != state.own.id)
+    for member_id in sample(state.random, hosts, JOIN_FANOUT):
+        state.ping(member_id, state.address_of(member_id), Purpose.CONTACT, now)
+    for address in sample(state.random, {*state.seeds, *state.hinted}, JOIN_FANOUT):
+        state.ping("", address, Purpose.CONTACT, now)
+
+
+def _exchange_summaries(state: NodeState, now: float) -> None:
+    if state.own.id not in state.contacts():
+        return
+    for region in state.regions.names():
+        contact = state.regions.pick_contact(region)
+        if contact is None:
+            continue
+        member_id, address = contact
+        message = compose_summary(state, Kind.SUMMARY, member_id, now)
+        probe = Probe(member_id, address, Purpose.SUMMARY, now, relay_to=region)
+        state.probes.add(message.sequence, probe)
+        state.send(address, message)
+
+
+def _sweep(state: NodeState, now: float) -> None:
+    state.news.forget_old(now)
+    state.table.forget_before(now - state.options.forget_dead_s)
+
+
+Task = tuple["Callable[[NodeState, float], None]", "Callable[[NodeState], float]"]
+
+TASKS: dict[str, Task] = {
+    "join": (_join, lambda state: state.options.join_retry_s),
+    "probe": (_probe_next, lambda state: state.options.probe_interval_s),
+    "gossip": (_push_rumors, lambda state: state.options.gossip_interval_s),
+    "directed": (_send_directed, lambda state: state.options.directed_interval_s),
+    "sync": (_compare_with_peer, lambda state: state.options.sync_interval_s),
+    "absent": (_seek_absent, lambda state: state.options.dead_probe_interval_s),
+    "summary": (_exchange_summaries, lambda state: state.options.summary_interval_s),
+    "sweep": (_sweep, lambda state: NEWS_SWEEP_S),
+}
--- /dev/null
+++ b/src/lycheepath/core/membership/table.py
@@ -0,0 +1,139 @@
+"""
+The members of the own region, and the hashes that compare two views of it.
+
+The hashes cover who is live, in which incarnation and whether it is leaving,
+not suspicions: these come and go while views agree.
+"""
+
+from __future__ import annotations
+
+from hashlib import blake2b
+from typing import TYPE_CHECKING
+from zlib import crc32
+
+from .errors import ResurrectionError
+from .model import Member, State, supersedes
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+BUCKETS = 16
+
+
+class MemberTable:
+    """Members by id, dead ones included until they are forgotten."""
+
+    def __init__(self, limit: int) -> None:
+        self._members: dict[str, Member] = {}
+        self._ended_at: dict[str, float] = {}
+        self._limit = limit
+        self.live_ids: set[str] = set()
+        self.bucket_hashes = [0] * BUCKETS
+        self.shed = 0
+
+    def __len__(self) -> int:
+        return len(self._members)
+
+    def __iter__(self) -> Iterator[Member]:
+        return iter(tuple(self._members.values()))
+
+    def get(self, member_id: str) -> Member | None:
+        """Return what is believed of a member."""
+        return self._members.get(member_id)
+
+    @property
+    def view_hash(self) -> int:
+        """A hash that is equal where two hosts see the same live members."""
+        mixed = 0
+        for number, value in enumerate(self.bucket_hashes):
+            mixed ^= value * (2 * number + 1) & 0xFFFFFFFF
+        return mixed
+
+    def put(self, member: Member, now: float) -> None:
+        """
+        Replace what is believed of a member.
+
+        Raises ``ResurrectionError`` if the statement doesn't supersede the
+        one held: a dead or ended incarnation would come back.
+        """
+        held = self._members.get(member.id)
+        if held is not None:
+            if not supersedes(member, held):
+                raise ResurrectionError(f"{member} after {held}")
+            self._mix(held)
+        self._members[member.id] = member
+        self._mix(member)
+        self._note_liveness(member, now)
+        if len(self._members) > self._limit:
+            self._shed_one(member.id)
+
+    def dead_ids(self) -> list[str]:
+        """Return the ids of members that are dead or ended."""
+        return list(self._ended_at)
+
+    def forget_before(self, time: float) -> list[str]:
+        """Forget members that died before ``time``; return their ids."""
+        old = [member_id for member_id, at in self._ended_at.items() if at < time]
+        for member_id in old:
+            self._remove(member_id)
+        return old
+
+    def _note_liveness(self, member: Member, now: float) -> None:
+        if member.live:
+            self.live_ids.add(member.id)
+            self._ended_at.pop(member.id, None)
+        else:
+            self.live_ids.discard(member.id)
+            self._ended_at[member.id] = now
+
+    def _mix(self, member: Member) -> None:
+        if member.live:
+            self.bucket_hashes[bucket_of(member.id)] ^= _hash_member(member)
+
+    def _shed_one(self, kept: str) -> None:
+        self.shed += 1
+        oldest = next(iter(self._ended_at), None)
+        if oldest is None or oldest == kept:
+            oldest = next(iter(self._members))
+        self._remove(oldest)
+
+    def _remove(self, member_id: str) -> None:
+        member = self._members.pop(member_id)
+        self._mix(member)
+        self._ended_at.pop(member_id, None)
+        self.live_ids.discard(member_id)
+
+
+def bucket_of(member_id: str) -> int:
+    """Return the number of the bucket whose hash covers ``member_id``."""
+    return crc32(member_id.encode()) % BUCKETS
+
+
+def suspected(member: Member, accuser: str) -> Member:
+    """Return ``member`` as ``accuser`` suspects it."""
+    return _restate(member, State.SUSPECT, accuser)
+
+
+def condemned(member: Member) -> Member:
+    """Return ``member`` as dead."""
+    return _restate(member, State.DEAD, "")
+
+
+def _restate(member: Member, state: State, accuser: str) -> Member:
+    return Member(
+        id=member.id,
+        incarnation=member.incarnation,
+        refutation=member.refutation,
+        state=state,
+        peers_address=member.peers_address,
+        callers_address=member.callers_address,
+        zone=member.zone,
+        region=member.region,
+        leaving=member.leaving,
+        accuser=accuser,
+    )
+
+
+def _hash_member(member: Member) -> int:
+    raw = f"{member.id}|{member.incarnation}|{member.leaving}".encode()
+    return int.from_bytes(blake2b(raw, digest_size=4).digest(), "big")
