Ask a suspect once more before the verdict; make rumors cheap to choose

Indirect probes went out with no loss too, because a first contact spends its probe on a challenge. Ruled out: longer suspicion alone (it delays every true verdict). Change: whoever is about to pass a verdict probes the member itself within the last 1.5 s; contradictions are spread before other statements; an answered challenge repeats the probe that met it; rumors are kept by rank.

--- a/src/lycheepath/adapters/peers/codec.py
+++ b/src/lycheepath/adapters/peers/codec.py
@@ -26,6 +26,7 @@
 MAX_NAMES = 64
 MAX_TEXT = 128
 STATES = tuple(State)
+STATE_NUMBERS = {state: state.value for state in State}
 KINDS = {kind.value: kind for kind in Kind}
 NEWS_KINDS = {kind.value: kind for kind in NewsKind}
 
@@ -79,7 +80,10 @@
         valuesHash=message.values_hash,
         last=message.last,
     )
-    _set_texts(builder, to=message.to, subject=message.subject)
+    if message.to:
+        builder.to = message.to
+    if message.subject:
+        builder.subject = message.subject
     if message.bucket_hashes:
         builder.bucketHashes = list(message.bucket_hashes)
     if message.members:
@@ -100,16 +104,16 @@
         item.id = member.id
         item.incarnation = member.incarnation
         item.refutation = member.refutation
-        item.state = member.state.value
+        item.state = STATE_NUMBERS[member.state]
         item.leaving = member.leaving
-        _set_texts(
-            item,
-            peersAddress=member.peers_address,
-            callersAddress=_shorten_address(member),
-            zone=member.zone,
-            region=member.region if member.region != message.region else "",
-            accuser=member.accuser,
-        )
+        if member.peers_address:
+            item.peersAddress = member.peers_address
+            item.callersAddress = _shorten_address(member)
+            item.zone = member.zone
+        if member.region and member.region != message.region:
+            item.region = member.region
+        if member.accuser:
+            item.accuser = member.accuser
 
 
 def _write_values(builder: Any, message: Message) -> None:
@@ -146,12 +150,6 @@
             item.contacts = list(summary.contacts)
 
 
-def _set_texts(builder: Any, **texts: str) -> None:
-    for name, text in texts.items():
-        if text:
-            setattr(builder, name, text)
-
-
 def _read_message(reader: Any) -> Message:
     region = _text(reader.region)
     return Message(
--- a/src/lycheepath/core/gossip/rumors.py
+++ b/src/lycheepath/core/gossip/rumors.py
@@ -10,7 +10,6 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from heapq import nsmallest
 from typing import TYPE_CHECKING, Generic, TypeVar
 
 if TYPE_CHECKING:
@@ -19,6 +18,7 @@
 T = TypeVar("T")
 
 MAX_RUMORS = 2048
+MISFITS_BEFORE_STOP = 8
 
 
 @dataclass(slots=True)
@@ -26,8 +26,7 @@
     subject: Hashable
     item: T
     size: int
-    priority: int
-    sent: int = 0
+    rank: tuple[int, int]
 
 
 class RumorQueue(Generic[T]):
@@ -35,6 +34,7 @@
 
     def __init__(self, limit: int = MAX_RUMORS) -> None:
         self._rumors: dict[Hashable, _Rumor[T]] = {}
+        self._ranks: dict[tuple[int, int], dict[Hashable, None]] = {}
         self._limit = limit
         self.shed = 0
 
@@ -43,33 +43,54 @@
 
     def add(self, subject: Hashable, item: T, size: int, priority: int) -> None:
         """Spread ``item`` of about ``size`` bytes in place of an older one."""
-        self._rumors[subject] = _Rumor(subject, item, size, priority)
+        self.discard(subject)
+        self._insert(_Rumor(subject, item, size, (priority, 0)))
         if len(self._rumors) > self._limit:
-            worst = max(self._rumors.values(), key=_usefulness)
-            del self._rumors[worst.subject]
+            worst = next(iter(self._ranks[max(self._ranks)]))
+            self.discard(worst)
             self.shed += 1
 
     def discard(self, subject: Hashable) -> None:
         """Stop spreading what is queued on ``subject``."""
-        self._rumors.pop(subject, None)
+        rumor = self._rumors.pop(subject, None)
+        if rumor is None:
+            return
+        ranked = self._ranks[rumor.rank]
+        del ranked[subject]
+        if not ranked:
+            del self._ranks[rumor.rank]
 
     def clear(self) -> None:
         """Stop spreading anything."""
         self._rumors.clear()
+        self._ranks.clear()
 
     def take(self, room: int, transmissions: int) -> list[T]:
         """Return rumors that fit in ``room`` bytes, counting them as sent."""
-        taken: list[T] = []
-        for rumor in nsmallest(64, self._rumors.values(), key=_usefulness):
-            if rumor.size > room:
-                continue
-            room -= rumor.size
-            taken.append(rumor.item)
-            rumor.sent += 1
-            if rumor.sent >= transmissions:
-                del self._rumors[rumor.subject]
-        return taken
-
-
-def _usefulness(rumor: _Rumor[T]) -> tuple[int, int]:
-    return rumor.priority, rumor.sent
+        taken = self._choose(room)
+        for rumor in taken:
+            self.discard(rumor.subject)
+            priority, sent = rumor.rank
+            if sent + 1 < transmissions:
+                rumor.rank = (priority, sent + 1)
+                self._insert(rumor)
+        return [rumor.item for rumor in taken]
+
+    def _choose(self, room: int) -> list[_Rumor[T]]:
+        chosen: list[_Rumor[T]] = []
+        misfits = 0
+        for rank in sorted(self._ranks):
+            for subject in self._ranks[rank]:
+                rumor = self._rumors[subject]
+                if rumor.size <= room:
+                    room -= rumor.size
+                    chosen.append(rumor)
+                    continue
+                misfits += 1
+                if misfits >= MISFITS_BEFORE_STOP:
+                    return chosen
+        return chosen
+
+    def _insert(self, rumor: _Rumor[T]) -> None:
+        self._rumors[rumor.subject] = rumor
+        self._ranks.setdefault(rumor.rank, {})[rumor.subject] = None
--- a/src/lycheepath/core/membership/node.py
+++ b/src/lycheepath/core/membership/node.py
@@ -21,7 +21,6 @@
 from ..gossip.news import POLICIES, HeldNews, Reach
 from .messages import Kind
 from .model import State
-from .probes import sample
 from .reception import handle_message
 from .schedule import notice_pause, pass_time
 from .state import NodeState
@@ -126,8 +125,8 @@
             return []
         state.own = replace(state.own, state=State.ENDED)
         state.table.put(state.own, now)
-        others = sorted(state.table.live_ids)
-        for member_id in sample(state.random, others, GOODBYE_FANOUT):
+        own = (state.own.id,)
+        for member_id in state.table.sample_live(state.random, GOODBYE_FANOUT, own):
             message = state.compose(Kind.GOSSIP, member_id, now)
             message = replace(message, members=(state.own,))
             state.send(state.address_of(member_id), message)
--- a/src/lycheepath/core/membership/probes.py
+++ b/src/lycheepath/core/membership/probes.py
@@ -15,6 +15,8 @@
     from collections.abc import Iterable, Iterator
     from random import Random
 
+    from .table import MemberTable
+
 KEPT_S = 3.0
 MAX_WAITING = 4096
 
@@ -74,13 +76,13 @@
             if now - probe.sent_at > KEPT_S:
                 del self._waiting[sequence]
 
-    def next_member(self, live: set[str], own: str) -> str | None:
+    def next_member(self, table: MemberTable, own: str) -> str | None:
         """Return the member to probe next."""
         while self._round:
             member = self._round.pop()
-            if member in live:
+            if table.is_live(member):
                 return member
-        self._round = sorted(live - {own})
+        self._round = [member for member in table.live_ids() if member != own]
         self._random.shuffle(self._round)
         return self._round.pop() if self._round else None
 
--- a/src/lycheepath/core/membership/reception.py
+++ b/src/lycheepath/core/membership/reception.py
@@ -26,6 +26,7 @@
     from .model import Member
     from .state import NodeState
 
+REPEATED_PURPOSES = (Purpose.MEMBER, Purpose.CONTACT, Purpose.RELAY)
 CHALLENGE_ECHO_SPAN = 100_000
 SUMMARIES_IN_SUMMARY = 2
 
@@ -96,6 +97,11 @@
         state.counters["dropped_challenge"] += 1
         return
     state.challenges.spend(1)
+    probe = state.probes.get(message.echo)
+    if probe is not None and probe.purpose in REPEATED_PURPOSES:
+        probe.member = probe.member or message.sender
+        state.send_ping(probe, now, cookie=message.cookie)
+        return
     address = state.address_of(message.sender) or source
     state.ping(message.sender, address, Purpose.CONTACT, now, cookie=message.cookie)
 
--- a/src/lycheepath/core/membership/schedule.py
+++ b/src/lycheepath/core/membership/schedule.py
@@ -28,7 +28,7 @@
 SYNC_PEERS_AFTER_PAUSE = 2
 JOIN_FANOUT = 5
 NEWS_SWEEP_S = 5.0
-VIEWS_SETTLE_S = 5.0
+VIEWS_SETTLE_S = 2.0
 ALONE = 1
 
 
@@ -57,8 +57,7 @@
     state.spreading.rumors.clear()
     state.view_old_until = now + VIEW_OLD_S
     state.emit(PauseNoticed(gap))
-    others = sorted(state.table.live_ids - {state.own.id})
-    for member in sample(state.random, others, SYNC_PEERS_AFTER_PAUSE):
+    for member in _peers(state, SYNC_PEERS_AFTER_PAUSE):
         state.request_sync(member, now)
 
 
@@ -86,8 +85,9 @@
 def _probe_indirectly(state: NodeState, probe: Probe, now: float) -> None:
     probe.repeated = True
     state.send_ping(probe, now)
-    others = state.table.live_ids - {state.own.id, probe.member}
-    for helper in sample(state.random, sorted(others), state.options.indirect_probes):
+    unfit = (state.own.id, probe.member)
+    count = state.options.indirect_probes
+    for helper in state.table.sample_live(state.random, count, unfit):
         request = state.compose(Kind.PING_REQUEST, helper, now)
         state.probes.add(request.sequence, probe)
         address = state.address_of(helper)
@@ -98,6 +98,8 @@
     if now < state.view_old_until:
         return
     others = max(0, state.region_size - 2)
+    for member_id in state.suspicions.unchecked(now, others):
+        state.ping(member_id, state.address_of(member_id), Purpose.CONTACT, now)
     for member_id in state.suspicions.ripe(now, others):
         held = state.table.get(member_id)
         if held is None or held.state is not State.SUSPECT:
@@ -107,15 +109,16 @@
 
 
 def _probe_next(state: NodeState, now: float) -> None:
-    member_id = state.probes.next_member(state.table.live_ids, state.own.id)
+    member_id = state.probes.next_member(state.table, state.own.id)
     if member_id is None:
         return
     state.ping(member_id, state.address_of(member_id), Purpose.MEMBER, now)
 
 
 def _push_rumors(state: NodeState, now: float) -> None:
-    others = sorted(state.table.live_ids - {state.own.id})
-    for member_id in sample(state.random, others, state.options.gossip_fanout):
+    if not state.spreading.rumors or now < state.view_old_until:
+        return
+    for member_id in _peers(state, state.options.gossip_fanout):
         if not state.spreading.rumors or state.spreading.budget.available(now) <= 0:
             return
         room = state.options.payload_bytes
@@ -134,15 +137,14 @@
     since = state.views_differ_since
     if since is None or now - since < VIEWS_SETTLE_S:
         return
-    others = sorted(state.table.live_ids - {state.own.id})
-    for member_id in sample(state.random, others, 1):
+    for member_id in _peers(state, 1):
         state.request_sync(member_id, now)
 
 
 def _seek_absent(state: NodeState, now: float) -> None:
     """Probe a host that is dead here or that only a list names."""
-    live = state.table.live_ids
-    absent = {host for host in state.published if host not in live}
+    is_live = state.table.is_live
+    absent = {host for host in state.published if not is_live(host)}
     absent.update(state.table.dead_ids())
     absent.discard(state.own.id)
     for member_id in sample(state.random, sorted(absent), 1):
@@ -179,6 +181,10 @@
         state.send(address, message)
 
 
+def _peers(state: NodeState, count: int) -> list[str]:
+    return state.table.sample_live(state.random, count, (state.own.id,))
+
+
 def _sweep(state: NodeState, now: float) -> None:
     state.news.forget_old(now)
     state.table.forget_before(now - state.options.forget_dead_s)
--- a/src/lycheepath/core/membership/state.py
+++ b/src/lycheepath/core/membership/state.py
@@ -91,7 +91,7 @@
     @property
     def region_size(self) -> int:
         """The number of live members of the own region."""
-        return len(self.table.live_ids)
+        return self.table.live_count
 
     def take_actions(self) -> list[Action]:
         """Return the actions collected since the last call."""
@@ -212,7 +212,7 @@
         """Believe ``member``, spread it and tell the host what changed."""
         held = self.table.get(member.id)
         self.table.put(member, now)
-        self.spreading.tell_member(member)
+        self.spreading.tell_member(member, urgent=_is_urgent(member))
         if member.state is State.SUSPECT:
             self.suspicions.add(member.id, member.accuser, now)
         else:
@@ -398,6 +398,11 @@
         return published.callers_address if published else ""
 
 
+def _is_urgent(member: Member) -> bool:
+    contradicts = member.state is State.ALIVE and member.refutation > 0
+    return contradicts or member.state is State.ENDED
+
+
 def _must_verify(member: Member, held: Member) -> bool:
     if member.state is not State.DEAD or held.state is not State.ALIVE:
         return False
--- a/src/lycheepath/core/membership/suspicions.py
+++ b/src/lycheepath/core/membership/suspicions.py
@@ -1,7 +1,8 @@
 """
 Suspicions that ripen into verdicts unless the member contradicts them.
 
-The more members accuse independently, the sooner the verdict falls.
+The more members accuse independently, the sooner the verdict falls. Whoever is
+about to pass it asks the member once more itself.
 """
 
 from __future__ import annotations
@@ -13,10 +14,14 @@
 if TYPE_CHECKING:
     from .options import Options
 
+CHECK_WITHIN_S = 1.5
+CHECK_INTERVAL_S = 0.45
+
 
 @dataclass(slots=True)
 class _Suspicion:
     since: float
+    checked_at: float = 0.0
     accusers: set[str] = field(default_factory=set)
 
 
@@ -54,6 +59,16 @@
             if now - suspicion.since >= self._patience(suspicion, others)
         ]
 
+    def unchecked(self, now: float, others: int) -> list[str]:
+        """Return the members to probe once more, soon before the verdict."""
+        found = []
+        for member, suspicion in self._held.items():
+            left = suspicion.since + self._patience(suspicion, others) - now
+            if left < CHECK_WITHIN_S and now - suspicion.checked_at > CHECK_INTERVAL_S:
+                suspicion.checked_at = now
+                found.append(member)
+        return found
+
     def _patience(self, suspicion: _Suspicion, others: int) -> float:
         options = self._options
         needed = min(options.suspicion_accusers, max(others, 1))
--- a/src/lycheepath/core/membership/table.py
+++ b/src/lycheepath/core/membership/table.py
@@ -16,6 +16,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
+    from random import Random
 
 BUCKETS = 16
 
@@ -27,7 +28,8 @@
         self._members: dict[str, Member] = {}
         self._ended_at: dict[str, float] = {}
         self._limit = limit
-        self.live_ids: set[str] = set()
+        self._live: list[str] = []
+        self._place: dict[str, int] = {}
         self.bucket_hashes = [0] * BUCKETS
         self.shed = 0
 
@@ -67,6 +69,26 @@
         if len(self._members) > self._limit:
             self._shed_one(member.id)
 
+    @property
+    def live_count(self) -> int:
+        """The number of live members, this host included."""
+        return len(self._live)
+
+    def live_ids(self) -> list[str]:
+        """Return the ids of the live members, this host included."""
+        return list(self._live)
+
+    def is_live(self, member_id: str) -> bool:
+        """Return whether a member is alive or merely suspected."""
+        return member_id in self._place
+
+    def sample_live(
+        self, random: Random, count: int, without: tuple[str, ...]
+    ) -> list[str]:
+        """Return up to ``count`` live members drawn at random."""
+        drawn = random.sample(self._live, min(count + len(without), len(self._live)))
+        return [member_id for member_id in drawn if member_id not in without][:count]
+
     def dead_ids(self) -> list[str]:
         """Return the ids of members that are dead or ended."""
         return list(self._ended_at)
@@ -80,12 +102,26 @@
 
     def _note_liveness(self, member: Member, now: float) -> None:
         if member.live:
-            self.live_ids.add(member.id)
+            self._add_live(member.id)
             self._ended_at.pop(member.id, None)
         else:
-            self.live_ids.discard(member.id)
+            self._discard_live(member.id)
             self._ended_at[member.id] = now
 
+    def _add_live(self, member_id: str) -> None:
+        if member_id not in self._place:
+            self._place[member_id] = len(self._live)
+            self._live.append(member_id)
+
+    def _discard_live(self, member_id: str) -> None:
+        place = self._place.pop(member_id, None)
+        if place is None:
+            return
+        last = self._live.pop()
+        if last != member_id:
+            self._live[place] = last
+            self._place[last] = place
+
     def _mix(self, member: Member) -> None:
         if member.live:
             self.bucket_hashes[bucket_of(member.id)] ^= _hash_member(member)
@@ -101,7 +137,7 @@
         member = self._members.pop(member_id)
         self._mix(member)
         self._ended_at.pop(member_id, None)
-        self.live_ids.discard(member_id)
+        self._discard_live(member_id)
 
 
 def bucket_of(member_id: str) -> int:
--- a/tests/core/membership/test_table.py
+++ b/tests/core/membership/test_table.py
@@ -22,7 +22,7 @@
     with pytest.raises(ResurrectionError):
         table.put(replace(ALIVE, refutation=9), 5.0)
     table.put(replace(ALIVE, incarnation=8), 6.0)
-    assert table.live_ids == {"a-1"}
+    assert table.live_ids() == ["a-1"]
 
 
 def test_table_hash_covers_live_members_only() -> None:
