Add synthesised traces and their replay through the core alone

Cause: decisions are to be measured, not argued; nothing replays load yet.

Ruled out: a cluster simulator.

--- /dev/null
+++ b/traces/policies.py
@@ -0,0 +1,173 @@
+"""
+The policies that a replay compares: plain ones of the field, and ours.
+
+The plain ones know which targets the published list calls dead, as ours does.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING, Protocol
+
+from lycheepath.core.reasons import Absent, Reason
+from lycheepath.core.routing.choice import Choice
+from lycheepath.core.routing.router import Router
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from lycheepath.core.environment.model import Environment
+    from lycheepath.core.routing.reports import FailureKind, LoadReport
+    from lycheepath.core.routing.request import RoutedRequest
+
+
+class RoutingPolicy(Protocol):
+    """What a replayed host asks and tells its policy."""
+
+    def choose(
+        self, request: RoutedRequest, now: float, excluded: frozenset[str]
+    ) -> Choice | Absent:
+        """Return the target of a request."""
+
+    def start(self, request: RoutedRequest, choice: Choice, now: float) -> None:
+        """Record that a request was sent."""
+
+    def first_token(self, request_id: str, now: float, cached_tokens: int) -> None:
+        """Record a first token."""
+
+    def finished(self, request_id: str, now: float, generated_tokens: int) -> None:
+        """Record a whole answer."""
+
+    def failed(self, request_id: str, kind: FailureKind, now: float) -> None:
+        """Record a failure."""
+
+    def load_report(self, target: str, report: LoadReport, measured_at: float) -> None:
+        """Take in a load report."""
+
+    def drained(self, target: str, draining: bool) -> None:
+        """Take in what the published list says."""
+
+
+class PlainPolicy:
+    """State: in-flight counts and a turn counter, for the field's plain ways."""
+
+    def __init__(
+        self, environment: Environment, random: Random, home_only: bool, turns: bool
+    ) -> None:
+        regions = {zone.id: zone.region for zone in environment.zones}
+        self._targets = {
+            target.id: regions[target.zone] for target in environment.targets
+        }
+        self._random = random
+        self._home_only = home_only
+        self._turns = turns
+        self._turn = random.randrange(len(self._targets))
+        self._in_flight: Counter[str] = Counter()
+        self._sent: dict[str, str] = {}
+        self._out: set[str] = set()
+
+    def choose(
+        self, request: RoutedRequest, now: float, excluded: frozenset[str]
+    ) -> Choice | Absent:
+        wanted = request.bound_region
+        if self._home_only:
+            wanted = request.home_region
+        usable = [
+            target
+            for target, region in self._targets.items()
+            if wanted in (None, region) and target not in self._out | excluded
+        ]
+        if not usable:
+            return Absent(Reason.NO_TARGET, 1.0)
+        target = self._pick(usable)
+        region = self._targets[target]
+        away = region != request.home_region
+        return Choice(target, region, 0.0, 0.0, 0, away, (), {})
+
+    def start(self, request: RoutedRequest, choice: Choice, now: float) -> None:
+        self._in_flight[choice.target] += 1
+        self._sent[request.id] = choice.target
+
+    def first_token(self, request_id: str, now: float, cached_tokens: int) -> None:
+        pass
+
+    def finished(self, request_id: str, now: float, generated_tokens: int) -> None:
+        self._in_flight[self._sent.pop(request_id)] -= 1
+
+    def failed(self, request_id: str, kind: FailureKind, now: float) -> None:
+        self._in_flight[self._sent.pop(request_id)] -= 1
+
+    def load_report(self, target: str, report: LoadReport, measured_at: float) -> None:
+        pass
+
+    def drained(self, target: str, draining: bool) -> None:
+        if draining:
+            self._out.add(target)
+        else:
+            self._out.discard(target)
+
+    def _pick(self, usable: list[str]) -> str:
+        if self._turns:
+            self._turn += 1
+            return usable[self._turn % len(usable)]
+        least = min(self._in_flight[target] for target in usable)
+        ties = [target for target in usable if self._in_flight[target] == least]
+        return self._random.choice(ties)
+
+
+class OurPolicy:
+    """The decision core, driven as a host drives it."""
+
+    def __init__(self, router: Router) -> None:
+        self.router = router
+        book = router.book
+        self.start = router.start
+        self.first_token = book.first_token
+        self.finished = book.finished
+        self.failed = book.failed
+        self.load_report = book.load_report
+        self.drained = book.drained
+
+    def choose(
+        self, request: RoutedRequest, now: float, excluded: frozenset[str]
+    ) -> Choice | Absent:
+        return self.router.choose(request, now, excluded)
+
+
+def make_round_robin(
+    environment: Environment, host: str, region: str, random: Random
+) -> RoutingPolicy:
+    """Take the targets in turn."""
+    return PlainPolicy(environment, random, home_only=False, turns=True)
+
+
+def make_least_in_flight(
+    environment: Environment, host: str, region: str, random: Random
+) -> RoutingPolicy:
+    """Take the target with the fewest requests from this host."""
+    return PlainPolicy(environment, random, home_only=False, turns=False)
+
+
+def make_home_only(
+    environment: Environment, host: str, region: str, random: Random
+) -> RoutingPolicy:
+    """Take the target at home with the fewest requests from this host."""
+    return PlainPolicy(environment, random, home_only=True, turns=False)
+
+
+def make_ours(
+    environment: Environment, host: str, region: str, random: Random
+) -> RoutingPolicy:
+    """The decision core as it is."""
+    router = Router(host, region, random)
+    router.apply(environment)
+    return OurPolicy(router)
+
+
+POLICIES: dict[str, Callable[[Environment, str, str, Random], RoutingPolicy]] = {
+    "round-robin": make_round_robin,
+    "least-in-flight": make_least_in_flight,
+    "home-only": make_home_only,
+    "ours": make_ours,
+}
--- /dev/null
+++ b/traces/report.py
@@ -0,0 +1,45 @@
+"""
+Prints the tables of ``docs/POLICY.md``.
+
+``python -m traces.report [DEPLOYMENT] [SCENARIO] [POLICY,POLICY]``
+"""
+
+from __future__ import annotations
+
+import sys
+from time import perf_counter
+
+from .deployments import DEPLOYMENTS
+from .figures import compute_figures, format_table
+from .generator import RECORDED, SCENARIOS
+from .policies import POLICIES
+from .replay import Replay
+from .trace import read_trace
+
+
+def main(arguments: list[str]) -> None:
+    """Replay the recorded traces and print a table for each."""
+    wanted = [*arguments, "", "", ""][:3]
+    policies = wanted[2].split(",") if wanted[2] else list(POLICIES)
+    for deployment in DEPLOYMENTS:
+        for scenario in SCENARIOS:
+            if wanted[0] not in ("", deployment) or wanted[1] not in ("", scenario):
+                continue
+            print(f"\n### {deployment}, {scenario}\n")
+            print(_replay(deployment, scenario, policies))
+
+
+def _replay(deployment: str, scenario: str, policies: list[str]) -> str:
+    trace = read_trace(RECORDED / f"{deployment}-{scenario}.csv.gz")
+    rows = []
+    for policy in policies:
+        started = perf_counter()
+        replay = Replay(trace, policy)
+        replay.run()
+        rows.append((policy, compute_figures(replay)))
+        print(f"{policy}: {perf_counter() - started:.1f} s", file=sys.stderr)
+    return format_table(rows)
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
