--- /dev/null
+++ b/tests/core/randomised.py
@@ -0,0 +1,53 @@
+"""
+Settings of the randomised runs.
+
+By default a run is short and gives the same verdict every time. A long run is
+asked for by the environment, for example::
+
+    LYCHEEPATH_EXAMPLES=5000 LYCHEEPATH_STEPS=100 LYCHEEPATH_SEED=7 pytest -s ...
+"""
+
+from __future__ import annotations
+
+import os
+from typing import TYPE_CHECKING
+
+from hypothesis import HealthCheck, seed, settings
+from hypothesis.stateful import RuleBasedStateMachine, run_state_machine_as_test
+
+if TYPE_CHECKING:
+    from collections import Counter
+    from collections.abc import Mapping
+
+SHORT_EXAMPLES = 60
+SHORT_STEPS = 40
+
+
+def run_machine(machine: type[RuleBasedStateMachine], tally: Counter[str]) -> None:
+    """Run a state machine and print its seed, steps and tally."""
+    examples = int(os.environ.get("LYCHEEPATH_EXAMPLES", SHORT_EXAMPLES))
+    steps = int(os.environ.get("LYCHEEPATH_STEPS", SHORT_STEPS))
+    wanted_seed = os.environ.get("LYCHEEPATH_SEED", "")
+    tally.clear()
+    chosen = settings(
+        max_examples=examples,
+        stateful_step_count=steps,
+        deadline=None,
+        database=None,
+        derandomize=not wanted_seed,
+        print_blob=True,
+        suppress_health_check=list(HealthCheck),
+    )
+    if wanted_seed:
+        seed(int(wanted_seed))(machine)
+    try:
+        run_state_machine_as_test(machine, settings=chosen)
+    finally:
+        print(_summarise(machine.__name__, wanted_seed, examples, tally))
+
+
+def _summarise(
+    name: str, wanted_seed: str, examples: int, tally: Mapping[str, int]
+) -> str:
+    counts = " ".join(f"{key}={tally[key]}" for key in sorted(tally))
+    return f"{name} seed={wanted_seed or 'derandomized'} examples={examples} {counts}"
