Finish each answer before its handler is cancelled

On the last byte hypercorn tells quart-trio that the request is over, and quart-trio cancels the handler, which is still inside that last send. A request answered before its body was read (404, 405, a refusal) then left a connection neither recycled nor closed, and the next request on it waited for ever; on every other connection the idle timeout was never started again, so that idle connections were kept for ever. Ruled out: the engines (they never saw the requests), the caller's pool, a blocked loop. Shown by dumping the tasks and the h11 states of a hung host: DONE/DONE with the next request in the buffer and no task. Conclusion: an answer given early no longer strands its connection.

--- a/src/lycheepath/adapters/http/server.py
+++ b/src/lycheepath/adapters/http/server.py
@@ -15,6 +15,7 @@
 from .answers import ProblemError, respond_problem
 from .chat import handle_chat
 from .checks import check_head, weaken_for_claim
+from .completion import complete_answers
 from .gate import LARGEST_BODY_BYTES, build_gate
 from .hosts import handle_host_question
 from .operators import handle_audit, handle_explain, handle_status
@@ -52,7 +53,8 @@
         node.metrics.count("refused_total", reason=reason, stage="headers")
 
     inner: Any = application
-    return build_gate(count_in_flight(node, inner), partial(check_head, node), count)
+    served = complete_answers(count_in_flight(node, inner))
+    return build_gate(served, partial(check_head, node), count)
 
 
 def count_in_flight(node: Node, application: Any) -> Any:
--- a/standins/process.py
+++ b/standins/process.py
@@ -12,6 +12,7 @@
 import argparse
 import json
 import logging
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import trio
@@ -19,6 +20,8 @@
 from hypercorn.trio import serve
 from quart import Response, request
 
+from lycheepath.adapters.http.completion import complete_answers
+
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
 
@@ -106,7 +109,11 @@
     config.backlog = BACKLOG
     app.config["RESPONSE_TIMEOUT"] = None
     async with trio.open_nursery() as nursery:
-        binds: list[str] = await nursery.start(serve, app, config)
+        application: Any = app
+        served: Any = complete_answers(application)
+        binds: list[str] = await nursery.start(
+            partial(serve, mode="asgi"), served, config
+        )
         for task in background:
             nursery.start_soon(task)
         bound = int(binds[0].rsplit(":", 1)[1])
