Keep configuration and targets known by peers: membership, keeper, load news

Cause: each host watched the platform by itself and knew nothing of peers, so a stale service could set a fresh process back and a leaving target stayed in use until the list said so. Change: two computed hosts of each zone watch the platform, the others fetch content from the peer that tells of a higher revision; a fresh process asks peers before it is ready; each target is polled by two computed hosts of a region, and reports and leaving states ride the messages. Ruled out: reading the platform from each host (6,600 calls at a start of 2,200 hosts against 2,000 a second).

--- a/src/lycheepath/adapters/http/peers.py
+++ b/src/lycheepath/adapters/http/peers.py
@@ -33,6 +33,23 @@
     )
 
 
+async def handle_value(node: Node, name: str) -> Response:
+    """Give the text of a value in force to a peer."""
+    held = node.keeper.get(name) if name in node.value_names else None
+    if held is None:
+        raise ProblemError(
+            Problem(404, "no-such-value", Run.NOT_RUN, f"{name} is not in force here")
+        )
+    return respond_json(
+        {
+            "name": name,
+            "revision": held.revision,
+            "digest": held.digest,
+            "text": held.text.decode(),
+        }
+    )
+
+
 async def handle_handover(node: Node) -> Response:
     """Take a leaving process's claims into keeping."""
     return await _answer(node, accept_handover)
--- a/src/lycheepath/adapters/http/server.py
+++ b/src/lycheepath/adapters/http/server.py
@@ -23,6 +23,7 @@
     handle_handover_release,
     handle_moved,
     handle_state,
+    handle_value,
 )
 from .problems import Problem, problem_from_absent
 from .services import handle_service, handle_ticket
@@ -113,6 +114,7 @@
     route("/operator/explain/<request_id>", handle_explain)
     route("/operator/audit", handle_audit)
     route("/peer/state", handle_state)
+    route("/peer/values/<path:name>", handle_value)
     route("/peer/handover", handle_handover, "POST")
     route("/peer/handover/release", handle_handover_release, "POST")
     route("/peer/moved", handle_moved, "POST")
--- a/src/lycheepath/adapters/metrics.py
+++ b/src/lycheepath/adapters/metrics.py
@@ -18,7 +18,7 @@
 from hdrh.histogram import HdrHistogram
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
 PREFIX = "lycheepath_"
 HIGHEST_TRACKABLE_US = 600_000_000
@@ -35,6 +35,7 @@
         self._counters: dict[str, dict[_Labels, int]] = defaultdict(dict)
         self._gauges: dict[str, Callable[[], float]] = {}
         self._histograms: dict[str, Any] = {}
+        self._watched: list[tuple[str, Callable[[], Mapping[str, int]]]] = []
 
     def count(self, name: str, amount: int = 1, **labels: str) -> None:
         """Add ``amount`` to the counter ``name``."""
@@ -50,6 +51,12 @@
         """Render the value that ``read`` returns under ``name``."""
         self._gauges[name] = read
 
+    def watch_counters(
+        self, prefix: str, read: Callable[[], Mapping[str, int]]
+    ) -> None:
+        """Render counters that another part keeps, under ``prefix``."""
+        self._watched.append((prefix, read))
+
     def record_ms(self, name: str, value_ms: float) -> None:
         """Record a duration in milliseconds."""
         histogram = self._histograms.get(name)
@@ -65,6 +72,10 @@
             lines.append(f"# TYPE {PREFIX}{name} counter")
             for labels, value in sorted(self._counters[name].items()):
                 lines.append(f"{PREFIX}{name}{_render_labels(labels)} {value}")
+        for prefix, read in self._watched:
+            for name, value in sorted(read().items()):
+                lines.append(f"# TYPE {PREFIX}{prefix}_{name} counter")
+                lines.append(f"{PREFIX}{prefix}_{name} {value}")
         for name in sorted(self._gauges):
             lines.append(f"# TYPE {PREFIX}{name} gauge")
             lines.append(f"{PREFIX}{name} {self._gauges[name]():g}")
--- /dev/null
+++ b/src/lycheepath/host/loads.py
@@ -0,0 +1,89 @@
+"""
+Reads the load of targets and shares it with the hosts that use them.
+
+Each target is polled by a few computed hosts of each region; the others of
+that region learn the report by news. A target that says that it is leaving
+gets no new work from then on, whatever the platform's list still says.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import trio
+
+from ..core.environment.model import TargetKind
+from ..core.gossip.news import TargetLoad, pack_target_leaving, pack_target_load
+from ..core.membership.rendezvous import computed_pollers
+from ..core.routing.reports import LoadReport, ModelState
+
+if TYPE_CHECKING:
+    from ..core.environment.model import Target
+    from .node import Node
+
+POLL_INTERVAL_S = 1.0
+POLL_TIMEOUT_S = 0.8
+MOST_POLLS_AT_ONCE = 16
+MODEL_STATES = {state.value: state for state in ModelState}
+
+
+async def poll_targets(node: Node) -> None:
+    """Poll this host's share of the targets, for ever."""
+    limiter = trio.CapacityLimiter(MOST_POLLS_AT_ONCE)
+    async with trio.open_nursery() as nursery:
+        while True:
+            for target in _find_share(node):
+                nursery.start_soon(_poll_target, node, target, limiter)
+            await trio.sleep(POLL_INTERVAL_S * (0.9 + 0.2 * node.random.random()))
+
+
+def _find_share(node: Node) -> list[Target]:
+    environment = node.environment
+    if environment is None:
+        return []
+    hosts = node.live_hosts_here()
+    return [
+        target
+        for target in environment.targets
+        if node.settings.host in computed_pollers(target.id, hosts)
+    ]
+
+
+async def _poll_target(
+    node: Node, target: Target, limiter: trio.CapacityLimiter
+) -> None:
+    async with limiter:
+        answer = await node.engines.read_load(target.address, POLL_TIMEOUT_S)
+    if answer is None:
+        node.metrics.count("load_polls_failed_total")
+        return
+    try:
+        _take_report(node, target, answer)
+    except (KeyError, TypeError, ValueError):
+        node.metrics.count("load_reports_malformed_total", target=target.id)
+
+
+def _take_report(node: Node, target: Target, answer: dict[str, Any]) -> None:
+    now = node.now()
+    leaving = answer.get("state") == "leaving"
+    if leaving != (target.id in node.leaving_targets):
+        node.set_target_leaving(target.id, leaving, "target")
+        node.publish(pack_target_leaving(target.id, leaving, node.next_stamp()))
+    if target.kind is not TargetKind.RUNNER:
+        return
+    measured_at = now - float(answer.get("age_ms", 0)) / 1000
+    kv_free_tokens = int(answer.get("kv_free_tokens", 0))
+    report = LoadReport(
+        int(answer["running"]),
+        int(answer["queued"]),
+        kv_free_tokens,
+        {
+            model: MODEL_STATES[state]
+            for model, state in answer.get("models", {}).items()
+            if state in MODEL_STATES
+        },
+        leaving,
+    )
+    node.router.book.load_report(target.id, report, measured_at)
+    load = TargetLoad(target.id, report.running, report.queued, kv_free_tokens, 0)
+    node.publish(pack_target_load(load, node.next_stamp()), node.live_hosts_here())
--- /dev/null
+++ b/src/lycheepath/host/member_views.py
@@ -0,0 +1,41 @@
+"""Hosts of the document and members of the region in the forms others take."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..core.hosts.selection import MemberState
+from ..core.membership.model import Member, PublishedHost, State
+
+if TYPE_CHECKING:
+    from ..core.environment.model import Environment
+    from .node import Node
+
+STATES = {
+    State.ALIVE: MemberState.LIVE,
+    State.SUSPECT: MemberState.SUSPECT,
+    State.DEAD: MemberState.DEAD,
+    State.ENDED: MemberState.DEAD,
+}
+
+
+def publish_hosts(node: Node, environment: Environment) -> list[PublishedHost]:
+    """Return the document's hosts in the form that the membership takes."""
+    return [
+        PublishedHost(
+            host.id,
+            host.peers_address,
+            host.callers_address,
+            host.zone,
+            node.region_of(host),
+        )
+        for host in environment.hosts
+    ]
+
+
+def read_member_state(member: Member) -> MemberState:
+    """Return what a member's state means for callers."""
+    state = STATES[member.state]
+    if member.leaving and state is not MemberState.DEAD:
+        return MemberState.LEAVING
+    return state
--- a/src/lycheepath/host/node.py
+++ b/src/lycheepath/host/node.py
@@ -9,7 +9,7 @@
 
 import random
 import time
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
 from typing import TYPE_CHECKING
 
 import trio
@@ -19,25 +19,38 @@
 from ..adapters.peer_requests import PeerRequests
 from ..adapters.targets.engine import EngineClient
 from ..adapters.targets.service import ServiceClient
+from ..adapters.timers import TrioTimers
 from ..core.actions.handover import HandoverShelf
 from ..core.actions.ledger import ActionLedger, LedgerLimits
 from ..core.actions.tickets import Owner
 from ..core.actions.vouching import Vouching
 from ..core.clients import EMPTY_DIRECTORY, Directory
+from ..core.configuration.keeper import Keeper
+from ..core.configuration.values import Presence, build_readers, name_environment
+from ..core.gossip.news import hash_name
+from ..core.hosts.selection import MemberState
 from ..core.limits.admission import Limiter
+from ..core.membership.rendezvous import computed_readers
 from ..core.retries.budget import HostBudget
 from ..core.routing.router import Router
 from ..core.routing.services import ServiceBook
 from .explanations import Explanations
+from .member_views import publish_hosts, read_member_state
 
 if TYPE_CHECKING:
+    from ..adapters.peers.socket import PeerRunner
+    from ..core.configuration.values import HostList
     from ..core.environment.model import Environment, Host, Target
-    from ..core.hosts.selection import MemberState
+    from ..core.gossip.news import News
+    from ..core.gossip.values import ValueDigest
+    from ..core.membership.model import PublishedHost
+    from ..core.membership.node import Membership
+    from ..ports.timers import Pause
     from .owners import OwnerClock
     from .settings import Settings
 
 INCARNATION_BITS = 63
-PAUSE_S = 1.0
+STAMP_BITS = 16
 
 
 def draw_incarnation() -> int:
@@ -69,6 +82,22 @@
     targets: dict[str, Target] = field(default_factory=dict)
     owner_clocks: dict[str, OwnerClock] = field(default_factory=dict)
     listed_states: dict[str, MemberState] = field(default_factory=dict)
+    listed_leaving_targets: frozenset[str] = frozenset()
+    leaving_targets: set[str] = field(default_factory=set)
+    target_by_key: dict[int, str] = field(default_factory=dict)
+    zone_hosts: tuple[PublishedHost, ...] = ()
+    region_hosts: tuple[str, ...] = ()
+    value_digests: dict[str, ValueDigest] = field(default_factory=dict)
+    watched: dict[str, int] = field(default_factory=dict)
+    fetching: set[str] = field(default_factory=set)
+    checked: bool = False
+    superseded: trio.Event = field(default_factory=trio.Event)
+    membership: Membership | None = None
+    runner: PeerRunner | None = None
+    keeper: Keeper = field(init=False)
+    value_names: tuple[str, ...] = ()
+    timers: TrioTimers = field(init=False)
+    _stamp: int = 0
     explanations: Explanations = field(default_factory=Explanations)
     retry_budget: HostBudget = field(default_factory=HostBudget)
     ledger: ActionLedger = field(init=False)
@@ -77,15 +106,23 @@
     owner: Owner = field(init=False)
     peers: PeerRequests = field(init=False)
     vouching: Vouching = field(init=False)
-    _last_reading: float = field(default_factory=trio.current_time)
     router: Router = field(init=False)
     limiter: Limiter = field(init=False)
 
     def __post_init__(self) -> None:
+        self.timers = TrioTimers(self.random)
+        self.timers.on_pause(self._note_pause)
+        self.watch_counters()
         self.router = Router(self.settings.host, self.settings.region, self.random)
         self.limiter = Limiter(self.settings.host)
         settings = self.settings
         incarnation = str(self.incarnation)
+        self.keeper = Keeper(build_readers(settings.platform.environment))
+        self.value_names = (
+            name_environment(settings.platform.environment),
+            "directory",
+            "hosts",
+        )
         self.owner = Owner(settings.host, incarnation, settings.listen_callers)
         self.peers = PeerRequests(settings.host, settings.peer_keys)
         times = settings.actions
@@ -102,27 +139,122 @@
         Every reading looks for a pause of the process, so that whoever acts
         on the time acts after the pause was noted.
         """
-        current = trio.current_time()
-        gap_s = current - self._last_reading
-        self._last_reading = current
-        if gap_s > PAUSE_S:
-            self._note_pause(gap_s)
-        return current
+        self.timers.check_pause()
+        return trio.current_time()
 
     def member_states(self) -> dict[str, MemberState]:
-        """Return what is known of other hosts' processes, by host id."""
-        return dict(self.listed_states)
+        """
+        Return what is known of other hosts' processes, by host id.
+
+        What peers say outranks the platform's list, which lags.
+        """
+        states = dict(self.listed_states)
+        if self.membership is not None:
+            for member in self.membership.members():
+                states[member.id] = read_member_state(member)
+        if self.draining:
+            states[self.settings.host] = MemberState.LEAVING
+        return states
+
+    def live_hosts_here(self) -> tuple[str, ...]:
+        """Return the ids of the region's hosts that are not held for dead."""
+        states = self.member_states()
+        gone = (MemberState.DEAD, MemberState.LEAVING)
+        return tuple(h for h in self.region_hosts if states.get(h) not in gone)
+
+    def is_reader(self) -> bool:
+        """Whether this host is one that watches the platform for its zone."""
+        live = frozenset(self.live_hosts_here())
+        hosts = [host for host in self.zone_hosts if host.id in live]
+        readers = computed_readers(hosts, self.settings.zone)
+        return not readers or self.settings.host in readers
+
+    def announce_value(self, value: ValueDigest) -> None:
+        """Tell peers which revision of a value this host holds."""
+        self.value_digests[value.name] = value
+        if self.membership is not None and self.runner is not None:
+            self.runner.act(self.membership.set_value(value, self.now()))
+
+    def publish(self, news: News, to: tuple[str, ...] = ()) -> None:
+        """Share news with peers."""
+        if self.membership is not None:
+            self.membership.publish_news(news, self.now(), to)
+
+    def next_stamp(self) -> int:
+        """Return a number that tells two publications apart."""
+        self._stamp = (self._stamp + 1) % (1 << STAMP_BITS)
+        return self._stamp
+
+    def set_target_leaving(self, target: str, leaving: bool, source: str) -> None:
+        """Note whether a target takes new work, from whoever knows."""
+        if leaving == (target in self.leaving_targets):
+            return
+        if leaving:
+            self.leaving_targets.add(target)
+        else:
+            self.leaving_targets.discard(target)
+        self._apply_leaving(target)
+        states = ("serving", "leaving") if leaving else ("leaving", "serving")
+        self.record(f"target {target}", source, *states)
 
-    def _note_pause(self, gap_s: float) -> None:
+    def adopt_host_list(self, listed: HostList) -> None:
+        """Take the platform's list of hosts and targets, which lags."""
+        self.listed_states = {
+            host.id: MemberState.LEAVING
+            if host.state is Presence.LEAVING
+            else MemberState.LIVE
+            for host in listed.hosts
+        }
+        former = self.listed_leaving_targets
+        self.listed_leaving_targets = frozenset(
+            target.id for target in listed.targets if target.state is Presence.LEAVING
+        )
+        for target in former | self.listed_leaving_targets:
+            self._apply_leaving(target)
+
+    def forget_clock(self, host: str) -> None:
+        """Forget the clock of a host whose process may be another now."""
+        self.owner_clocks.pop(host, None)
+
+    def _apply_leaving(self, target: str) -> None:
+        leaving = (
+            target in self.leaving_targets or target in self.listed_leaving_targets
+        )
+        self.router.book.drained(target, leaving)
+        if leaving:
+            self.service_book.draining.add(target)
+        else:
+            self.service_book.draining.discard(target)
+
+    def _note_pause(self, pause: Pause) -> None:
         self.metrics.count("pauses_total")
-        self.ledger.note_pause(gap_s)
+        self.ledger.note_pause(pause.seconds)
         self.owner_clocks.clear()
-        self.record("pause", "clock", "", f"{gap_s:.3f} s")
+        self.record("pause", "clock", "", f"{pause.seconds:.3f} s")
+
+    def watch_counters(self) -> None:
+        """Put the counters of all parts on the metrics page."""
+        metrics = self.metrics
+        metrics.watch_counters("loop", lambda: self.timers.counters)
+        metrics.watch_counters("actions", lambda: asdict(self.ledger.counts))
+        metrics.watch_counters("membership", self._read_membership_counters)
+        metrics.watch_gauge("in_flight", lambda: self.in_flight)
+        metrics.watch_gauge("claims", lambda: len(self.ledger))
+        metrics.watch_gauge("ready", lambda: self.ready)
+        metrics.watch_gauge(
+            "configuration_revision",
+            lambda: -1 if self.environment is None else self.environment.revision,
+        )
+
+    def _read_membership_counters(self) -> dict[str, int]:
+        if self.membership is None or self.runner is None:
+            return {}
+        return {**self.membership.counters(), **self.runner.counters}
 
     @property
     def ready(self) -> bool:
         """Whether this host can serve: it has a configuration and isn't leaving."""
-        return self.environment is not None and not self.draining
+        return self.environment is not None and self.checked and not self.draining
 
     def adopt_environment(self, environment: Environment) -> None:
         """Put a configuration in force."""
@@ -133,6 +265,14 @@
         self.environment = environment
         self.zone_regions = {zone.id: zone.region for zone in environment.zones}
         self.targets = {target.id: target for target in environment.targets}
+        self.target_by_key = {hash_name(target): target for target in self.targets}
+        published = publish_hosts(self, environment)
+        self.zone_hosts = tuple(h for h in published if h.zone == self.settings.zone)
+        self.region_hosts = tuple(
+            host.id for host in published if host.region == self.settings.region
+        )
+        if self.membership is not None:
+            self.membership.set_published(published)
         self.router.apply(environment)
         self.vouching.apply_revision(environment, self.settings.region, self.now())
         self._apply_limits()
--- a/src/lycheepath/host/process.py
+++ b/src/lycheepath/host/process.py
@@ -4,6 +4,7 @@
 
 import signal
 import sys
+from functools import partial
 from typing import TYPE_CHECKING
 
 import orjson
@@ -11,21 +12,24 @@
 
 from ..adapters.http.server import serve_http
 from ..adapters.logs import set_up_logs
-from .configuration import follow_platform
+from .configuration import bootstrap, follow_platform
 from .handover import (
     claim_predecessor,
     establish_vouching,
     hand_over_claims,
     renew_releases,
 )
+from .loads import poll_targets
+from .members import run_membership
 from .node import Node
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from .settings import Settings
 
 DRAIN_POLL_S = 0.05
-START_POLL_S = 0.02
-CLOCK_READING_S = 0.25
+EXPIRY_S = 0.5
 
 
 def run_host(settings: Settings) -> None:
@@ -38,54 +42,71 @@
     node = Node(settings)
     shutdown = trio.Event()
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_watch_clock, node)
-        nursery.start_soon(follow_platform, node)
-        nursery.start_soon(_start_vouching, node)
-        nursery.start_soon(renew_releases, node)
+        await nursery.start(node.timers.run)
+        node.timers.every("expiry", EXPIRY_S, partial(_expire, node))
         binds = await nursery.start(serve_http, node, shutdown.wait)
         _announce(node, binds)
-        await _wait_for_signal()
+        nursery.start_soon(follow_platform, node)
+        nursery.start_soon(_start, node, nursery)
+        await _wait_for_end(node)
         await _drain(node)
         shutdown.set()
         nursery.cancel_scope.cancel()
 
 
+async def _start(node: Node, nursery: trio.Nursery) -> None:
+    """Bring this process from nothing to one that serves and takes part."""
+    await bootstrap(node)
+    nursery.start_soon(run_membership, node)
+    nursery.start_soon(poll_targets, node)
+    nursery.start_soon(renew_releases, node)
+    await claim_predecessor(node)
+    await establish_vouching(node)
+
+
 def _announce(node: Node, binds: list[str]) -> None:
     line = {"listening": binds, "host": node.settings.host}
     sys.stdout.write(orjson.dumps(line).decode() + "\n")
     sys.stdout.flush()
 
 
+async def _wait_for_end(node: Node) -> None:
+    """Wait for a signal, or for a later process of this host."""
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_cancel_after, nursery.cancel_scope, node.superseded.wait)
+        await _wait_for_signal()
+        nursery.cancel_scope.cancel()
+
+
+async def _cancel_after(
+    scope: trio.CancelScope, wait: Callable[[], Awaitable[None]]
+) -> None:
+    await wait()
+    scope.cancel()
+
+
 async def _wait_for_signal() -> None:
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for _ in signals:
             return
 
 
-async def _start_vouching(node: Node) -> None:
-    """Take over from the predecessor, then hear the other issuers."""
-    while node.environment is None:
-        await trio.sleep(START_POLL_S)
-    await claim_predecessor(node)
-    await establish_vouching(node)
-
-
-async def _watch_clock(node: Node) -> None:
-    """Read the clock often enough that a pause is seen as one."""
-    while True:
-        node.now()
-        node.shelf.expire(node.now())
-        node.ledger.expire(node.now())
-        await trio.sleep(CLOCK_READING_S)
+def _expire(node: Node, now: float) -> None:
+    node.shelf.expire(now)
+    node.ledger.expire(now)
 
 
 async def _drain(node: Node) -> None:
     """Let requests in flight end, for at most the drain time."""
     node.draining = True
     node.record("drain", "signal", "serving", "draining")
+    if node.membership is not None and node.runner is not None:
+        node.runner.act(node.membership.set_leaving(node.now()))
     with trio.move_on_after(node.settings.drain_s):
         async with trio.open_nursery() as nursery:
             nursery.start_soon(hand_over_claims, node)
             while node.in_flight:
                 await trio.sleep(DRAIN_POLL_S)
+    if node.membership is not None and node.runner is not None:
+        node.runner.act(node.membership.leave(node.now()))
     node.record("drain", "signal", "draining", f"{node.in_flight} in flight")
--- a/src/lycheepath/host/status.py
+++ b/src/lycheepath/host/status.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from dataclasses import asdict
 from typing import TYPE_CHECKING, Any
 
 from .. import __version__
 
 if TYPE_CHECKING:
+    from ..core.configuration.audit import AuditRecord
     from .node import Node
 
 
@@ -25,9 +27,38 @@
         "stage": None if environment is None else environment.stage.value,
         "revision": None if environment is None else environment.revision,
         "in_flight": node.in_flight,
+        "reads_platform": node.is_reader(),
+        "configuration": {
+            name: _describe_value(node, name) for name in node.value_names
+        },
+        "leaving_targets": sorted(node.leaving_targets | node.listed_leaving_targets),
         "vouches_for_keys": node.vouching.established,
         "claims": len(node.ledger),
         "members": {
             host: state.value for host, state in sorted(node.member_states().items())
         },
     }
+
+
+def describe_record(record: AuditRecord) -> dict[str, Any]:
+    """Return a record of the configuration's audit trail as plain values."""
+    return {**asdict(record), "event": record.event.value}
+
+
+def _describe_value(node: Node, name: str) -> dict[str, Any]:
+    held = node.keeper.get(name)
+    conflict = node.keeper.get_conflict(name)
+    return {
+        "revision": None if held is None else held.revision,
+        "digest": None if held is None else held.digest,
+        "source": None if held is None else held.source,
+        "conflict": None if conflict is None else conflict.offered_digest,
+        "rejected": [
+            {
+                "revision": rejected.offered_revision,
+                "source": rejected.source,
+                "findings": [item.describe() for item in rejected.findings.items],
+            }
+            for rejected in node.keeper.list_rejections(name)
+        ],
+    }
