--- a/src/lycheepath/core/environment/model.py
+++ b/src/lycheepath/core/environment/model.py
@@ -28,6 +28,14 @@
     SERVICE = "service"
 
 
+class Role(Enum):
+    """Which phase of a request a runner works on."""
+
+    ANY = "any"
+    PREFILL = "prefill"
+    DECODE = "decode"
+
+
 @dataclass(frozen=True, slots=True)
 class Region:
     """A region: the unit of data residency and of lost links."""
@@ -87,6 +95,7 @@
     rates; ``kv_tokens`` is the size of its prefix cache.
     ``checks_fencing`` says whether it refuses an order that carries an old
     fencing number. ``accelerators`` is the cost weight of keeping it busy.
+    ``role`` is the one that a runner is ordered to take.
     """
 
     id: str
@@ -101,6 +110,7 @@
     kv_tokens: int = 100_000
     checks_fencing: bool = False
     accelerators: int = 1
+    role: Role = Role.ANY
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/lycheepath/core/environment/reading.py
+++ b/src/lycheepath/core/environment/reading.py
@@ -29,6 +29,7 @@
     Operation,
     Region,
     ResidencyRule,
+    Role,
     Service,
     Stage,
     Target,
@@ -180,6 +181,7 @@
         "kv_tokens": Field(read_integer(0, 10**10), required=False),
         "checks_fencing": Field(read_boolean, required=False),
         "accelerators": Field(read_integer(0, 10_000), required=False),
+        "role": Field(read_choice(Role), required=False),
     },
 )
 _read_operation = read_record(
--- /dev/null
+++ b/src/lycheepath/core/orders/__init__.py
@@ -0,0 +1,3 @@
+"""Orders to runners: which models to load and which role to take."""
+
+from __future__ import annotations
