--- a/bench/membership/network.py
+++ b/bench/membership/network.py
@@ -1,8 +1,9 @@
 """
 Memberships of one process, joined by an in-memory network.
 
-Time is virtual. Each message is encoded as on the wire so that its bytes are
-real; it arrives after a delay, or is lost, or is cut by the caller's rule.
+Time is virtual. Each message is encoded, signed, verified and decoded as on the
+wire, so that bytes and processor time are real; it arrives after a delay, or is
+lost, or is cut by the caller's rule. Tests may pass messages as they are.
 """
 
 from __future__ import annotations
@@ -14,12 +15,13 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-from lycheepath.adapters.peers.authentication import HEADER_BYTES
-from lycheepath.adapters.peers.codec import encode_message
+from lycheepath.adapters.peers.authentication import sign, verify
+from lycheepath.adapters.peers.codec import decode_message, encode_message
 from lycheepath.core.membership.actions import Action, SendMessage, ValueLearned
 from lycheepath.core.membership.model import Member, PublishedHost
 from lycheepath.core.membership.node import Membership
 from lycheepath.core.membership.options import Options
+from lycheepath.host.settings import PeerKey
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -28,6 +30,7 @@
     from lycheepath.core.membership.messages import Message
 
 TICK_S = 0.1
+KEYS = (PeerKey("bench", b"a key of the benchmarks"),)
 IP_UDP_BYTES = 28
 
 
@@ -58,7 +61,9 @@
     traffic: dict[str, Traffic] = field(default_factory=dict)
     actions: list[tuple[float, str, Action]] = field(default_factory=list)
     kinds: Counter[str] = field(default_factory=Counter)
-    _queue: list[tuple[float, int, str, str, Message]] = field(default_factory=list)
+    _queue: list[tuple[float, int, str, str, Message | bytes]] = field(
+        default_factory=list
+    )
     _ticks: list[tuple[float, int, str]] = field(default_factory=list)
     _order: count[int] = field(default_factory=count)
     _addresses: dict[str, str] = field(default_factory=dict)
@@ -135,9 +140,11 @@
 
     def _send(self, host_id: str, action: SendMessage) -> None:
         self.on_send(action.message)
+        carried: Message | bytes = action.message
         size = 0
         if self.encodes:
-            size = len(encode_message(action.message)) + HEADER_BYTES + IP_UDP_BYTES
+            carried = sign(encode_message(action.message), KEYS)
+            size = len(carried) + IP_UDP_BYTES
         traffic = self.traffic[host_id]
         traffic.sent += 1
         traffic.sent_bytes += size
@@ -148,18 +155,19 @@
         if not self.passes(host_id, target):
             return
         at = self.now + self.delay_s * (0.5 + self.random.random())
-        item = (at, next(self._order), host_id, target, action.message)
-        heappush(self._queue, item)
+        heappush(self._queue, (at, next(self._order), host_id, target, carried))
         received = self.traffic[target]
         received.received += 1
         received.received_bytes += size
 
-    def _deliver(self, source: str, target: str, message: Message) -> None:
+    def _deliver(self, source: str, target: str, carried: Message | bytes) -> None:
         node = self.nodes.get(target)
         if node is None or not self.passes(source, target):
             return
         address = self.hosts[source].peers_address
-        self.carry_out(target, node.receive(message, address, self.now))
+        if isinstance(carried, bytes):
+            carried = decode_message(verify(carried, KEYS))
+        self.carry_out(target, node.receive(carried, address, self.now))
 
 
 def make_hosts(count: int, zones: dict[str, str]) -> dict[str, PublishedHost]:
