--- a/bench/membership/network.py
+++ b/bench/membership/network.py
@@ -44,7 +44,7 @@
     received_bytes: int = 0
 
 
-@dataclass(slots=True)
+@dataclass
 class Network:
     """Hosts by address, the messages under way and the virtual time."""
 
