Prove regions, configuration, leaving and shutdown under cuts and kills

Change: tests with real processes whose links can be cut through the HTTP transport and the peer socket; a host elsewhere serves a team only while the team's home region does not answer. Found and mended: a load report that came by news said nothing of leaving and put a leaving target back in use (4 and 6 requests reached it in 5 s; none after the change); a watch that was open when its link was cut went on bringing revisions, so the cut of the tests now ends it. Ruled out: a slow poll as the cause (the reports arrived every second).

--- a/src/lycheepath/adapters/http/problems.py
+++ b/src/lycheepath/adapters/http/problems.py
@@ -28,6 +28,7 @@
     Reason.OVERLOADED: 503,
     Reason.DEADLINE: 503,
     Reason.LIMIT: 429,
+    Reason.NOT_TEAM_HOST: 421,
     Reason.QUARANTINED: 422,
     Reason.DRAINING: 503,
     Reason.ALREADY_FORWARDED: 508,
--- a/src/lycheepath/adapters/peer_requests.py
+++ b/src/lycheepath/adapters/peer_requests.py
@@ -16,11 +16,13 @@
 
 from .http.gate import RequestHead
 from .http.signatures import PASSED_HEADER, sign_request
+from .links import build_transport, reach_all
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
     from ..host.settings import PeerKey
+    from .links import MayReach
 
 CONNECT_TIMEOUT_S = 0.5
 ASK_TIMEOUT_S = 2.0
@@ -61,11 +63,16 @@
 class PeerRequests:
     """Sends signed requests to other hosts."""
 
-    def __init__(self, host: str, keys: tuple[PeerKey, ...]) -> None:
+    def __init__(
+        self,
+        host: str,
+        keys: tuple[PeerKey, ...],
+        may_reach: MayReach = reach_all,
+    ) -> None:
         self._host = host
         self._keys = keys
         self._client = httpx.AsyncClient(
-            limits=httpx.Limits(max_connections=None, max_keepalive_connections=32),
+            transport=build_transport(may_reach),
             trust_env=False,
         )
 
--- a/src/lycheepath/adapters/platform.py
+++ b/src/lycheepath/adapters/platform.py
@@ -8,11 +8,16 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import httpx
 import orjson
 
+from .links import build_transport, reach_all
+
+if TYPE_CHECKING:
+    from .links import MayReach
+
 LARGEST_VALUE_BYTES = 1_100_000
 READ_TIMEOUT_S = 2.0
 WATCH_S = 20.0
@@ -45,9 +50,10 @@
 class PlatformReader:
     """Reads and watches values of one configuration service."""
 
-    def __init__(self, url: str) -> None:
+    def __init__(self, url: str, may_reach: MayReach = reach_all) -> None:
         self._url = url.rstrip("/")
         self._client = httpx.AsyncClient(
+            transport=build_transport(may_reach),
             timeout=httpx.Timeout(READ_TIMEOUT_S, read=WATCH_S + READ_TIMEOUT_S),
             trust_env=False,
         )
--- a/src/lycheepath/adapters/targets/engine.py
+++ b/src/lycheepath/adapters/targets/engine.py
@@ -15,10 +15,13 @@
 import orjson
 
 from ...ports.targets import EngineRequest, TargetFailureError
+from ..links import build_transport, reach_all
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from ..links import MayReach
+
 CONNECT_TIMEOUT_S = 1.0
 STALL_TIMEOUT_S = 10.0
 LARGEST_EVENT_BYTES = 1_000_000
@@ -27,10 +30,10 @@
 class EngineClient:
     """Streams chat completions from engines and reads their load."""
 
-    def __init__(self, read_timeout_s: float = STALL_TIMEOUT_S) -> None:
+    def __init__(self, may_reach: MayReach = reach_all) -> None:
         self._client = httpx.AsyncClient(
-            timeout=httpx.Timeout(CONNECT_TIMEOUT_S, read=read_timeout_s),
-            limits=httpx.Limits(max_connections=None, max_keepalive_connections=64),
+            timeout=httpx.Timeout(CONNECT_TIMEOUT_S, read=STALL_TIMEOUT_S),
+            transport=build_transport(may_reach),
             trust_env=False,
         )
 
--- a/src/lycheepath/adapters/targets/service.py
+++ b/src/lycheepath/adapters/targets/service.py
@@ -14,11 +14,14 @@
 import httpx
 
 from ...ports.targets import ServiceAnswer, ServiceRequest, TargetFailureError
+from ..links import build_transport, reach_all
 from .engine import CONNECT_TIMEOUT_S
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from ..links import MayReach
+
 LARGEST_ANSWER_BYTES = 8_000_000
 BEFORE_FIRST_BYTE = "http11.send_request_headers.started"
 
@@ -26,9 +29,9 @@
 class ServiceClient:
     """Calls plain services."""
 
-    def __init__(self) -> None:
+    def __init__(self, may_reach: MayReach = reach_all) -> None:
         self._client = httpx.AsyncClient(
-            limits=httpx.Limits(max_connections=None, max_keepalive_connections=0),
+            transport=build_transport(may_reach, most_kept=0),
             trust_env=False,
         )
 
--- a/src/lycheepath/core/limits/admission.py
+++ b/src/lycheepath/core/limits/admission.py
@@ -100,6 +100,10 @@
                 self._reports.pop(host, None)
             self._share_again()
 
+    def counts_here(self, team: str) -> bool:
+        """Whether this host is one that counts the team's limit."""
+        return self._find_limit(team) is None or self.host in self._find_hosts(team)
+
     def admit(
         self, team: str, cost_tokens: float, priority: int, now: float
     ) -> Admission | Absent:
--- a/src/lycheepath/core/reasons.py
+++ b/src/lycheepath/core/reasons.py
@@ -27,6 +27,7 @@
     OVERLOADED = "overloaded"
     DEADLINE = "deadline"
     LIMIT = "limit"
+    NOT_TEAM_HOST = "not-team-host"
     QUARANTINED = "quarantined"
     DRAINING = "draining"
     ALREADY_FORWARDED = "already-forwarded"
--- a/src/lycheepath/host/chat.py
+++ b/src/lycheepath/host/chat.py
@@ -19,6 +19,7 @@
 from ..core.routing.request import RoutedRequest, hash_prefix
 from ..core.tokens import BrokenAnswerError, TokenStream
 from ..ports.targets import EngineRequest, TargetFailureError
+from .admission import require_team_host
 from .explanations import Explanation
 
 if TYPE_CHECKING:
@@ -70,6 +71,7 @@
     routed = _build_request(
         node, environment, chat, client, request_id, node.now() + timeout_s
     )
+    await require_team_host(node, client)
     admission = node.limiter.admit(
         client.team,
         routed.prompt_tokens + chat.max_tokens,
--- a/src/lycheepath/host/configuration.py
+++ b/src/lycheepath/host/configuration.py
@@ -73,7 +73,7 @@
 
 async def follow_platform(node: Node) -> None:
     """Read and watch every value that this host needs, for ever."""
-    reader = PlatformReader(node.settings.platform.url)
+    reader = PlatformReader(node.settings.platform.url, node.may_reach)
     async with trio.open_nursery() as nursery:
         for name in node.value_names:
             nursery.start_soon(_follow_value, node, reader, name)
--- a/src/lycheepath/host/loads.py
+++ b/src/lycheepath/host/loads.py
@@ -82,7 +82,7 @@
             for model, state in answer.get("models", {}).items()
             if state in MODEL_STATES
         },
-        leaving,
+        node.is_target_leaving(target.id),
     )
     node.router.book.load_report(target.id, report, measured_at)
     load = TargetLoad(target.id, report.running, report.queued, kv_free_tokens, 0)
--- a/src/lycheepath/host/members.py
+++ b/src/lycheepath/host/members.py
@@ -50,6 +50,7 @@
             settings.listen_peers,
             settings.peer_keys,
             partial(_handle, node, nursery),
+            node.may_reach,
         )
         await nursery.start(runner.run)
         node.membership = membership
@@ -97,7 +98,12 @@
     target = node.target_by_key.get(news.key)
     if news.kind is NewsKind.TARGET_LOAD and target is not None:
         load = read_target_load(news, target)
-        report = LoadReport(load.running, load.queued, load.kv_free_tokens)
+        report = LoadReport(
+            load.running,
+            load.queued,
+            load.kv_free_tokens,
+            leaving=node.is_target_leaving(target),
+        )
         node.router.book.load_report(target, report, held.observed_at)
     elif news.kind is NewsKind.TARGET_LEAVING and target is not None:
         node.set_target_leaving(target, bool(news.word), f"peer {held.source}")
--- a/src/lycheepath/host/node.py
+++ b/src/lycheepath/host/node.py
@@ -15,6 +15,7 @@
 import trio
 
 from ..adapters.audit import AuditRecord, AuditTrail
+from ..adapters.links import reach_all
 from ..adapters.metrics import Metrics
 from ..adapters.peer_requests import PeerRequests
 from ..adapters.targets.engine import EngineClient
@@ -38,6 +39,7 @@
 from .member_views import publish_hosts, read_member_state
 
 if TYPE_CHECKING:
+    from ..adapters.links import MayReach
     from ..adapters.peers.socket import PeerRunner
     from ..core.configuration.values import HostList
     from ..core.environment.model import Environment, Host, Target
@@ -45,6 +47,7 @@
     from ..core.gossip.values import ValueDigest
     from ..core.membership.model import PublishedHost
     from ..core.membership.node import Membership
+    from ..ports.targets import Engines, Services
     from ..ports.timers import Pause
     from .owners import OwnerClock
     from .settings import Settings
@@ -72,8 +75,9 @@
     metrics: Metrics = field(default_factory=Metrics)
     audit: AuditTrail = field(default_factory=AuditTrail)
     random: random.Random = field(default_factory=random.Random)
-    engines: EngineClient = field(default_factory=EngineClient)
-    services: ServiceClient = field(default_factory=ServiceClient)
+    may_reach: MayReach = reach_all
+    engines: Engines = field(init=False)
+    services: Services = field(init=False)
     environment: Environment | None = None
     directory: Directory = EMPTY_DIRECTORY
     draining: bool = False
@@ -91,6 +95,8 @@
     watched: dict[str, int] = field(default_factory=dict)
     fetching: set[str] = field(default_factory=set)
     checked: bool = False
+    lost_regions: set[str] = field(default_factory=set)
+    region_checks: dict[str, float] = field(default_factory=dict)
     superseded: trio.Event = field(default_factory=trio.Event)
     membership: Membership | None = None
     runner: PeerRunner | None = None
@@ -124,7 +130,9 @@
             "hosts",
         )
         self.owner = Owner(settings.host, incarnation, settings.listen_callers)
-        self.peers = PeerRequests(settings.host, settings.peer_keys)
+        self.peers = PeerRequests(settings.host, settings.peer_keys, self.may_reach)
+        self.engines = EngineClient(self.may_reach)
+        self.services = ServiceClient(self.may_reach)
         times = settings.actions
         self.ledger = ActionLedger(LedgerLimits(freshness_s=times.freshness_s))
         self.shelf = HandoverShelf(times.hold_s)
@@ -152,6 +160,10 @@
         if self.membership is not None:
             for member in self.membership.members():
                 states[member.id] = read_member_state(member)
+        if self.lost_regions and self.environment is not None:
+            for host in self.environment.hosts:
+                if self.region_of(host) in self.lost_regions:
+                    states[host.id] = MemberState.DEAD
         if self.draining:
             states[self.settings.host] = MemberState.LEAVING
         return states
@@ -162,6 +174,18 @@
         gone = (MemberState.DEAD, MemberState.LEAVING)
         return tuple(h for h in self.region_hosts if states.get(h) not in gone)
 
+    def set_region_lost(self, region: str, lost: bool) -> None:
+        """Note whether another region can be reached."""
+        if lost == (region in self.lost_regions):
+            return
+        if lost:
+            self.lost_regions.add(region)
+        else:
+            self.lost_regions.discard(region)
+        states = ("reachable", "lost") if lost else ("lost", "reachable")
+        self.record(f"region {region}", "request", *states)
+        self.limiter.update_members(self.member_states())
+
     def is_reader(self) -> bool:
         """Whether this host is one that watches the platform for its zone."""
         live = frozenset(self.live_hosts_here())
@@ -216,10 +240,12 @@
         """Forget the clock of a host whose process may be another now."""
         self.owner_clocks.pop(host, None)
 
+    def is_target_leaving(self, target: str) -> bool:
+        """Whether the target itself, a peer or the list says that it leaves."""
+        return target in self.leaving_targets or target in self.listed_leaving_targets
+
     def _apply_leaving(self, target: str) -> None:
-        leaving = (
-            target in self.leaving_targets or target in self.listed_leaving_targets
-        )
+        leaving = self.is_target_leaving(target)
         self.router.book.drained(target, leaving)
         if leaving:
             self.service_book.draining.add(target)
--- a/src/lycheepath/host/process.py
+++ b/src/lycheepath/host/process.py
@@ -11,6 +11,7 @@
 import trio
 
 from ..adapters.http.server import serve_http
+from ..adapters.links import reach_all
 from ..adapters.logs import set_up_logs
 from .configuration import bootstrap, follow_platform
 from .handover import (
@@ -26,20 +27,25 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from ..adapters.links import MayReach
     from .settings import Settings
 
 DRAIN_POLL_S = 0.05
 EXPIRY_S = 0.5
 
 
-def run_host(settings: Settings) -> None:
-    """Run a host until it is told to end and has drained."""
+def run_host(settings: Settings, may_reach: MayReach = reach_all) -> None:
+    """
+    Run a host until it is told to end and has drained.
+
+    ``may_reach`` says which addresses this process can reach at the moment.
+    """
     set_up_logs(settings.log)
-    trio.run(_run_node, settings)
+    trio.run(_run_node, settings, may_reach)
 
 
-async def _run_node(settings: Settings) -> None:
-    node = Node(settings)
+async def _run_node(settings: Settings, may_reach: MayReach) -> None:
+    node = Node(settings, may_reach=may_reach)
     shutdown = trio.Event()
     async with trio.open_nursery() as nursery:
         await nursery.start(node.timers.run)
--- /dev/null
+++ b/src/lycheepath/host/regions.py
@@ -0,0 +1,56 @@
+"""
+Whether another region can be reached, asked only when a decision needs it.
+
+A caller whose home region is lost may be served here. One whose home answers
+is pointed there, so that its team's limit is counted by few hosts.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from ..adapters.peer_requests import PeerUnreachable
+
+if TYPE_CHECKING:
+    from ..core.environment.model import Host
+    from .node import Node
+
+HOSTS_ASKED = 3
+VERDICT_KEPT_S = 2.0
+
+
+async def region_is_lost(node: Node, region: str) -> bool:
+    """
+    Return whether no host of a region answers.
+
+    The verdict is kept for ``VERDICT_KEPT_S`` and shared with the limits.
+    """
+    if region == node.settings.region:
+        return False
+    checked_at = node.region_checks.get(region)
+    if checked_at is None or node.now() - checked_at > VERDICT_KEPT_S:
+        node.region_checks[region] = node.now()
+        node.set_region_lost(region, not await _any_answers(node, region))
+    return region in node.lost_regions
+
+
+async def _any_answers(node: Node, region: str) -> bool:
+    environment = node.environment
+    assert environment is not None
+    hosts = [h for h in environment.hosts if node.region_of(h) == region]
+    asked = node.random.sample(hosts, min(HOSTS_ASKED, len(hosts)))
+    answered = False
+
+    async def ask(host: Host) -> None:
+        nonlocal answered
+        answer = await node.peers.ask(host.callers_address, "/peer/state")
+        if not isinstance(answer, PeerUnreachable):
+            answered = True
+            nursery.cancel_scope.cancel()
+
+    async with trio.open_nursery() as nursery:
+        for host in asked:
+            nursery.start_soon(ask, host)
+    return answered
--- /dev/null
+++ b/tests/promises/test_leaving.py
@@ -0,0 +1,132 @@
+"""Leaving targets get no new work in time, and a shutdown cuts nothing off."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import trio
+
+from standins.caller import Kind, build_messages
+
+if TYPE_CHECKING:
+    from standins.caller import Outcome
+    from standins.fleet import Fleet
+
+KNOWN_LIMIT_S = 5.0
+HOSTS = ("accra-1", "accra-2", "accra-3")
+
+
+async def start_fleet(fleet: Fleet, **options: Any) -> None:
+    """Start three hosts before two engines and two instances of a service."""
+    for number in (1, 2):
+        await fleet.start_engine(f"runner-{number}", "accra-a", **options)
+        await fleet.start_service(f"booking-{number}", "accra-a", "booking")
+    for name in HOSTS:
+        fleet.add_host(name, "accra-a")
+    await fleet.publish_environment()
+    await fleet.start_hosts()
+
+
+async def ask_all(fleet: Fleet, label: str) -> list[Outcome]:
+    """Ask each host some questions and call the service through it."""
+    outcomes = []
+    for host in HOSTS:
+        address = fleet.processes[host].address
+        for number in range(4):
+            messages = build_messages(f"{label} {host} {number}")
+            outcomes.append(await fleet.caller().ask(address, messages, max_tokens=4))
+            outcomes.append(
+                await fleet.caller().call_service(
+                    address, "booking", "/slots", method="GET", action=label
+                )
+            )
+    return outcomes
+
+
+async def test_leaving_target_gets_no_new_work_while_the_list_is_down(
+    fleet: Fleet,
+) -> None:
+    await start_fleet(fleet)
+    await fleet.control("platform", down=True)
+    await fleet.control("runner-1", state="leaving")
+    await fleet.control("booking-1", state="leaving")
+    await trio.sleep(KNOWN_LIMIT_S)
+    before = await fleet.read("runner-1", "/control/seen")
+    executed = await fleet.read("booking-1", "/control/executions")
+    outcomes = await ask_all(fleet, "late")
+    assert {outcome.kind for outcome in outcomes} == {Kind.WHOLE}
+    after = await fleet.read("runner-1", "/control/seen")
+    assert len(after["seen"]) == len(before["seen"])
+    assert await fleet.read("booking-1", "/control/executions") == executed
+
+
+async def test_listed_leaving_target_gets_no_new_work(fleet: Fleet) -> None:
+    await start_fleet(fleet)
+    await fleet.publish_hosts(leaving=["runner-2"])
+    await trio.sleep(KNOWN_LIMIT_S)
+    before = await fleet.read("runner-2", "/control/seen")
+    await ask_all(fleet, "listed")
+    after = await fleet.read("runner-2", "/control/seen")
+    assert len(after["seen"]) == len(before["seen"])
+
+
+async def test_graceful_shutdown_cuts_no_request_in_flight(fleet: Fleet) -> None:
+    await start_fleet(fleet, token_ms=50)
+    address = fleet.processes["accra-1"].address
+    outcomes: list[Outcome] = []
+
+    async def ask(number: int) -> None:
+        messages = build_messages(f"long {number}")
+        stream = number % 2 == 0
+        outcomes.append(
+            await fleet.caller().ask(address, messages, max_tokens=60, stream=stream)
+        )
+
+    async with trio.open_nursery() as nursery:
+        for number in range(6):
+            nursery.start_soon(ask, number)
+        await trio.sleep(1.0)
+        fleet.processes["accra-1"].terminate()
+        await trio.sleep(0.5)
+        refused = await fleet.caller().ask(address, build_messages("new"))
+        assert refused.reason == "draining"
+        assert {host["id"] for host in refused.body["hosts"]} == {"accra-2", "accra-3"}
+    assert [outcome.kind for outcome in outcomes] == [Kind.WHOLE] * 6, outcomes
+    assert await fleet.processes["accra-1"].wait(10.0) == 0
+
+
+async def test_hosts_that_know_of_a_shutdown_hand_the_host_out_no_more(
+    fleet: Fleet,
+) -> None:
+    await start_fleet(fleet, token_ms=50)
+    leaving = fleet.processes["accra-1"]
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(hold_open, fleet, leaving.address)
+        await trio.sleep(0.5)
+        leaving.terminate()
+        with trio.fail_after(KNOWN_LIMIT_S):
+            for name in HOSTS[1:]:
+                while "accra-1" in await find_ids(fleet, name):
+                    await trio.sleep(0.05)
+
+
+async def hold_open(fleet: Fleet, address: str) -> None:
+    """Keep a long answer open."""
+    await fleet.caller().ask(address, build_messages("hold"), max_tokens=100)
+
+
+async def find_ids(fleet: Fleet, host: str) -> set[str]:
+    """Return the hosts that a host hands out."""
+    answer = await fleet.caller().find_hosts(fleet.processes[host].address)
+    return {entry["id"] for entry in answer}
+
+
+async def test_shutdown_is_bounded_by_the_drain_time(fleet: Fleet) -> None:
+    fleet.settings["drain_s"] = 2.0
+    await start_fleet(fleet, token_ms=100)
+    host = fleet.processes["accra-1"]
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(hold_open, fleet, host.address)
+        await trio.sleep(0.5)
+        host.terminate()
+        assert await host.wait(8.0) == 0
