--- /dev/null
+++ b/binary/__init__.py
@@ -0,0 +1,3 @@
+"""Building of the one-file binary."""
+
+from __future__ import annotations
