Repeat what a challenge dropped; keep own place in a full member table

Cause: reading the core as a stranger: a first summary or sync request to a peer was spent on its challenge and counted as silence; a full table without dead members shed the longest known one, which is the host itself; a host just awake from a pause could serve its old view to others. Ruled out: opening windows without proof for summaries (they carry news). Change: a challenge is answered by repeating the very request; a full table refuses newcomers; a sync is refused while the own view is old; offered values are bounded in number; directed news reaches published hosts of other regions.

--- a/src/lycheepath/core/membership/probes.py
+++ b/src/lycheepath/core/membership/probes.py
@@ -33,7 +33,7 @@
 
 @dataclass(slots=True)
 class Probe:
-    """A probe of ``member``; ``relay_to`` names who asked for it."""
+    """A probe of ``member``, asked for by ``relay_to``, or of a ``region``."""
 
     member: str
     address: str
@@ -41,6 +41,7 @@
     sent_at: float
     relay_to: str = ""
     relay_echo: int = 0
+    region: str = ""
     repeated: bool = False
     answered: bool = False
 
--- a/src/lycheepath/core/membership/reception.py
+++ b/src/lycheepath/core/membership/reception.py
@@ -26,7 +26,6 @@
     from .model import Member
     from .state import NodeState
 
-REPEATED_PURPOSES = (Purpose.MEMBER, Purpose.CONTACT, Purpose.RELAY)
 CHALLENGE_ECHO_SPAN = 100_000
 SUMMARIES_IN_SUMMARY = 2
 
@@ -98,14 +97,23 @@
         return
     state.challenges.spend(1)
     probe = state.probes.get(message.echo)
-    if probe is not None and probe.purpose in REPEATED_PURPOSES:
+    if probe is not None:
         probe.member = probe.member or message.sender
-        state.send_ping(probe, now, cookie=message.cookie)
+        _repeat(state, probe, message.cookie, now)
         return
     address = state.address_of(message.sender) or source
     state.ping(message.sender, address, Purpose.CONTACT, now, cookie=message.cookie)
 
 
+def _repeat(state: NodeState, probe: Probe, cookie: int, now: float) -> None:
+    if probe.purpose is Purpose.SYNC:
+        state.send_sync_request(probe, now, cookie)
+    elif probe.purpose is Purpose.SUMMARY:
+        send_summary(state, probe, now, cookie)
+    else:
+        state.send_ping(probe, now, cookie)
+
+
 def _tell_old_incarnation(
     state: NodeState, message: Message, source: str, now: float
 ) -> None:
@@ -228,7 +236,7 @@
 def _handle_sync_request(
     state: NodeState, message: Message, source: str, now: float
 ) -> None:
-    if state.served.available(now) <= 0:
+    if state.served.available(now) <= 0 or now < state.view_old_until:
         state.counters["syncs_refused"] += 1
         return
     address = _answer_address(state, message, source)
@@ -322,6 +330,13 @@
     )
 
 
+def send_summary(state: NodeState, probe: Probe, now: float, cookie: int = 0) -> None:
+    """Send the own region's summary to the contact that ``probe`` names."""
+    message = compose_summary(state, Kind.SUMMARY, probe.member, now)
+    state.probes.add(message.sequence, probe)
+    state.send(probe.address, replace(message, cookie=cookie))
+
+
 def finish_joining(state: NodeState, answered: bool) -> None:
     """Tell the host that it may act under its incarnation."""
     if state.joined:
@@ -331,8 +346,9 @@
 
 
 def _join_through(state: NodeState, member_id: str, now: float) -> None:
-    if any(probe.purpose is Purpose.SYNC for probe in state.probes):
-        return
+    for probe in state.probes:
+        if probe.purpose is Purpose.SYNC and not probe.answered:
+            return
     state.request_sync(member_id, now)
 
 
--- a/src/lycheepath/core/membership/regions.py
+++ b/src/lycheepath/core/membership/regions.py
@@ -31,6 +31,7 @@
         self._held: dict[str, HeldSummary] = {}
         self._told_at: dict[str, float] = {}
         self._published: dict[str, tuple[PublishedHost, ...]] = {}
+        self._hosts: dict[str, PublishedHost] = {}
         self._failures: dict[str, int] = {}
 
     def publish(self, hosts: Iterable[PublishedHost]) -> None:
@@ -40,6 +41,11 @@
             if host.region != self._own:
                 by_region.setdefault(host.region, []).append(host)
         self._published = {name: tuple(found) for name, found in by_region.items()}
+        self._hosts = {host.id: host for found in by_region.values() for host in found}
+
+    def host(self, host_id: str) -> PublishedHost | None:
+        """Return a published host of another region."""
+        return self._hosts.get(host_id)
 
     def summaries(self) -> tuple[HeldSummary, ...]:
         """Return the summaries held, one for each region."""
--- a/src/lycheepath/core/membership/schedule.py
+++ b/src/lycheepath/core/membership/schedule.py
@@ -15,7 +15,7 @@
 from .messages import Kind
 from .model import State
 from .probes import Probe, Purpose, sample
-from .reception import compose_summary, finish_joining
+from .reception import finish_joining, send_summary
 from .spreading import size_of_load
 from .table import condemned
 
@@ -75,7 +75,7 @@
         elif probe.purpose is Purpose.SUMMARY and waited >= options.probe_deadline_s:
             probe.answered = True
             state.counters["contacts_silent"] += 1
-            state.regions.note_silence(probe.relay_to)
+            state.regions.note_silence(probe.region)
         elif probe.purpose is Purpose.SYNC and waited >= options.probe_deadline_s:
             probe.answered = True
     state.probes.expire(now)
@@ -174,10 +174,8 @@
         if contact is None:
             continue
         member_id, address = contact
-        message = compose_summary(state, Kind.SUMMARY, member_id, now)
-        probe = Probe(member_id, address, Purpose.SUMMARY, now, relay_to=region)
-        state.probes.add(message.sequence, probe)
-        state.send(address, message)
+        probe = Probe(member_id, address, Purpose.SUMMARY, now, region=region)
+        send_summary(state, probe, now)
 
 
 def _peers(state: NodeState, count: int) -> list[str]:
--- a/src/lycheepath/core/membership/state.py
+++ b/src/lycheepath/core/membership/state.py
@@ -47,6 +47,7 @@
 SERVED_BURST_BYTES = 200_000.0
 CHALLENGES_PER_S = 50.0
 OFFER_AGAIN_S = 0.5
+MAX_NAMES = 64
 
 
 class NodeState:
@@ -138,7 +139,7 @@
         member = self.table.get(member_id)
         if member is not None and member.peers_address:
             return member.peers_address
-        published = self.published.get(member_id)
+        published = self.published.get(member_id) or self.regions.host(member_id)
         return published.peers_address if published else ""
 
     def ping(
@@ -268,6 +269,8 @@
             return
         if revision == value.revision and now - at < OFFER_AGAIN_S:
             return
+        if value.name not in self._offered and len(self._offered) >= MAX_NAMES:
+            return
         self._offered[value.name] = (value.revision, now)
         self.emit(ValueLearned(value, source, self._callers_address_of(source)))
 
@@ -331,16 +334,22 @@
 
     def request_sync(self, member_id: str, now: float) -> None:
         """Ask a member for what its view holds beyond the own one."""
-        address = self.address_of(member_id)
+        probe = Probe(member_id, self.address_of(member_id), Purpose.SYNC, now)
+        self.send_sync_request(probe, now)
+
+    def send_sync_request(self, probe: Probe, now: float, cookie: int = 0) -> None:
+        """Send one more request for ``probe``."""
+        member_id = probe.member
         message = self.compose(Kind.SYNC_REQUEST, member_id, now)
         message = replace(
             message,
+            cookie=cookie,
             members=self.with_statements(member_id, ()),
             bucket_hashes=tuple(self.table.bucket_hashes),
             values_hash=self.values.hash,
         )
-        self.probes.add(message.sequence, Probe(member_id, address, Purpose.SYNC, now))
-        self.send(address, message)
+        self.probes.add(message.sequence, probe)
+        self.send(probe.address, message)
 
     def pages(self, members: list[Member]) -> list[tuple[Member, ...]]:
         """Split ``members`` into what fits in one message each."""
--- a/src/lycheepath/core/membership/table.py
+++ b/src/lycheepath/core/membership/table.py
@@ -55,6 +55,7 @@
         """
         Replace what is believed of a member.
 
+        A full table sheds the longest dead member, or else the newcomer.
         Raises ``ResurrectionError`` if the statement doesn't supersede the
         one held: a dead or ended incarnation would come back.
         """
@@ -63,11 +64,11 @@
             if not supersedes(member, held):
                 raise ResurrectionError(f"{member} after {held}")
             self._mix(held)
+        elif not self._make_room():
+            return
         self._members[member.id] = member
         self._mix(member)
         self._note_liveness(member, now)
-        if len(self._members) > self._limit:
-            self._shed_one(member.id)
 
     @property
     def live_count(self) -> int:
@@ -126,12 +127,15 @@
         if member.live:
             self.bucket_hashes[bucket_of(member.id)] ^= _hash_member(member)
 
-    def _shed_one(self, kept: str) -> None:
+    def _make_room(self) -> bool:
+        if len(self._members) < self._limit:
+            return True
         self.shed += 1
         oldest = next(iter(self._ended_at), None)
-        if oldest is None or oldest == kept:
-            oldest = next(iter(self._members))
+        if oldest is None:
+            return False
         self._remove(oldest)
+        return True
 
     def _remove(self, member_id: str) -> None:
         member = self._members.pop(member_id)
--- a/tests/core/membership/test_table.py
+++ b/tests/core/membership/test_table.py
@@ -43,3 +43,5 @@
     table.put(Member("a-3", 1), 2.0)
     assert {member.id for member in table} == {"a-1", "a-3"}
     assert table.shed == 1
+    table.put(Member("a-4", 1), 3.0)
+    assert table.live_ids() == ["a-1", "a-3"]
