--- /dev/null
+++ b/bench/membership/messages.py
@@ -0,0 +1,136 @@
+"""
+Measures the bytes and the processor time of single messages, with their slopes.
+
+    python -m bench.membership.messages
+
+For each kind of load it encodes and signs, then verifies and decodes messages
+with 0, 4, 8 and 12 items, and fits a line through the results.
+"""
+
+from __future__ import annotations
+
+import json
+import time
+from dataclasses import dataclass, replace
+from statistics import linear_regression, median
+from typing import TYPE_CHECKING
+
+from lycheepath.adapters.peers.authentication import HEADER_BYTES, sign, verify
+from lycheepath.adapters.peers.codec import decode_message, encode_message
+from lycheepath.core.gossip.news import News, TargetLoad, pack_target_load
+from lycheepath.core.gossip.values import ValueDigest
+from lycheepath.core.membership.messages import Kind, Message
+from lycheepath.core.membership.model import Member
+from lycheepath.host.settings import PeerKey
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+KEYS = (PeerKey("new", b"n" * 32), PeerKey("old", b"o" * 32))
+SIZES = (0, 4, 8, 12)
+ROUNDS = 9
+CALLS = 300
+INCARNATION = 1_764_800_000_000_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class Slope:
+    """A line through the measured points: ``fixed + each * items``."""
+
+    fixed: float
+    each: float
+    points: tuple[float, ...]
+
+
+def make_message(kind: str, count: int) -> Message:
+    """Return a message with ``count`` items of ``kind``."""
+    message = Message(
+        Kind.ACK,
+        "perth-a-0017",
+        INCARNATION,
+        2**47 + 12345,
+        "perth",
+        to="perth-b-0003",
+        echo=2**46 + 777,
+        view_hash=0xDEADBEEF,
+        values_hash=0xCAFEBABE,
+    )
+    if kind == "members":
+        return replace(message, members=tuple(map(_make_member, range(count))))
+    if kind == "news":
+        return replace(message, news=tuple(map(_make_news, range(count))))
+    return replace(message, values=tuple(map(_make_value, range(count))))
+
+
+def time_call(call: Callable[[], object]) -> float:
+    """Return the median time of ``call`` in microseconds."""
+    times = []
+    for _ in range(ROUNDS):
+        started = time.perf_counter()
+        for _ in range(CALLS):
+            call()
+        times.append((time.perf_counter() - started) / CALLS * 1e6)
+    return median(times)
+
+
+def fit(points: list[float]) -> Slope:
+    """Return the line through ``points`` at ``SIZES``."""
+    each, fixed = linear_regression(SIZES, points)
+    rounded = tuple(round(point, 1) for point in points)
+    return Slope(round(fixed, 1), round(each, 2), rounded)
+
+
+def measure(kind: str) -> dict[str, Slope]:
+    """Return the slopes of one kind of item."""
+    sizes, sending, receiving = [], [], []
+    for count in SIZES:
+        message = make_message(kind, count)
+        datagram = sign(encode_message(message), KEYS)
+        sizes.append(float(len(datagram)))
+        sending.append(time_call(lambda m=message: sign(encode_message(m), KEYS)))  # type: ignore[misc]
+        receiving.append(time_call(lambda d=datagram: decode_message(verify(d, KEYS))))  # type: ignore[misc]
+    return {
+        "bytes": fit(sizes),
+        "send_us": fit(sending),
+        "receive_us": fit(receiving),
+    }
+
+
+def _make_member(number: int) -> Member:
+    return Member(
+        f"perth-a-{number:04d}",
+        INCARNATION + number * 10**6,
+        1,
+        peers_address=f"10.12.{number}.17:7400",
+        callers_address=f"10.12.{number}.17:8400",
+        zone="perth-a",
+        region="perth",
+    )
+
+
+def _make_news(number: int) -> News:
+    load = TargetLoad(f"runner-{number}", 11 + number, 3, 64_000 + 640 * number, 57)
+    return replace(pack_target_load(load, 40_000 + number), age_ms=700 + number)
+
+
+def _make_value(number: int) -> ValueDigest:
+    return ValueDigest(f"environment/number-{number}", 6400 + number, b"\x9d" * 16)
+
+
+def main() -> None:
+    """Measure and print."""
+    results = {
+        kind: {name: _describe(slope) for name, slope in measure(kind).items()}
+        for kind in ("members", "news", "values")
+    }
+    print(
+        json.dumps({"header_bytes": HEADER_BYTES, "items": SIZES, **results}, indent=1)
+    )
+
+
+def _describe(slope: Slope) -> str:
+    return f"{slope.fixed} + {slope.each} per item, measured {list(slope.points)}"
+
+
+if __name__ == "__main__":
+    main()
--- a/src/lycheepath/adapters/peers/socket.py
+++ b/src/lycheepath/adapters/peers/socket.py
@@ -30,7 +30,7 @@
     from ...core.membership.node import Membership
     from ...host.settings import PeerKey
 
-TICK_S = 0.1
+TICK_S = 0.2
 RECEIVE_BYTES = 2048
 SOCKET_BUFFER_BYTES = 1 << 20
 
--- a/src/lycheepath/core/membership/node.py
+++ b/src/lycheepath/core/membership/node.py
@@ -9,7 +9,7 @@
     actions += membership.receive(message, "10.0.0.2:7400", now)
     actions += membership.tick(now)
 
-Call ``tick`` about ten times a second.
+Call ``tick`` five to ten times a second.
 """
 
 from __future__ import annotations
--- a/src/lycheepath/core/membership/schedule.py
+++ b/src/lycheepath/core/membership/schedule.py
@@ -1,7 +1,7 @@
 """
 What a host does as time passes: probe, push rumors, compare, exchange.
 
-``pass_time`` is to be called ten times a second or so. A call that comes late
+``pass_time`` is to be called five to ten times a second. A call that comes late
 is a pause of the process: nothing is concluded from answers that could not
 be read, and the own view counts as old until a peer has been asked.
 """
