Estimate the end from past answers and let full runners push back to the host

Cause: with the caller's bound on tokens (512 asked, 100 used) as the estimate, any bound above deadline times rate is refused for ever; and under overload requests pile up in engines, where nothing is fair between teams.

Ruled out: trusting the bound with a factor; the ratio differs by team.

Change: the book learns the length of answers for each target; a runner where others' work would cost over a second of wait is full, and requests then wait in the host's queue or are refused with a time to come back.

--- a/src/lycheepath/core/routing/choice.py
+++ b/src/lycheepath/core/routing/choice.py
@@ -33,6 +33,7 @@
 TIE_S = 0.02
 AWAY_COST_S = 0.2
 MIN_RETRY_AFTER_S = 0.5
+LENGTH_MARGIN = 2.0
 
 
 class ResidencyError(AssertionError):
@@ -44,7 +45,8 @@
     """
     One candidate as the choice saw it; all times in seconds.
 
-    ``score_s`` is what was compared, lowest first.
+    ``score_s`` is what was compared, lowest first. ``wait_s`` is the part of
+    the time to the first token that other requests cause.
     """
 
     target: str
@@ -52,6 +54,7 @@
     score_s: float
     first_token_s: float
     finish_s: float
+    wait_s: float
     cached_tokens: int
     load: float
 
@@ -94,7 +97,9 @@
         for view in candidates
     ]
     scores.sort(key=lambda score: score.score_s)
-    best = _break_tie(scores, random)
+    best = _break_tie(_keep_open(scores, facts), random)
+    if best.wait_s > facts.policy.engine_wait_s:
+        return _refuse_full(scores, facts)
     if now + best.finish_s > request.deadline:
         best = min(scores, key=lambda score: score.finish_s)
         if now + best.finish_s > request.deadline:
@@ -133,13 +138,15 @@
     slowness = estimate_slowness(view, now)
     prefill_s = (request.prompt_tokens - cached) / view.prefill_tokens_per_s
     backlog_s = view.prefill_tokens / view.prefill_tokens_per_s
+    wait_s = _slot_wait_s(view, load) + backlog_s * slowness
     first_token_s = (
         2.0 * facts.delay_s.get(view.region, 0.0)
         + _load_model_s(request.model, view, facts)
-        + _slot_wait_s(view, load)
-        + (backlog_s + prefill_s) * slowness
+        + wait_s
+        + prefill_s * slowness
     )
-    decode_s = request.max_tokens / view.decode_tokens_per_s * view.decode_slowness
+    decode_s = _expect_tokens(request, view, facts) / view.decode_tokens_per_s
+    decode_s *= view.decode_slowness
     weights = facts.weights
     score_s = (
         weights.tail_latency * first_token_s
@@ -154,6 +161,7 @@
         score_s=score_s,
         first_token_s=first_token_s,
         finish_s=first_token_s + decode_s,
+        wait_s=wait_s,
         cached_tokens=cached,
         load=load,
     )
@@ -226,6 +234,20 @@
     return Absent(Reason.NO_TARGET, MIN_RETRY_AFTER_S, "all runners drain or are out")
 
 
+def _keep_open(scores: list[Score], facts: Facts) -> list[Score]:
+    limit = facts.policy.engine_wait_s
+    return [score for score in scores if score.wait_s <= limit] or scores
+
+
+def _refuse_full(scores: Sequence[Score], facts: Facts) -> Absent:
+    shortest = min(score.wait_s for score in scores)
+    return Absent(
+        Reason.OVERLOADED,
+        max(MIN_RETRY_AFTER_S, shortest - facts.policy.engine_wait_s),
+        "all runners are full",
+    )
+
+
 def _refuse_late(candidates: Sequence[TargetView]) -> Absent:
     shortest = min(view.service_s or DEFAULT_SERVICE_S for view in candidates)
     return Absent(
@@ -241,6 +263,12 @@
     return random.choice(near)
 
 
+def _expect_tokens(request: RoutedRequest, view: TargetView, facts: Facts) -> float:
+    if not facts.policy.learn_length or view.answer_tokens == 0.0:
+        return float(request.max_tokens)
+    return min(request.max_tokens, LENGTH_MARGIN * view.answer_tokens)
+
+
 def _load_model_s(model: str, view: TargetView, facts: Facts) -> float:
     state = view.model_states.get(model, ModelState.LOADED)
     if state is ModelState.LOADED:
--- a/src/lycheepath/core/routing/facts.py
+++ b/src/lycheepath/core/routing/facts.py
@@ -3,7 +3,7 @@
 
 The facts are computed once for each revision, not for each request::
 
-    facts = read_facts(environment, host="host-1")
+    facts = read_facts(environment, "host-1", "accra", DEFAULT_POLICY)
 """
 
 from __future__ import annotations
@@ -12,6 +12,8 @@
 from types import MappingProxyType
 from typing import TYPE_CHECKING
 
+from .policy import DEFAULT_POLICY, Policy
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
@@ -38,9 +40,12 @@
     delay_s: Mapping[str, float]
     load_s: Mapping[str, float]
     sharers: int
+    policy: Policy = DEFAULT_POLICY
 
 
-def read_facts(environment: Environment, host: str, region: str) -> Facts:
+def read_facts(
+    environment: Environment, host: str, region: str, policy: Policy
+) -> Facts:
     """Return the facts for a host in a region."""
     delays = {
         item.id: _delay_s(environment.links, region, item.id)
@@ -53,6 +58,7 @@
         delay_s=MappingProxyType(delays),
         load_s=MappingProxyType(_load_seconds(environment)),
         sharers=max(1, len(environment.hosts)),
+        policy=policy,
     )
 
 
--- /dev/null
+++ b/src/lycheepath/core/routing/policy.py
@@ -0,0 +1,29 @@
+"""
+The knobs of the target choice.
+
+One frozen value holds them all, so that an earlier version of the policy can
+be replayed beside the present one. Operators do not set them; they set the
+weights and limits of the environment document.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Policy:
+    """
+    What the choice takes into account.
+
+    ``learn_length`` estimates the end from lengths of past answers instead of
+    the caller's bound on tokens. A target on which a request would wait longer
+    than ``engine_wait_s`` for others' work is full; requests then wait at the
+    host, where the queue is fair between teams, or are refused.
+    """
+
+    learn_length: bool = True
+    engine_wait_s: float = 1.0
+
+
+DEFAULT_POLICY = Policy()
--- a/src/lycheepath/core/routing/router.py
+++ b/src/lycheepath/core/routing/router.py
@@ -18,6 +18,7 @@
 from ..reasons import Absent, Reason
 from .choice import assert_residency, choose_target
 from .facts import read_facts
+from .policy import DEFAULT_POLICY
 from .targets import TargetBook
 
 if TYPE_CHECKING:
@@ -26,22 +27,30 @@
     from ..environment.model import Environment
     from .choice import Choice
     from .facts import Facts
+    from .policy import Policy
     from .request import RoutedRequest
 
 
 class Router:
     """State: the book of targets and the facts of the environment in force."""
 
-    def __init__(self, host: str, region: str, random: Random) -> None:
+    def __init__(
+        self,
+        host: str,
+        region: str,
+        random: Random,
+        policy: Policy = DEFAULT_POLICY,
+    ) -> None:
         self.host = host
         self.region = region
         self.book = TargetBook(host)
         self._random = random
+        self._policy = policy
         self._facts: Facts | None = None
 
     def apply(self, environment: Environment) -> None:
         """Put an environment document in force."""
-        self._facts = read_facts(environment, self.host, self.region)
+        self._facts = read_facts(environment, self.host, self.region, self._policy)
         self.book.apply(environment)
 
     def choose(
--- a/src/lycheepath/core/routing/targets.py
+++ b/src/lycheepath/core/routing/targets.py
@@ -53,7 +53,8 @@
     where there was none), ``echo`` this host's starts since then.
     ``prefill_tokens`` are prompt tokens sent from here and not yet answered.
     ``slowness`` compares recent times to the first token with what was
-    expected (1 is as expected); ``oldest_wait_at`` and
+    expected (1 is as expected); ``service_s`` and ``answer_tokens`` are means of
+    recent answers, zero before the first. ``oldest_wait_at`` and
     ``oldest_wait_estimate_s`` describe the request that has waited longest
     for its first token. ``model_states`` holds what the target reported.
     """
@@ -77,6 +78,7 @@
     slowness: float
     decode_slowness: float
     service_s: float
+    answer_tokens: float
     oldest_wait_at: float
     oldest_wait_estimate_s: float
     failure_ratio: float
@@ -110,6 +112,7 @@
     slowness: float = 1.0
     decode_slowness: float = 1.0
     service_s: float = 0.0
+    answer_tokens: float = 0.0
     draining: bool = False
     cache_sequence: int = -1
     health: TargetHealth = field(default_factory=TargetHealth)
@@ -192,7 +195,9 @@
         took = now - flight.started_at
         if entry.service_s == 0.0:
             entry.service_s = took
+            entry.answer_tokens = generated_tokens
         entry.service_s += SERVICE_STEP * (took - entry.service_s)
+        entry.answer_tokens += SERVICE_STEP * (generated_tokens - entry.answer_tokens)
         if flight.first_token_at is not None and generated_tokens > 1:
             nominal = (generated_tokens - 1) / entry.target.decode_tokens_per_s
             observed = (now - flight.first_token_at) / nominal
@@ -336,6 +341,7 @@
             slowness=entry.slowness,
             decode_slowness=entry.decode_slowness,
             service_s=entry.service_s,
+            answer_tokens=entry.answer_tokens,
             oldest_wait_at=oldest.started_at if oldest else float("inf"),
             oldest_wait_estimate_s=oldest.estimate_s if oldest else 0.0,
             failure_ratio=entry.health.failure_ratio,
--- a/traces/figures.py
+++ b/traces/figures.py
@@ -7,6 +7,7 @@
 
 from lycheepath.core.routing.request import BLOCK_TOKENS
 
+from .generator import FLOODER
 from .trace import FaultKind, chain_blocks
 
 if TYPE_CHECKING:
@@ -26,7 +27,7 @@
     Times are in seconds and count from the caller's first send, waits and
     retries included; a request without an answer counts with its deadline.
     Bound requests of a region that is lost can be served by nobody: they are
-    in ``refused`` and not in the times. ``again`` is tokens prefilled although
+    in ``refused`` and not in the times, and so is the team that floods. ``again`` is tokens prefilled although
     some runner had done so before; ``goodput`` is the share of all requests
     answered by their deadline.
     """
@@ -70,6 +71,22 @@
     )
 
 
+def average(samples: Sequence[Figures]) -> Figures:
+    """Return the mean of each figure over several replays."""
+    count = len(samples)
+    sums = {
+        item.name: sum(getattr(sample, item.name) for sample in samples)
+        for item in fields(Figures)
+    }
+    whole = {"prefill", "again", "wasted", "crashes"}
+    return Figures(
+        **{
+            name: round(value / count) if name in whole else value / count
+            for name, value in sums.items()
+        }
+    )
+
+
 def find_percentile(values: Iterable[float], share: float) -> float:
     """Return the value that a share of the values does not exceed."""
     ordered = sorted(values)
@@ -110,7 +127,7 @@
 
 def _could_be_served(trace: Trace, outcome: Outcome) -> bool:
     request = outcome.request
-    if request.poison:
+    if request.poison or (trace.scenario == "flood" and request.team == FLOODER):
         return False
     if not request.bound:
         return True
--- a/traces/generator.py
+++ b/traces/generator.py
@@ -13,6 +13,8 @@
 from random import Random
 from typing import TYPE_CHECKING
 
+from lycheepath.core.hosts.rendezvous import hash_name
+
 from .deployments import DEPLOYMENTS, find_bound_teams, name_teams
 from .trace import Fault, FaultKind, Trace, TracedRequest, write_trace
 
@@ -22,6 +24,7 @@
     from .deployments import Deployment
 
 SEED = 5
+FLOODER = "team-0"
 DAY_S = 180.0
 FAULT_START_S = 60.0
 FAULT_END_S = 120.0
@@ -35,6 +38,25 @@
     return SCENARIOS[scenario](deployment, requests, seed)
 
 
+def synthesise_step(
+    deployment: Deployment, base: float, peak: float, start_s: float, end_s: float
+) -> Trace:
+    """
+    Return a trace without daily swing whose rate steps up and down again.
+
+    ``base`` and ``peak`` are requests a second over all regions.
+    """
+    traffic = replace(deployment.traffic, mean_per_s=peak, swing=0.0)
+    flat = replace(deployment, traffic=traffic)
+    kept = [
+        request
+        for request in _draw_day(flat, Random(f"{SEED}/step"))
+        if start_s <= request.at_s < end_s
+        or hash_name(str(request.conversation)) % 1000 < 1000 * base / peak
+    ]
+    return Trace(deployment.name, "step", SEED, tuple(kept))
+
+
 def _draw_day(deployment: Deployment, random: Random) -> list[TracedRequest]:
     traffic = deployment.traffic
     homes = name_teams(deployment)
@@ -131,11 +153,10 @@
 
 def _flood(deployment: Deployment, requests: list[TracedRequest], seed: int) -> Trace:
     """One team sends as much as all others together, for a minute."""
-    team = "team-0"
     extra = [
         replace(
             request,
-            team=team,
+            team=FLOODER,
             region=deployment.regions[0],
             bound=False,
             system=0,
--- /dev/null
+++ b/traces/overload.py
@@ -0,0 +1,111 @@
+"""
+Measures goodput under overload, and the return to normal.
+
+``python -m traces.overload DEPLOYMENT [POLICY,POLICY]`` finds the capacity
+(the highest rate of answers by their deadline that our policy reaches under
+any of ``PROBED_RATES``), then replays a step to twice that rate and prints for
+each policy the goodput during the step as a share of the capacity, and how
+long after its end the time to the first token is normal again.
+"""
+
+from __future__ import annotations
+
+import sys
+from typing import TYPE_CHECKING
+
+from .deployments import DEPLOYMENTS
+from .figures import find_percentile
+from .generator import DAY_S, synthesise_step
+from .policies import POLICIES
+from .replay import Replay
+
+if TYPE_CHECKING:
+    from .replay import Outcome
+
+STEP_START_S = 40.0
+STEP_END_S = 100.0
+WARM_UP_S = 10.0
+PROBED_RATES = (18.0, 24.0, 30.0, 36.0, 42.0, 48.0)
+BASE_SHARE = 0.5
+BUCKET_S = 2.0
+NORMAL_FACTOR = 2.0
+
+
+def main(arguments: list[str]) -> None:
+    """Print the table for one deployment."""
+    name = arguments[0]
+    policies = arguments[1].split(",") if len(arguments) > 1 else list(POLICIES)
+    capacity = find_capacity(name)
+    print(f"\n### {name}: capacity {capacity:.1f} answers/s\n")
+    print("| policy | goodput/capacity | normal after s | attempts/answer |")
+    print("|---|---|---|---|")
+    for policy in policies:
+        outcomes = _replay_step(name, policy, BASE_SHARE * capacity, 2 * capacity)
+        goodput = _measure_goodput(outcomes) / capacity
+        attempts = sum(outcome.attempts for outcome in outcomes)
+        answers = sum(outcome.finish_s is not None for outcome in outcomes)
+        normal = _measure_return(outcomes)
+        print(f"| {policy} | {goodput:.3f} | {normal:.0f} | {attempts / answers:.2f} |")
+
+
+def find_capacity(deployment: str) -> float:
+    """Return the highest goodput in answers a second of our policy."""
+    return max(
+        _measure_goodput(_replay_step(deployment, "ours", rate, rate))
+        for rate in PROBED_RATES
+    )
+
+
+def _replay_step(
+    deployment: str, policy: str, base: float, peak: float
+) -> list[Outcome]:
+    trace = synthesise_step(
+        DEPLOYMENTS[deployment], base, peak, STEP_START_S, STEP_END_S
+    )
+    replay = Replay(trace, policy)
+    return replay.run().outcomes
+
+
+def _measure_goodput(outcomes: list[Outcome]) -> float:
+    """Return answers a second by their deadline that ended within the step."""
+    start = STEP_START_S + WARM_UP_S
+    ends = [
+        outcome.request.at_s + outcome.finish_s
+        for outcome in outcomes
+        if outcome.finish_s is not None
+        and outcome.finish_s <= outcome.request.deadline_s
+    ]
+    return sum(start <= end < STEP_END_S for end in ends) / (STEP_END_S - start)
+
+
+def _measure_return(outcomes: list[Outcome]) -> float:
+    """
+    Return the seconds after the step until requests meet normal times.
+
+    Normal is: nothing refused and a p95 time to the first token of at most
+    ``NORMAL_FACTOR`` times that before the step.
+    """
+    normal = NORMAL_FACTOR * find_percentile(
+        _read_times(outcomes, WARM_UP_S, STEP_START_S), 0.95
+    )
+    bucket = DAY_S - BUCKET_S
+    while bucket >= STEP_END_S:
+        times = _read_times(outcomes, bucket, bucket + BUCKET_S)
+        if find_percentile(times, 0.95) > normal:
+            return bucket + BUCKET_S - STEP_END_S
+        bucket -= BUCKET_S
+    return 0.0
+
+
+def _read_times(outcomes: list[Outcome], start: float, end: float) -> list[float]:
+    return [
+        outcome.request.deadline_s
+        if outcome.first_token_s is None or outcome.refused
+        else outcome.first_token_s
+        for outcome in outcomes
+        if start <= outcome.request.at_s < end
+    ]
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
--- a/traces/policies.py
+++ b/traces/policies.py
@@ -7,17 +7,18 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Callable
+from dataclasses import replace
+from random import Random
 from typing import TYPE_CHECKING, Protocol
 
+from lycheepath.core.environment.model import Environment
 from lycheepath.core.reasons import Absent, Reason
 from lycheepath.core.routing.choice import Choice
+from lycheepath.core.routing.policy import Policy
 from lycheepath.core.routing.router import Router
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-    from random import Random
-
-    from lycheepath.core.environment.model import Environment
     from lycheepath.core.routing.reports import FailureKind, LoadReport
     from lycheepath.core.routing.request import RoutedRequest
 
@@ -49,6 +50,9 @@
         """Take in what the published list says."""
 
 
+PolicyFactory = Callable[[Environment, str, str, Random], RoutingPolicy]
+
+
 class PlainPolicy:
     """State: in-flight counts and a turn counter, for the field's plain ways."""
 
@@ -156,18 +160,32 @@
     return PlainPolicy(environment, random, home_only=True, turns=False)
 
 
-def make_ours(
-    environment: Environment, host: str, region: str, random: Random
-) -> RoutingPolicy:
-    """The decision core as it is."""
-    router = Router(host, region, random)
-    router.apply(environment)
-    return OurPolicy(router)
+def make_ours(policy: Policy) -> PolicyFactory:
+    """Return a factory of the decision core with these knobs."""
 
+    def make(
+        environment: Environment, host: str, region: str, random: Random
+    ) -> RoutingPolicy:
+        router = Router(host, region, random, policy)
+        router.apply(environment)
+        return OurPolicy(router)
+
+    return make
+
+
+# The versions of the core's policy in the order in which they came.
+_FIRST = Policy(learn_length=False, engine_wait_s=float("inf"))
+_SECOND = replace(_FIRST, learn_length=True)
+
+VERSIONS = {
+    "ours-1": _FIRST,
+    "ours-2": _SECOND,
+    "ours": Policy(),
+}
 
-POLICIES: dict[str, Callable[[Environment, str, str, Random], RoutingPolicy]] = {
+POLICIES: dict[str, PolicyFactory] = {
     "round-robin": make_round_robin,
     "least-in-flight": make_least_in_flight,
     "home-only": make_home_only,
-    "ours": make_ours,
+    **{name: make_ours(policy) for name, policy in VERSIONS.items()},
 }
--- a/traces/replay.py
+++ b/traces/replay.py
@@ -45,6 +45,7 @@
 PREFIX_BYTES_PER_TOKEN = 4
 ANSWER_BYTES_PER_TOKEN = 220
 SETTLE_S = 60.0
+MAX_TOKENS = 512
 
 
 @dataclass(slots=True)
@@ -75,7 +76,7 @@
 
     def __init__(self, trace: Trace, policy: str, seed: int = 1) -> None:
         self.trace = trace
-        self.random = Random(f"{seed}/{policy}")
+        self.random = Random(seed)
         self.deployment = DEPLOYMENTS[trace.deployment]
         self.environment = build_environment(self.deployment)
         self.loop = Loop()
@@ -251,7 +252,7 @@
             return
         now = self.replay.loop.now
         request = caller.request
-        cost = request.prompt_tokens + request.output_tokens
+        cost = request.prompt_tokens + MAX_TOKENS
         admission = Admission(request.team, cost, request.priority)
         if self.ours:
             answer = self.limiter.admit(request.team, cost, request.priority, now)
@@ -319,7 +320,7 @@
             model=MODEL,
             prefix_blocks=chain_blocks(request),
             prompt_tokens=request.prompt_tokens,
-            max_tokens=request.output_tokens,
+            max_tokens=MAX_TOKENS,
             priority=request.priority,
             deadline=request.at_s + request.deadline_s,
             home_region=home,
@@ -364,7 +365,7 @@
         work = Work(
             self.routed.prefix_blocks,
             self.routed.prompt_tokens,
-            self.routed.max_tokens,
+            self.caller.request.output_tokens,
             self.routed.priority,
             self.caller.request.poison,
             lambda cached: loop.call_later(
@@ -376,7 +377,7 @@
         self.work = work
         if runner.region != self.host.region:
             size = self.routed.prompt_tokens * PREFIX_BYTES_PER_TOKEN
-            size += self.routed.max_tokens * ANSWER_BYTES_PER_TOKEN
+            size += work.output_tokens * ANSWER_BYTES_PER_TOKEN
             self.host.replay.tally.away_bytes += size
         loop.call_later(delay, lambda: self._arrive(runner, work))
         loop.call_at(self.routed.deadline, lambda: self._expire(work))
@@ -403,7 +404,7 @@
             return
         self.ended = True
         now = self.host.replay.loop.now
-        self.host.policy.finished(self.routed.id, now, self.routed.max_tokens)
+        self.host.policy.finished(self.routed.id, now, work.output_tokens)
         self.host.budget.earn()
         self.caller.finished(self.delay)
         if self.host.ours:
--- a/traces/report.py
+++ b/traces/report.py
@@ -1,7 +1,8 @@
 """
 Prints the tables of ``docs/POLICY.md``.
 
-``python -m traces.report [DEPLOYMENT] [SCENARIO] [POLICY,POLICY]``
+``python -m traces.report [DEPLOYMENT] [SCENARIO] [POLICY,POLICY]``. Each figure is the mean
+of replays with the seeds ``SEEDS``.
 """
 
 from __future__ import annotations
@@ -10,12 +11,14 @@
 from time import perf_counter
 
 from .deployments import DEPLOYMENTS
-from .figures import compute_figures, format_table
+from .figures import average, compute_figures, format_table
 from .generator import RECORDED, SCENARIOS
 from .policies import POLICIES
 from .replay import Replay
 from .trace import read_trace
 
+SEEDS = (1, 2, 3)
+
 
 def main(arguments: list[str]) -> None:
     """Replay the recorded traces and print a table for each."""
@@ -34,9 +37,12 @@
     rows = []
     for policy in policies:
         started = perf_counter()
-        replay = Replay(trace, policy)
-        replay.run()
-        rows.append((policy, compute_figures(replay)))
+        samples = []
+        for seed in SEEDS:
+            replay = Replay(trace, policy, seed)
+            replay.run()
+            samples.append(compute_figures(replay))
+        rows.append((policy, average(samples)))
         print(f"{policy}: {perf_counter() - started:.1f} s", file=sys.stderr)
     return format_table(rows)
 
