Spill only into spare capacity, price lost caches by load, finish warm work first

Cause: under overload 40 to 55% of the requests went to regions as full as their own and lost their caches there, and the host's queue served cold requests before conversations under way; a request put back into the queue also started its wait anew, so that none ever expired.

Change: a target away is used only at up to half of its slots; prefilling again costs more the fuller a target is; two seconds of engine wait before a runner counts as full; the queue charges what no cache holds and serves the cheapest once a team's oldest has waited half a second; a refusal says when the queue has room again; a put-back request keeps its place and age.

--- a/src/lycheepath/core/limits/queue.py
+++ b/src/lycheepath/core/limits/queue.py
@@ -5,10 +5,10 @@
 team that floods gets its weight's part, and the others do not wait behind it.
 The queue is bounded in time: a request that would wait past its deadline or
 past ``MAX_WAIT_S`` is refused when it arrives, with when to come back, and one
-whose deadline has passed is handed back instead of served. While the oldest
-request has waited longer than ``LIFO_AFTER_S``, each team's newest request
-goes first (adaptive LIFO): under overload some are served in time instead of
-all too late.
+whose deadline has passed is handed back instead of served. While a team's
+oldest request has waited longer than ``CHEAPEST_AFTER_S``, its cheapest one
+goes first: with a cost that counts only what no cache holds, conversations
+that are under way are finished and the runners' caches keep their worth.
 """
 
 from __future__ import annotations
@@ -22,9 +22,10 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-MAX_WAIT_S = 2.0
-LIFO_AFTER_S = 0.5
-RATE_STEP = 0.1
+MAX_WAIT_S = 1.0
+CHEAPEST_AFTER_S = 0.5
+RATE_WINDOW_S = 0.5
+MIN_RETRY_AFTER_S = 0.5
 PRIORITIES = 10
 DEFAULT_WEIGHT = 1.0
 
@@ -56,7 +57,8 @@
         self._virtual_time = 0.0
         self._queued_tokens = [0.0] * PRIORITIES
         self._tokens_per_s = 0.0
-        self._served_at = float("-inf")
+        self._served_tokens = 0.0
+        self._rate_since = float("-inf")
 
     def __len__(self) -> int:
         return sum(
@@ -67,7 +69,8 @@
         """Queue a request, or refuse it at once with when to come back."""
         wait = self.estimate_wait(waiting.team, waiting.priority)
         if wait > MAX_WAIT_S or now + wait > waiting.deadline:
-            return Absent(Reason.OVERLOADED, wait, "the queue is longer than the wait")
+            after = max(MIN_RETRY_AFTER_S, wait - MAX_WAIT_S)
+            return Absent(Reason.OVERLOADED, after, "the queue is full")
         lines = self._lines[waiting.priority]
         line = lines.setdefault(waiting.team, _Line())
         if not line.requests:
@@ -80,17 +83,37 @@
         """
         Return the next request and those that expired in the queue.
 
-        Expired requests get their final answer from the host at once.
+        Expired requests get their final answer from the host at once. The
+        next one must be given to ``confirm`` or to ``put_back``.
         """
         expired = self._drop_expired(now)
         for priority, lines in enumerate(self._lines):
             waiting = self._pop_line(lines, now)
             if waiting is not None:
                 self._queued_tokens[priority] -= waiting.cost_tokens
-                self._learn_rate(waiting.cost_tokens, now)
                 return waiting, expired
         return None, expired
 
+    def confirm(self, waiting: Waiting, now: float) -> None:
+        """Record that a popped request went to a target."""
+        elapsed = now - self._rate_since
+        self._served_tokens += waiting.cost_tokens
+        if elapsed < RATE_WINDOW_S:
+            return
+        if elapsed < RATE_WINDOW_S + MAX_WAIT_S:
+            self._tokens_per_s = self._served_tokens / elapsed
+        self._rate_since = now
+        self._served_tokens = 0.0
+
+    def put_back(self, waiting: Waiting) -> None:
+        """Return a popped request that no target took to the head of its line."""
+        lines = self._lines[waiting.priority]
+        line = lines.setdefault(waiting.team, _Line())
+        weight = self._weights.get(waiting.team, DEFAULT_WEIGHT)
+        line.finish_tag -= waiting.cost_tokens / weight
+        line.requests.appendleft(waiting)
+        self._queued_tokens[waiting.priority] += waiting.cost_tokens
+
     def cancel(self, request_id: str) -> bool:
         """Remove a request whose caller hung up; tell whether it was queued."""
         for priority, lines in enumerate(self._lines):
@@ -123,8 +146,10 @@
             return None
         tag, team = min(busy)
         line = lines[team]
-        late = now - line.requests[0].queued_at > LIFO_AFTER_S
-        waiting = line.requests.pop() if late else line.requests.popleft()
+        waiting = line.requests[0]
+        if now - waiting.queued_at > CHEAPEST_AFTER_S:
+            waiting = min(line.requests, key=lambda item: item.cost_tokens)
+        line.requests.remove(waiting)
         self._virtual_time = max(self._virtual_time, tag)
         weight = self._weights.get(team, DEFAULT_WEIGHT)
         line.finish_tag = tag + waiting.cost_tokens / weight
@@ -146,15 +171,6 @@
                     del lines[team]
         return tuple(expired)
 
-    def _learn_rate(self, tokens: float, now: float) -> None:
-        elapsed = now - self._served_at
-        self._served_at = now
-        if 0.0 < elapsed < MAX_WAIT_S:
-            observed = tokens / elapsed
-            if self._tokens_per_s == 0.0:
-                self._tokens_per_s = observed
-            self._tokens_per_s += RATE_STEP * (observed - self._tokens_per_s)
-
 
 def _has_expired(waiting: Waiting, now: float) -> bool:
     return now >= waiting.deadline or now - waiting.queued_at > MAX_WAIT_S
--- a/src/lycheepath/core/routing/choice.py
+++ b/src/lycheepath/core/routing/choice.py
@@ -46,7 +46,8 @@
     One candidate as the choice saw it; all times in seconds.
 
     ``score_s`` is what was compared, lowest first. ``wait_s`` is the part of
-    the time to the first token that other requests cause.
+    the time to the first token that other requests cause, ``load`` the
+    estimated number of requests there, ``fill`` its share of the slots.
     """
 
     target: str
@@ -57,6 +58,7 @@
     wait_s: float
     cached_tokens: int
     load: float
+    fill: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,11 +99,12 @@
         for view in candidates
     ]
     scores.sort(key=lambda score: score.score_s)
-    best = _break_tie(_keep_open(scores, facts), random)
-    if best.wait_s > facts.policy.engine_wait_s:
+    accepting = _keep_open(scores, request.home_region, facts)
+    if not accepting:
         return _refuse_full(scores, facts)
+    best = _break_tie(accepting, random)
     if now + best.finish_s > request.deadline:
-        best = min(scores, key=lambda score: score.finish_s)
+        best = min(accepting, key=lambda score: score.finish_s)
         if now + best.finish_s > request.deadline:
             return _refuse_late(candidates)
     assert_residency(request, best.region)
@@ -134,7 +137,7 @@
 ) -> Score:
     """Return the estimates and the score of one candidate."""
     cached = min(cached_tokens, max(0, request.prompt_tokens - 1))
-    load = estimate_load(view, facts.sharers, now)
+    load = estimate_load(view, now)
     slowness = estimate_slowness(view, now)
     prefill_s = (request.prompt_tokens - cached) / view.prefill_tokens_per_s
     backlog_s = view.prefill_tokens / view.prefill_tokens_per_s
@@ -150,7 +153,7 @@
     weights = facts.weights
     score_s = (
         weights.tail_latency * first_token_s
-        + weights.cost * prefill_s * view.accelerators
+        + prefill_s * view.accelerators * _price_prefill(view, load, facts)
         + view.failure_ratio * FAILURE_COST_S
     )
     if view.region != request.home_region:
@@ -164,10 +167,11 @@
         wait_s=wait_s,
         cached_tokens=cached,
         load=load,
+        fill=load / view.slots,
     )
 
 
-def estimate_load(view: TargetView, sharers: int, now: float) -> float:
+def estimate_load(view: TargetView, now: float) -> float:
     """
     Return the estimated number of requests at a target.
 
@@ -175,7 +179,8 @@
     report that told of them.
     """
     age = max(0.0, now - view.measured_at)
-    return view.in_flight + view.others * REPORT_TRUST_S / (REPORT_TRUST_S + age)
+    others = view.others * REPORT_TRUST_S / (REPORT_TRUST_S + age)
+    return view.in_flight + others
 
 
 def estimate_slowness(view: TargetView, now: float) -> float:
@@ -234,9 +239,14 @@
     return Absent(Reason.NO_TARGET, MIN_RETRY_AFTER_S, "all runners drain or are out")
 
 
-def _keep_open(scores: list[Score], facts: Facts) -> list[Score]:
-    limit = facts.policy.engine_wait_s
-    return [score for score in scores if score.wait_s <= limit] or scores
+def _keep_open(scores: list[Score], home: str, facts: Facts) -> list[Score]:
+    policy = facts.policy
+    return [
+        score
+        for score in scores
+        if score.wait_s <= policy.engine_wait_s
+        and (score.region == home or score.fill <= policy.spill_load)
+    ]
 
 
 def _refuse_full(scores: Sequence[Score], facts: Facts) -> Absent:
@@ -269,6 +279,13 @@
     return min(request.max_tokens, LENGTH_MARGIN * view.answer_tokens)
 
 
+def _price_prefill(view: TargetView, load: float, facts: Facts) -> float:
+    weights = facts.weights
+    if not facts.policy.price_pressure:
+        return weights.cost
+    return weights.cost + weights.tail_latency * load / view.slots
+
+
 def _load_model_s(model: str, view: TargetView, facts: Facts) -> float:
     state = view.model_states.get(model, ModelState.LOADED)
     if state is ModelState.LOADED:
--- a/src/lycheepath/core/routing/facts.py
+++ b/src/lycheepath/core/routing/facts.py
@@ -30,8 +30,7 @@
 
     ``delay_s`` is the one-way delay from this host to each region.
     ``load_s`` is the time to fetch each model's weights at the full rate of
-    the weight store. ``sharers`` is the number of hosts that use the same
-    targets.
+    the weight store.
     """
 
     host: str
@@ -39,7 +38,6 @@
     weights: Weights
     delay_s: Mapping[str, float]
     load_s: Mapping[str, float]
-    sharers: int
     policy: Policy = DEFAULT_POLICY
 
 
@@ -57,7 +55,6 @@
         weights=environment.weights,
         delay_s=MappingProxyType(delays),
         load_s=MappingProxyType(_load_seconds(environment)),
-        sharers=max(1, len(environment.hosts)),
         policy=policy,
     )
 
--- a/src/lycheepath/core/routing/policy.py
+++ b/src/lycheepath/core/routing/policy.py
@@ -20,10 +20,16 @@
     the caller's bound on tokens. A target on which a request would wait longer
     than ``engine_wait_s`` for others' work is full; requests then wait at the
     host, where the queue is fair between teams, or are refused.
+
+    A target outside the home region is used only while its load is at most
+    ``spill_load`` of its slots. With ``price_pressure``, prefilling tokens
+    again is dearer the fuller a target is, since others wait for it.
     """
 
     learn_length: bool = True
-    engine_wait_s: float = 1.0
+    engine_wait_s: float = 2.0
+    spill_load: float = 0.5
+    price_pressure: bool = True
 
 
 DEFAULT_POLICY = Policy()
--- a/src/lycheepath/core/routing/router.py
+++ b/src/lycheepath/core/routing/router.py
@@ -72,6 +72,11 @@
         cached = self.book.cached_tokens(request)
         return choose_target(request, views, cached, self._facts, now, self._random)
 
+    def estimate_cost(self, request: RoutedRequest) -> int:
+        """Return the prompt tokens that the warmest target would prefill."""
+        cached = max(self.book.cached_tokens(request).values(), default=0)
+        return max(1, request.prompt_tokens - cached)
+
     def start(self, request: RoutedRequest, choice: Choice, now: float) -> None:
         """Record that the chosen target is being sent the request."""
         assert_residency(request, choice.region)
--- a/src/lycheepath/core/routing/targets.py
+++ b/src/lycheepath/core/routing/targets.py
@@ -50,7 +50,7 @@
 
     ``in_flight`` counts this host's own requests, ``others`` those of other
     hosts at the time ``measured_at`` of the last load report (minus infinity
-    where there was none), ``echo`` this host's starts since then.
+    where there was none).
     ``prefill_tokens`` are prompt tokens sent from here and not yet answered.
     ``slowness`` compares recent times to the first token with what was
     expected (1 is as expected); ``service_s`` and ``answer_tokens`` are means of
@@ -72,7 +72,6 @@
     prefill_tokens: int
     others: int
     queued: int
-    echo: int
     measured_at: float
     kv_free_tokens: int | None
     slowness: float
@@ -333,9 +332,6 @@
             prefill_tokens=sum(f.prefill_tokens for f in waiting),
             others=entry.others,
             queued=report.queued if report else 0,
-            echo=sum(
-                f.started_at > entry.measured_at for f in entry.in_flight.values()
-            ),
             measured_at=entry.measured_at,
             kv_free_tokens=report.kv_free_tokens if report else None,
             slowness=entry.slowness,
--- a/traces/overload.py
+++ b/traces/overload.py
@@ -35,7 +35,7 @@
     """Print the table for one deployment."""
     name = arguments[0]
     policies = arguments[1].split(",") if len(arguments) > 1 else list(POLICIES)
-    capacity = find_capacity(name)
+    capacity = float(arguments[2]) if len(arguments) > 2 else find_capacity(name)
     print(f"\n### {name}: capacity {capacity:.1f} answers/s\n")
     print("| policy | goodput/capacity | normal after s | attempts/answer |")
     print("|---|---|---|---|")
--- a/traces/policies.py
+++ b/traces/policies.py
@@ -15,7 +15,7 @@
 from lycheepath.core.environment.model import Environment
 from lycheepath.core.reasons import Absent, Reason
 from lycheepath.core.routing.choice import Choice
-from lycheepath.core.routing.policy import Policy
+from lycheepath.core.routing.policy import DEFAULT_POLICY, Policy
 from lycheepath.core.routing.router import Router
 
 if TYPE_CHECKING:
@@ -174,13 +174,24 @@
 
 
 # The versions of the core's policy in the order in which they came.
-_FIRST = Policy(learn_length=False, engine_wait_s=float("inf"))
+_FIRST = Policy(
+    learn_length=False,
+    engine_wait_s=float("inf"),
+    spill_load=float("inf"),
+    price_pressure=False,
+)
 _SECOND = replace(_FIRST, learn_length=True)
+_THIRD = replace(_SECOND, engine_wait_s=1.0)
+_FOURTH = replace(_THIRD, spill_load=0.5)
+_FIFTH = replace(_FOURTH, engine_wait_s=2.0)
 
 VERSIONS = {
     "ours-1": _FIRST,
     "ours-2": _SECOND,
-    "ours": Policy(),
+    "ours-3": _THIRD,
+    "ours-4": _FOURTH,
+    "ours-5": _FIFTH,
+    "ours": DEFAULT_POLICY,
 }
 
 POLICIES: dict[str, PolicyFactory] = {
--- a/traces/replay.py
+++ b/traces/replay.py
@@ -15,7 +15,7 @@
 
 from lycheepath.core.hosts.selection import MemberState, hosts_for
 from lycheepath.core.limits.admission import Admission, Limiter
-from lycheepath.core.limits.queue import FairQueue, Waiting
+from lycheepath.core.limits.queue import MIN_RETRY_AFTER_S, FairQueue, Waiting
 from lycheepath.core.reasons import Absent, Reason
 from lycheepath.core.retries.budget import HostBudget, RequestBudget, open_budget
 from lycheepath.core.retries.decision import Retry, decide_retry
@@ -46,6 +46,7 @@
 ANSWER_BYTES_PER_TOKEN = 220
 SETTLE_S = 60.0
 MAX_TOKENS = 512
+EXPECTED_ANSWER_TOKENS = 100
 
 
 @dataclass(slots=True)
@@ -269,7 +270,7 @@
         waiting = Waiting(
             request.id,
             serving.caller.request.team,
-            request.prompt_tokens + request.max_tokens,
+            self._estimate_cost(request),
             request.priority,
             request.deadline,
             now,
@@ -281,14 +282,24 @@
         self.queued[request.id] = serving
         self._start_ticking()
 
+    def _estimate_cost(self, request: RoutedRequest) -> float:
+        if isinstance(self.policy, OurPolicy):
+            return self.policy.router.estimate_cost(request) + EXPECTED_ANSWER_TOKENS
+        return request.prompt_tokens
+
     def pump(self) -> None:
         """Start what waits, as far as targets take it."""
         while len(self.queue):
             waiting, expired = self.queue.pop(self.replay.loop.now)
             for late in expired:
-                self.queued.pop(late.id).refuse(1.0)
-            if waiting is None or not self.queued.pop(waiting.id).attempt():
+                self.queued.pop(late.id).refuse(MIN_RETRY_AFTER_S)
+            if waiting is None:
+                return
+            if not self.queued[waiting.id].attempt(queued=True):
+                self.queue.put_back(waiting)
                 return
+            del self.queued[waiting.id]
+            self.queue.confirm(waiting, self.replay.loop.now)
 
     def _start_ticking(self) -> None:
         if not self.ticking:
@@ -331,7 +342,7 @@
         self.work: Work | None = None
         self.ended = False
 
-    def attempt(self) -> bool:
+    def attempt(self, queued: bool = False) -> bool:
         """Choose a target and send; tell whether the request left the queue."""
         replay = self.host.replay
         now = replay.loop.now
@@ -339,7 +350,8 @@
         choice = self.host.policy.choose(self.routed, now, self.excluded)
         if isinstance(choice, Absent):
             if choice.reason is Reason.OVERLOADED and self.host.ours:
-                self.host.enqueue(self)
+                if not queued:
+                    self.host.enqueue(self)
                 return False
             self.refuse(choice.retry_after_s or 1.0)
             return True
