Spread the callers of a lost region and treat the host's region as their base

Cause: with a region lost its callers all fell onto the next region in the list, and there every runner counted as away, open only to half of its slots.

Change: hosts_anywhere answers for callers that may leave their home, each with an order of regions of its own; while no runner of the home region is a candidate, the host's region takes its place.

--- a/src/lycheepath/core/hosts/selection.py
+++ b/src/lycheepath/core/hosts/selection.py
@@ -79,6 +79,28 @@
     return HostAnswer(hosts, _valid_s(team, caller, degraded))
 
 
+def hosts_anywhere(
+    team: str,
+    caller: str,
+    home: str,
+    environment: Environment,
+    members: Mapping[str, MemberState],
+) -> HostAnswer | Absent:
+    """
+    Return the hosts for a caller whose data may leave its home region.
+
+    They are those of its home while one is left there. After that the callers
+    of a region spread over all other regions, each with an order of its own.
+    """
+    others = [region.id for region in environment.regions if region.id != home]
+    answer = hosts_for(team, caller, home, environment, members)
+    for region in rank(f"{team}/{caller}", others):
+        if answer:
+            break
+        answer = hosts_for(team, caller, region, environment, members)
+    return answer
+
+
 def team_hosts(team: str, region: str, environment: Environment) -> tuple[str, ...]:
     """
     Return the published hosts of a team in a region, dead or alive.
--- a/src/lycheepath/core/routing/choice.py
+++ b/src/lycheepath/core/routing/choice.py
@@ -99,7 +99,7 @@
         for view in candidates
     ]
     scores.sort(key=lambda score: score.score_s)
-    accepting = _keep_open(scores, request.home_region, facts)
+    accepting = _keep_open(scores, _find_base(request, candidates, facts), facts)
     if not accepting:
         return _refuse_full(scores, facts)
     best = _break_tie(accepting, random)
@@ -239,6 +239,15 @@
     return Absent(Reason.NO_TARGET, MIN_RETRY_AFTER_S, "all runners drain or are out")
 
 
+def _find_base(
+    request: RoutedRequest, candidates: Sequence[TargetView], facts: Facts
+) -> str:
+    """Return the region where a request need not look for spare capacity."""
+    if any(view.region == request.home_region for view in candidates):
+        return request.home_region
+    return facts.region
+
+
 def _keep_open(scores: list[Score], home: str, facts: Facts) -> list[Score]:
     policy = facts.policy
     return [
--- a/traces/replay.py
+++ b/traces/replay.py
@@ -13,7 +13,7 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-from lycheepath.core.hosts.selection import MemberState, hosts_for
+from lycheepath.core.hosts.selection import MemberState, hosts_anywhere, hosts_for
 from lycheepath.core.limits.admission import Admission, Limiter
 from lycheepath.core.limits.queue import MIN_RETRY_AFTER_S, FairQueue, Waiting
 from lycheepath.core.reasons import Absent, Reason
@@ -212,19 +212,17 @@
 
     def _find_host(self) -> ReplayedHost | None:
         replay = self.replay
-        home = self.request.region
-        others = [r for r in replay.deployment.regions if r != home]
-        for region in [home] if self.request.bound else [home, *others]:
-            answer = hosts_for(
-                self.request.team,
-                str(self.request.conversation),
-                region,
-                replay.environment,
-                replay.members,
-            )
-            if answer:
-                return replay.hosts[answer.hosts[(self.tries - 1) % len(answer.hosts)]]
-        return None
+        find = hosts_for if self.request.bound else hosts_anywhere
+        answer = find(
+            self.request.team,
+            str(self.request.conversation),
+            self.request.region,
+            replay.environment,
+            replay.members,
+        )
+        if not answer:
+            return None
+        return replay.hosts[answer.hosts[(self.tries - 1) % len(answer.hosts)]]
 
 
 class ReplayedHost:
