--- a/src/lycheepath/core/routing/choice.py
+++ b/src/lycheepath/core/routing/choice.py
@@ -33,6 +33,7 @@
 TIE_S = 0.02
 AWAY_COST_S = 0.2
 MIN_RETRY_AFTER_S = 0.5
+LENGTH_MARGIN = 2.0
 
 
 class ResidencyError(AssertionError):
@@ -44,7 +45,9 @@
     """
     One candidate as the choice saw it; all times in seconds.
 
-    ``score_s`` is what was compared, lowest first.
+    ``score_s`` is what was compared, lowest first. ``wait_s`` is the part of
+    the time to the first token that other requests cause, ``load`` the
+    estimated number of requests there, ``fill`` its share of the slots.
     """
 
     target: str
@@ -52,8 +55,10 @@
     score_s: float
     first_token_s: float
     finish_s: float
+    wait_s: float
     cached_tokens: int
     load: float
+    fill: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,9 +99,12 @@
         for view in candidates
     ]
     scores.sort(key=lambda score: score.score_s)
-    best = _break_tie(scores, random)
+    accepting = _keep_open(scores, _find_base(request, candidates, facts), facts)
+    if not accepting:
+        return _refuse_full(scores, facts)
+    best = _break_tie(accepting, random)
     if now + best.finish_s > request.deadline:
-        best = min(scores, key=lambda score: score.finish_s)
+        best = min(accepting, key=lambda score: score.finish_s)
         if now + best.finish_s > request.deadline:
             return _refuse_late(candidates)
     assert_residency(request, best.region)
@@ -129,21 +137,23 @@
 ) -> Score:
     """Return the estimates and the score of one candidate."""
     cached = min(cached_tokens, max(0, request.prompt_tokens - 1))
-    load = estimate_load(view, facts.sharers, now)
+    load = estimate_load(view, now)
     slowness = estimate_slowness(view, now)
     prefill_s = (request.prompt_tokens - cached) / view.prefill_tokens_per_s
     backlog_s = view.prefill_tokens / view.prefill_tokens_per_s
+    wait_s = _slot_wait_s(view, load) + backlog_s * slowness
     first_token_s = (
         2.0 * facts.delay_s.get(view.region, 0.0)
         + _load_model_s(request.model, view, facts)
-        + _slot_wait_s(view, load)
-        + (backlog_s + prefill_s) * slowness
+        + wait_s
+        + prefill_s * slowness
     )
-    decode_s = request.max_tokens / view.decode_tokens_per_s * view.decode_slowness
+    decode_s = _expect_tokens(request, view, facts) / view.decode_tokens_per_s
+    decode_s *= view.decode_slowness
     weights = facts.weights
     score_s = (
         weights.tail_latency * first_token_s
-        + weights.cost * prefill_s * view.accelerators
+        + prefill_s * view.accelerators * _price_prefill(view, load, facts)
         + view.failure_ratio * FAILURE_COST_S
     )
     if view.region != request.home_region:
@@ -154,12 +164,14 @@
         score_s=score_s,
         first_token_s=first_token_s,
         finish_s=first_token_s + decode_s,
+        wait_s=wait_s,
         cached_tokens=cached,
         load=load,
+        fill=load / view.slots,
     )
 
 
-def estimate_load(view: TargetView, sharers: int, now: float) -> float:
+def estimate_load(view: TargetView, now: float) -> float:
     """
     Return the estimated number of requests at a target.
 
@@ -167,7 +179,8 @@
     report that told of them.
     """
     age = max(0.0, now - view.measured_at)
-    return view.in_flight + view.others * REPORT_TRUST_S / (REPORT_TRUST_S + age)
+    others = view.others * REPORT_TRUST_S / (REPORT_TRUST_S + age)
+    return view.in_flight + others
 
 
 def estimate_slowness(view: TargetView, now: float) -> float:
@@ -226,6 +239,34 @@
     return Absent(Reason.NO_TARGET, MIN_RETRY_AFTER_S, "all runners drain or are out")
 
 
+def _find_base(
+    request: RoutedRequest, candidates: Sequence[TargetView], facts: Facts
+) -> str:
+    """Return the region where a request need not look for spare capacity."""
+    if any(view.region == request.home_region for view in candidates):
+        return request.home_region
+    return facts.region
+
+
+def _keep_open(scores: list[Score], home: str, facts: Facts) -> list[Score]:
+    policy = facts.policy
+    return [
+        score
+        for score in scores
+        if score.wait_s <= policy.engine_wait_s
+        and (score.region == home or score.fill <= policy.spill_load)
+    ]
+
+
+def _refuse_full(scores: Sequence[Score], facts: Facts) -> Absent:
+    shortest = min(score.wait_s for score in scores)
+    return Absent(
+        Reason.OVERLOADED,
+        max(MIN_RETRY_AFTER_S, shortest - facts.policy.engine_wait_s),
+        "all runners are full",
+    )
+
+
 def _refuse_late(candidates: Sequence[TargetView]) -> Absent:
     shortest = min(view.service_s or DEFAULT_SERVICE_S for view in candidates)
     return Absent(
@@ -241,6 +282,19 @@
     return random.choice(near)
 
 
+def _expect_tokens(request: RoutedRequest, view: TargetView, facts: Facts) -> float:
+    if not facts.policy.learn_length or view.answer_tokens == 0.0:
+        return float(request.max_tokens)
+    return min(request.max_tokens, LENGTH_MARGIN * view.answer_tokens)
+
+
+def _price_prefill(view: TargetView, load: float, facts: Facts) -> float:
+    weights = facts.weights
+    if not facts.policy.price_pressure:
+        return weights.cost
+    return weights.cost + weights.tail_latency * load / view.slots
+
+
 def _load_model_s(model: str, view: TargetView, facts: Facts) -> float:
     state = view.model_states.get(model, ModelState.LOADED)
     if state is ModelState.LOADED:
