--- a/src/lycheepath/core/actions/ledger.py
+++ b/src/lycheepath/core/actions/ledger.py
@@ -143,12 +143,6 @@
         """How many claims hold a permit or wait for a target's answer."""
         return sum(record.state in _IN_FLIGHT for record in self._records.values())
 
-    def extend_for_ticket(self, claim: Claim, expires_at: float) -> None:
-        """Keep a known claim at least as long as a new ticket for it lives."""
-        record = self._records.get(claim)
-        if record is not None:
-            record.expires_at = max(record.expires_at, expires_at)
-
     def begin(
         self, claim: Claim, fingerprint: bytes, terms: Terms, now: float
     ) -> Begun:
--- a/src/lycheepath/core/actions/ownership.py
+++ b/src/lycheepath/core/actions/ownership.py
@@ -15,7 +15,7 @@
 from typing import TYPE_CHECKING, TypeAlias
 
 from ..reasons import Absent, Reason
-from .claims import Claim, KeyOrigin, Refusal, Run
+from .claims import Claim, Refusal, Run
 from .issuance import issuer_for, map_host_regions
 from .tickets import verify_ticket
 
@@ -134,29 +134,18 @@
     ticket = verify_ticket(request.ticket, keys, request.team, request.service)
     if isinstance(ticket, Absent):
         return Refusal(400, Run.UNKNOWN, ticket.reason, detail=ticket.detail)
-    if request.key and ticket.claim != _claim_key(request):
+    if request.key:
         return Refusal(
             422,
             Run.UNKNOWN,
             Reason.KEY_REUSED,
-            detail="the ticket is not for this key; send one of the two",
+            detail="send either the ticket or a key, not both",
         )
-    if ticket.claim.origin is KeyOrigin.CALLER:
-        return _locate_keyed_ticket(request, ticket, me, environment)
     if ticket.owner.host != me.host:
         return _forward(request, ticket.owner.host, ticket.claim, environment)
     return _own_ticket(ticket, me)
 
 
-def _locate_keyed_ticket(
-    request: ActionRequest, ticket: Ticket, me: Owner, environment: Environment
-) -> Located:
-    located = _locate_claim(request, ticket.claim, me, environment)
-    if isinstance(located, RunHere) and ticket.owner == me:
-        return RunHere(ticket.claim, ticket.expires_at)
-    return located
-
-
 def _own_ticket(ticket: Ticket, me: Owner) -> Located:
     owner = ticket.owner
     if owner.incarnation == me.incarnation:
@@ -169,12 +158,7 @@
 def _locate_by_key(
     request: ActionRequest, me: Owner, environment: Environment
 ) -> Located:
-    return _locate_claim(request, _claim_key(request), me, environment)
-
-
-def _locate_claim(
-    request: ActionRequest, claim: Claim, me: Owner, environment: Environment
-) -> Located:
+    claim = Claim(request.team, request.service, request.key)
     issuer = issuer_for(
         environment, request.region, claim.team, claim.service, claim.key
     )
@@ -195,7 +179,3 @@
     if map_host_regions(environment).get(host) != request.region:
         return refuse_unreachable("the owner is not listed in the request's region")
     return ForwardTo(host, claim)
-
-
-def _claim_key(request: ActionRequest) -> Claim:
-    return Claim(request.team, request.service, request.key)
--- a/src/lycheepath/core/actions/tickets.py
+++ b/src/lycheepath/core/actions/tickets.py
@@ -48,7 +48,7 @@
 @dataclass(frozen=True, slots=True)
 class Ticket:
     """
-    A claim with its owner and its expiry.
+    A claim under a key that the system made, with its owner and its expiry.
 
     ``expires_at`` is in seconds on the owner's monotonic clock and means
     nothing to any other process.
@@ -59,20 +59,17 @@
     expires_at: float
 
 
-def issue_ticket(owner: Owner, claim: Claim, window_s: float, now: float) -> Ticket:
+def issue_ticket(
+    owner: Owner, team: str, service: str, nonce: bytes, expires_at: float
+) -> Ticket:
     """
-    Make a ticket that lives for the service's resend window.
+    Make a ticket for an action that has no caller's key.
 
-    For a caller without a key the claim is ``make_claim`` of a fresh nonce.
-    For a caller's own key the owner must be the key's issuer, and its ledger
-    is told with ``extend_for_ticket``.
+    ``nonce`` is fresh and unguessable. A ticket that lives for the service's
+    resend window serves a caller as long as a key of its own would.
     """
-    return Ticket(owner, claim, now + window_s)
-
-
-def make_claim(team: str, service: str, nonce: bytes) -> Claim:
-    """Make the claim of a ticket without a caller's key."""
-    return Claim(team, service, nonce.hex(), KeyOrigin.TICKET)
+    claim = Claim(team, service, nonce.hex(), KeyOrigin.TICKET)
+    return Ticket(owner, claim, expires_at)
 
 
 def encode_ticket(ticket: Ticket, key: PeerKey) -> str:
@@ -120,7 +117,6 @@
         owner.address,
         claim.team,
         claim.service,
-        claim.origin.value,
         repr(ticket.expires_at),
         claim.key,
     )
@@ -131,10 +127,10 @@
 
 def _split_fields(payload: bytes) -> Ticket:
     fields = payload.decode().split(_SEPARATOR)
-    _, host, incarnation, address, team, service, origin, expires_at, key = fields
+    _, host, incarnation, address, team, service, expires_at, key = fields
     return Ticket(
         owner=Owner(host, incarnation, address),
-        claim=Claim(team, service, key, KeyOrigin(origin)),
+        claim=Claim(team, service, key, KeyOrigin.TICKET),
         expires_at=float(expires_at),
     )
 
--- a/src/lycheepath/core/actions/vouching.py
+++ b/src/lycheepath/core/actions/vouching.py
@@ -59,8 +59,7 @@
     _established: bool = False
     _heard: set[str] = field(default_factory=set)
     _releases: dict[str, _Release] = field(default_factory=dict)
-    _revision: int = -1
-    _revision_since: float = 0.0
+    _ended_since: dict[str, float] = field(default_factory=dict)
 
     @property
     def established(self) -> bool:
@@ -69,9 +68,9 @@
 
     def apply_revision(self, environment: Environment, region: str, now: float) -> None:
         """Note that a document came into force, before deciding under it."""
-        if environment.revision != self._revision:
-            self._revision = environment.revision
-            self._revision_since = now
+        self._ended_since = {
+            host: self._ended_since.get(host, now) for host in environment.issuers.ended
+        }
         self._establish(environment, region)
 
     def hear_peer(self, peer: PeerState, environment: Environment, region: str) -> None:
@@ -111,24 +110,33 @@
             until = min(until, self._wait_until)
         return max(0.0, until - now)
 
+    def handover_wait(self, environment: Environment, now: float) -> float:
+        """Return the longest remaining wait over all services, in seconds."""
+        windows = (service.resend_window_s for service in environment.services)
+        return self.remaining_wait(max(windows, default=0.0), now)
+
     def hear_release(self, previous: str, revision: int, asked_at: float) -> None:
         """
         Take in that a previous issuer gave its moved keys up.
 
-        ``asked_at`` is when this process asked. The release must be renewed
-        by asking again; the records that came with it were imported before.
+        ``asked_at`` is when this process asked. The release holds for that
+        revision alone and must be renewed by asking again; the records that
+        came with it were imported before.
         """
         self._releases[previous] = _Release(revision, asked_at)
 
     def check_release(
-        self, environment: Environment, region: str, window_s: float, now: float
+        self, environment: Environment, revision: int, window_s: float, now: float
     ) -> Absent | None:
         """
         Say whether this host, as a previous issuer, may release its keys.
 
-        ``None`` allows it: the host is past its own wait and runs no key any
-        longer that the document gave to another host.
+        ``revision`` is the one under which the new issuer asks. ``None``
+        allows it: the host is past its own wait, and under the same document
+        it runs no key any longer that was given to another host.
         """
+        if revision != environment.revision:
+            return Absent(Reason.VIEW_TOO_OLD, RETRY_S)
         if not self._established:
             return Absent(Reason.VIEW_TOO_OLD, RETRY_S)
         wait_s = self.remaining_wait(window_s, now)
@@ -174,12 +182,13 @@
         release = self._releases.get(previous)
         if release is not None and _covers(release, environment, window_s, now):
             return None
-        if previous not in environment.issuers.ended:
+        ended_at = self._ended_since.get(previous)
+        if ended_at is None:
             return Absent(
                 Reason.KEY_MOVED, RETRY_S, f"waiting for {previous} to release the key"
             )
         ended_wait = (window_s + self.freshness_s) * CLOCK_MARGIN
-        wait_s = self._revision_since + ended_wait - now
+        wait_s = ended_at + ended_wait - now
         if wait_s > 0:
             return Absent(Reason.KEY_MOVED, wait_s)
         return None
@@ -194,4 +203,4 @@
     release: _Release, environment: Environment, window_s: float, now: float
 ) -> bool:
     recent = now < release.asked_at + window_s
-    return recent and release.revision >= environment.revision
+    return recent and release.revision == environment.revision
--- a/tests/core/actions/conftest.py
+++ b/tests/core/actions/environments.py
@@ -1,19 +1,20 @@
 from __future__ import annotations
 
-import pytest
-
 from lycheepath.core.environment.model import (
     Environment,
     Host,
     Issuers,
     Region,
+    Service,
     Stage,
     Zone,
 )
 from lycheepath.host.settings import PeerKey
 
 HOSTS = ("h1", "h2", "h3")
+WINDOW_S = 120.0
 ALL_HOSTS = Issuers()
+KEYS = (PeerKey("b", b"second" * 6), PeerKey("a", b"first" * 6))
 
 
 def make_environment(
@@ -32,15 +33,6 @@
             Host("far", "tamale-a", "far:80", "far:81"),
         ),
         targets=(),
+        services=(Service("deposits", (), WINDOW_S),),
         issuers=issuers,
     )
-
-
-@pytest.fixture
-def environment() -> Environment:
-    return make_environment()
-
-
-@pytest.fixture
-def keys() -> tuple[PeerKey, ...]:
-    return (PeerKey("b", b"second" * 6), PeerKey("a", b"first" * 6))
--- a/tests/core/randomised.py
+++ b/tests/core/randomised.py
@@ -5,6 +5,8 @@
 asked for by the environment, for example::
 
     LYCHEEPATH_EXAMPLES=5000 LYCHEEPATH_STEPS=100 LYCHEEPATH_SEED=7 pytest -s ...
+
+``LYCHEEPATH_SHRINK=0`` reports the first failure without making it smaller.
 """
 
 from __future__ import annotations
@@ -12,7 +14,7 @@
 import os
 from typing import TYPE_CHECKING
 
-from hypothesis import HealthCheck, seed, settings
+from hypothesis import HealthCheck, Phase, seed, settings
 from hypothesis.stateful import RuleBasedStateMachine, run_state_machine_as_test
 
 if TYPE_CHECKING:
@@ -27,6 +29,7 @@
     """Run a state machine and print its seed, steps and tally."""
     examples = int(os.environ.get("LYCHEEPATH_EXAMPLES", SHORT_EXAMPLES))
     steps = int(os.environ.get("LYCHEEPATH_STEPS", SHORT_STEPS))
+    shrinks = os.environ.get("LYCHEEPATH_SHRINK", "1") == "1"
     wanted_seed = os.environ.get("LYCHEEPATH_SEED", "")
     tally.clear()
     chosen = settings(
@@ -36,6 +39,7 @@
         database=None,
         derandomize=not wanted_seed,
         print_blob=True,
+        phases=(Phase.generate, Phase.shrink) if shrinks else (Phase.generate,),
         suppress_health_check=list(HealthCheck),
     )
     if wanted_seed:
