Contain requests that crash targets; one assembler of answers

Cause: a resent request could take each target in turn, and two modules read streams. Change: the host asks the arbiters of a fingerprint and of a target before it runs a suspect, waits for a trial at most 15 s, spreads verdicts, and assembles answers with core/streams alone. Ruled out: counting a broken connection as a death when nothing else of this host runs there, since a single flaky engine would convict innocents. Conclusion: the containment holds for resends in turn; many hosts at once are measured by the core's machine only.

--- a/src/lycheepath/adapters/http/chat.py
+++ b/src/lycheepath/adapters/http/chat.py
@@ -17,10 +17,10 @@
 from .signatures import REQUEST_ID_HEADER
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncGenerator
+    from collections.abc import AsyncGenerator, Callable
 
     from ...core.chat import ChatRequest
-    from ...core.tokens import Token
+    from ...host.chat import Batch
     from ...host.node import Node
 
 TIMEOUT_HEADER = "lycheepath-timeout-ms"
@@ -55,7 +55,7 @@
     first = await anext(tokens)
     node.metrics.record_ms("first_token_ms", (node.now() - started) * 1000)
     if chat.stream:
-        return _respond_stream(tokens, first, request_id)
+        return _respond_stream(tokens, first, chat.model, request_id)
     return await _respond_whole(tokens, first, chat, request_id)
 
 
@@ -95,9 +95,12 @@
 
 
 def _respond_stream(
-    tokens: AsyncGenerator[list[Token], None], first: list[Token], request_id: str
+    tokens: AsyncGenerator[Batch, None], first: Batch, model: str, request_id: str
 ) -> Response:
-    response = Response(_write_events(tokens, first), content_type="text/event-stream")
+    encode = _build_encoder(model, request_id)
+    response = Response(
+        _write_events(tokens, first, encode), content_type="text/event-stream"
+    )
     response.timeout = None
     response.headers["cache-control"] = "no-store"
     response.headers[REQUEST_ID_HEADER] = request_id
@@ -105,12 +108,14 @@
 
 
 async def _write_events(
-    tokens: AsyncGenerator[list[Token], None], first: list[Token]
+    tokens: AsyncGenerator[Batch, None],
+    first: Batch,
+    encode: Callable[[Batch], bytes],
 ) -> AsyncGenerator[bytes, None]:
     try:
-        yield _encode_events(first)
+        yield encode(first)
         async for batch in tokens:
-            yield _encode_events(batch)
+            yield encode(batch)
     except RequestFailedError as error:
         problem = problem_from_absent(error.absent, error.run)
         yield b"event: error\ndata: " + problem.body() + b"\n\n"
@@ -120,20 +125,45 @@
     yield DONE
 
 
-def _encode_events(batch: list[Token]) -> bytes:
-    return b"".join(b"data: " + token.raw + b"\n\n" for token in batch)
+def _build_encoder(model: str, request_id: str) -> Callable[[Batch], bytes]:
+    """Return a function that writes a batch as server-sent events."""
+    head = {
+        "id": request_id,
+        "object": "chat.completion.chunk",
+        "created": int(time.time()),
+        "model": model,
+    }
+    prefix = b"data: " + orjson.dumps(head)[:-1]
+
+    def encode(batch: Batch) -> bytes:
+        events = [
+            b'%b,"choices":[{"index":0,"delta":{"content":%b},"finish_reason":null}]'
+            b',"sequence":%d}\n\n' % (prefix, orjson.dumps(token.text), token.sequence)
+            for token in batch.tokens
+        ]
+        if batch.finish_reason:
+            events.append(_encode_end(head, batch))
+        return b"".join(events)
+
+    return encode
+
+
+def _encode_end(head: dict[str, Any], batch: Batch) -> bytes:
+    choice = {"index": 0, "delta": {}, "finish_reason": batch.finish_reason}
+    event = {**head, "choices": [choice], "usage": batch.usage}
+    return b"data: " + orjson.dumps(event) + b"\n\n"
 
 
 async def _respond_whole(
-    tokens: AsyncGenerator[list[Token], None],
-    first: list[Token],
+    tokens: AsyncGenerator[Batch, None],
+    first: Batch,
     chat: ChatRequest,
     request_id: str,
 ) -> Response:
-    collected = list(first)
-    async for batch in tokens:
-        collected.extend(batch)
-    last = collected[-1]
+    collected = list(first.tokens)
+    last = first
+    async for last in tokens:
+        collected.extend(last.tokens)
     body: dict[str, Any] = {
         "id": request_id,
         "object": "chat.completion",
--- a/src/lycheepath/adapters/http/checks.py
+++ b/src/lycheepath/adapters/http/checks.py
@@ -95,7 +95,7 @@
 def _check_caller(
     node: Node, head: RequestHead, scope: dict[str, Any]
 ) -> Problem | None:
-    if node.environment is None:
+    if not node.configured:
         return Problem(
             503,
             "not-ready",
--- a/src/lycheepath/adapters/http/peers.py
+++ b/src/lycheepath/adapters/http/peers.py
@@ -9,6 +9,7 @@
 
 from ...core.outcomes import Run
 from ...host.handover import accept_handover, release_handover, release_moved
+from ...host.quarantine import answer_trial, take_conviction, take_report
 from .answers import ProblemError
 from .problems import Problem
 
@@ -60,6 +61,21 @@
     return await _answer(node, release_handover)
 
 
+async def handle_trial(node: Node) -> Response:
+    """Answer for the trials of requests and targets that this host arbitrates."""
+    return await _answer(node, answer_trial)
+
+
+async def handle_suspicion(node: Node) -> Response:
+    """Take evidence against a request that may crash targets."""
+    return await _answer(node, take_report)
+
+
+async def handle_conviction(node: Node) -> Response:
+    """Put a verdict on a request in force."""
+    return await _answer(node, take_conviction)
+
+
 async def handle_moved(node: Node) -> Response:
     """Give up the keys that a document moved to the asking host."""
     return await _answer(node, release_moved)
--- a/src/lycheepath/adapters/http/server.py
+++ b/src/lycheepath/adapters/http/server.py
@@ -20,10 +20,13 @@
 from .hosts import handle_host_question
 from .operators import handle_audit, handle_explain, handle_status
 from .peers import (
+    handle_conviction,
     handle_handover,
     handle_handover_release,
     handle_moved,
     handle_state,
+    handle_suspicion,
+    handle_trial,
     handle_value,
 )
 from .problems import Problem, problem_from_absent
@@ -119,6 +122,9 @@
     route("/peer/values/<path:name>", handle_value)
     route("/peer/handover", handle_handover, "POST")
     route("/peer/handover/release", handle_handover_release, "POST")
+    route("/peer/trial", handle_trial, "POST")
+    route("/peer/suspicion", handle_suspicion, "POST")
+    route("/peer/conviction", handle_conviction, "POST")
     route("/peer/moved", handle_moved, "POST")
 
 
--- a/src/lycheepath/core/quarantine/containment.py
+++ b/src/lycheepath/core/quarantine/containment.py
@@ -144,6 +144,13 @@
                 return flight.target
         return None
 
+    def death_targets(self, fingerprint: Fingerprint) -> frozenset[str]:
+        """Return the targets that died with a request in flight on them."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None:
+            return frozenset()
+        return frozenset(death.target for death in suspect.deaths)
+
     def progress(self, request_id: str) -> bool:
         """
         Note one more token; ``True`` once, when a trial has been passed.
--- a/src/lycheepath/core/routing/router.py
+++ b/src/lycheepath/core/routing/router.py
@@ -69,6 +69,8 @@
         views = self.book.views()
         if excluded:
             views = tuple(view for view in views if view.id not in excluded)
+        if excluded and not any(request.model in view.models for view in views):
+            return Absent(Reason.NO_TARGET, 1.0, "every runner was tried")
         cached = self.book.cached_tokens(request)
         return choose_target(request, views, cached, self._facts, now, self._random)
 
--- a/src/lycheepath/host/actions.py
+++ b/src/lycheepath/host/actions.py
@@ -29,7 +29,7 @@
     locate_owner,
     refuse_unvouched,
 )
-from ..core.actions.tickets import encode_ticket, issue_ticket, make_claim
+from ..core.actions.tickets import encode_ticket, issue_ticket
 from ..core.outcomes import Run
 from ..core.reasons import Absent, Reason
 from ..core.residency import Subject, assert_resident, bound_region
@@ -98,8 +98,8 @@
 def issue_new_ticket(node: Node, team: str, service: Service) -> str:
     """Return a ticket that only this process can run."""
     nonce = node.random.getrandbits(NONCE_BITS).to_bytes(NONCE_BITS // 8, "big")
-    claim = make_claim(team, service.id, nonce)
-    ticket = issue_ticket(node.owner, claim, service.resend_window_s, node.now())
+    expires_at = node.now() + service.resend_window_s
+    ticket = issue_ticket(node.owner, team, service.id, nonce, expires_at)
     return encode_ticket(ticket, node.settings.peer_keys[0])
 
 
--- a/src/lycheepath/host/chat.py
+++ b/src/lycheepath/host/chat.py
@@ -5,22 +5,36 @@
 from __future__ import annotations
 
 from contextlib import aclosing
-from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING, Any
 
+import orjson
 import trio
 
 from ..core.outcomes import RequestFailedError, Run
+from ..core.quarantine.arbiter import TRIAL_RETRY_S
+from ..core.quarantine.containment import Standing
 from ..core.reasons import Absent, Reason
 from ..core.residency import Subject, assert_resident, bound_region
 from ..core.retries.budget import open_budget
 from ..core.retries.decision import decide_retry
+from ..core.routing.choice import Choice
 from ..core.routing.reports import FailureKind
 from ..core.routing.request import RoutedRequest, hash_prefix
-from ..core.tokens import BrokenAnswerError, TokenStream
+from ..core.streams.assembly import AnswerStream, Whole
+from ..core.streams.chunks import read_chunk
 from ..ports.targets import EngineRequest, TargetFailureError
 from .admission import require_team_host
 from .explanations import Explanation
+from .quarantine import (
+    Suspect,
+    admit,
+    ask_for_target,
+    ask_for_trial,
+    end_trial,
+    identify,
+    note_break,
+)
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator
@@ -29,25 +43,48 @@
     from ..core.clients import Client
     from ..core.environment.model import Environment, Target
     from ..core.retries.budget import RequestBudget
-    from ..core.routing.choice import Choice
-    from ..core.tokens import Token
+    from ..core.streams.assembly import Token
+    from ..core.streams.chunks import Chunk
     from .node import Node
 
 DEFAULT_PRIORITY = 5
+MOST_TRIAL_WAIT_S = 15.0
+DONE_PAYLOAD = b"[DONE]"
 RETRY_AFTER_S = 1.0
 OVERLOADED_STATUSES = (429, 503)
 
 
+class BrokenAnswerError(Exception):
+    """A target sent a chunk that does not belong at its place."""
+
+
+@dataclass(frozen=True, slots=True)
+class Batch:
+    """
+    Tokens that arrived together.
+
+    ``finish_reason`` is empty but in the last batch of a whole answer, whose
+    ``usage`` is the target's own.
+    """
+
+    tokens: tuple[Token, ...]
+    finish_reason: str = ""
+    usage: dict[str, Any] | None = None
+
+
 @dataclass(slots=True)
 class _Answer:
     """One answer in the making: what is asked, what came, what failed last."""
 
     chat: ChatRequest
     routed: RoutedRequest
-    stream: TokenStream
+    suspect: Suspect
+    stream: AnswerStream
     budget: RequestBudget
+    attempts: int = 0
     tried: frozenset[str] = frozenset()
     sent: bool = False
+    on_trial: bool = False
     failure: str = ""
 
     def fail(self, absent: Absent) -> RequestFailedError:
@@ -58,7 +95,7 @@
 
 async def answer_chat(
     node: Node, chat: ChatRequest, client: Client, request_id: str, timeout_s: float
-) -> AsyncGenerator[list[Token], None]:
+) -> AsyncGenerator[Batch, None]:
     """
     Yield the tokens of the answer in the batches in which they arrive.
 
@@ -81,14 +118,21 @@
     if isinstance(admission, Absent):
         raise RequestFailedError(admission, Run.NOT_RUN)
     answer = _Answer(
-        chat, routed, TokenStream(request_id), open_budget(routed.deadline).spend()
+        chat,
+        routed,
+        identify(node, chat, routed.bound_region),
+        AnswerStream(),
+        open_budget(routed.deadline).spend(),
     )
     try:
         async with aclosing(_run_attempts(node, answer)) as batches:
             async for batch in batches:
                 yield batch
     finally:
-        spent = routed.prompt_tokens + len(answer.stream.texts)
+        spent = routed.prompt_tokens + answer.stream.tokens
+        if answer.on_trial:
+            subject = answer.suspect.fingerprint.hex()
+            node.spawn(end_trial, node, subject, request_id)
         node.limiter.settle(admission, spent if answer.sent else 0, node.now())
 
 
@@ -115,24 +159,66 @@
     )
 
 
-async def _run_attempts(
-    node: Node, answer: _Answer
-) -> AsyncGenerator[list[Token], None]:
+async def _run_attempts(node: Node, answer: _Answer) -> AsyncGenerator[Batch, None]:
     while True:
-        choice = node.router.choose(answer.routed, node.now(), answer.tried)
-        node.explanations.add(Explanation.of_choice(answer.routed, choice))
-        if isinstance(choice, Absent):
-            raise answer.fail(choice)
-        async with aclosing(_attempt(node, answer, choice)) as batches:
+        choice, trial = await _choose_target(node, answer)
+        async with aclosing(_attempt(node, answer, choice, trial)) as batches:
             async for batch in batches:
                 yield batch
-        if answer.stream.whole:
+        if isinstance(answer.stream.outcome, Whole):
             node.retry_budget.earn()
             return
         answer.tried |= {choice.target}
         await _wait_to_retry(node, answer, choice)
 
 
+async def _choose_target(node: Node, answer: _Answer) -> tuple[Choice, bool]:
+    """Return the target, and whether the request runs there on trial."""
+    waited_until = node.now() + MOST_TRIAL_WAIT_S
+    while True:
+        standing = admit(node, answer.suspect)
+        if isinstance(standing, Absent):
+            raise answer.fail(standing)
+        if standing is Standing.CLEAR:
+            return _choose(node, answer, answer.tried), False
+        answer.on_trial = True
+        choice = await _choose_for_trial(node, answer)
+        if isinstance(choice, Choice):
+            return choice, True
+        if choice.reason is not Reason.IN_PROGRESS or node.now() > waited_until:
+            raise answer.fail(choice)
+        await trio.sleep(max(TRIAL_RETRY_S, min(choice.retry_after_s, RETRY_AFTER_S)))
+
+
+def _choose(node: Node, answer: _Answer, excluded: frozenset[str]) -> Choice:
+    choice = node.router.choose(answer.routed, node.now(), excluded)
+    node.explanations.add(Explanation.of_choice(answer.routed, choice))
+    if isinstance(choice, Absent):
+        raise answer.fail(choice)
+    return choice
+
+
+async def _choose_for_trial(node: Node, answer: _Answer) -> Choice | Absent:
+    """Find a target for a suspect that runs no other suspect."""
+    absent = await ask_for_trial(node, answer.suspect, answer.routed.id)
+    if absent is not None:
+        return absent
+    barred = node.containment.death_targets(answer.suspect.fingerprint)
+    busy: frozenset[str] = frozenset()
+    while True:
+        excluded = answer.tried | barred | busy
+        choice = node.router.choose(answer.routed, node.now(), excluded)
+        if isinstance(choice, Absent) and barred and not busy:
+            barred = frozenset()
+            continue
+        if isinstance(choice, Absent):
+            return choice if absent is None else absent
+        absent = await ask_for_target(node, choice.target, answer.routed.id)
+        if absent is None:
+            return choice
+        busy |= {choice.target}
+
+
 async def _wait_to_retry(node: Node, answer: _Answer, choice: Choice) -> None:
     retry = decide_retry(
         answer.budget,
@@ -148,18 +234,22 @@
             Absent(retry.reason, max(retry.retry_after_s, RETRY_AFTER_S), detail)
         )
     node.metrics.count("retries_total")
-    if answer.stream.texts:
+    if answer.stream.tokens:
         node.metrics.count("resumes_total")
     answer.budget = retry.budget
     await trio.sleep(retry.after_s)
 
 
 async def _attempt(
-    node: Node, answer: _Answer, choice: Choice
-) -> AsyncGenerator[list[Token], None]:
+    node: Node, answer: _Answer, choice: Choice, trial: bool
+) -> AsyncGenerator[Batch, None]:
     """Yield the tokens that one target adds; a failure is recorded, not raised."""
     target = node.targets[choice.target]
+    suspect = answer.suspect
     request_id = answer.routed.id
+    node.containment.start(
+        request_id, suspect.fingerprint, suspect.scope, target.id, trial
+    )
     node.router.start(answer.routed, choice, node.now())
     failure: FailureKind | None = FailureKind.CANCELLED
     try:
@@ -171,6 +261,8 @@
         answer.sent = answer.sent or error.sent
         failure = _classify(error)
         _note_failure(node, answer, target, failure, str(error))
+        if failure is FailureKind.DIED:
+            await note_break(node, target, request_id)
         if 400 <= error.status < 500 and failure is FailureKind.ERROR:
             raise answer.fail(
                 Absent(Reason.REFUSED_BY_TARGET, detail=str(error))
@@ -179,40 +271,90 @@
         failure = FailureKind.WRONG_ANSWER
         _note_failure(node, answer, target, failure, str(error))
     finally:
-        if failure is None:
-            generated = len(answer.stream.texts)
-            node.router.book.finished(request_id, node.now(), generated)
-        else:
-            node.router.book.failed(request_id, failure, node.now())
+        _note_end(node, answer, failure)
+
+
+def _note_end(node: Node, answer: _Answer, failure: FailureKind | None) -> None:
+    request_id = answer.routed.id
+    node.containment.finish(request_id)
+    if failure is None:
+        node.router.book.finished(request_id, node.now(), answer.stream.tokens)
+    else:
+        node.router.book.failed(request_id, failure, node.now())
 
 
 async def _read_tokens(
     node: Node, answer: _Answer, target: Target
-) -> AsyncGenerator[list[Token], None]:
-    stream = answer.stream
+) -> AsyncGenerator[Batch, None]:
+    answer.attempts += 1
+    attempt_id = f"{answer.routed.id}-{answer.attempts}"
+    point = answer.stream.start_attempt(attempt_id)
     request = EngineRequest(
-        answer.routed.id,
+        attempt_id,
         answer.chat.body,
         answer.routed.priority,
-        stream.resume_text(),
-        len(stream.texts),
+        point.text,
+        point.tokens,
     )
     assert_resident(answer.routed.bound_region, node.region_of(target), "sending")
     async with node.engines.stream(target.address, request) as events:
         answer.sent = True
         async for payloads in events:
-            accepted = stream.accept(payloads)
-            if not accepted:
+            batch = _accept(answer.stream, payloads)
+            if not batch.tokens and not batch.finish_reason:
                 continue
-            node.router.book.first_token(answer.routed.id, node.now())
-            yield accepted
-            if stream.whole:
+            _note_progress(node, answer, target, len(batch.tokens))
+            yield batch
+            if batch.finish_reason:
                 return
             if node.now() > answer.routed.deadline:
                 raise answer.fail(Absent(Reason.DEADLINE, RETRY_AFTER_S))
     raise TargetFailureError("the answer stopped before its end", sent=True)
 
 
+def _accept(stream: AnswerStream, payloads: list[bytes]) -> Batch:
+    tokens: list[Token] = []
+    usage: dict[str, Any] | None = None
+    for payload in payloads:
+        if payload == DONE_PAYLOAD:
+            continue
+        value = _parse_chunk(payload)
+        chunk = read_chunk(value)
+        if chunk is None:
+            raise BrokenAnswerError("a chunk is malformed")
+        accepted = stream.accept(_number_chunk(stream, chunk))
+        if accepted.broken:
+            raise BrokenAnswerError(f"a chunk is wrong: {accepted.fault}")
+        tokens.extend(accepted.tokens)
+        usage = value.get("usage") or usage
+    finish_reason = ""
+    if isinstance(stream.outcome, Whole):
+        finish_reason = stream.outcome.finish_reason
+    return Batch(tuple(tokens), finish_reason, usage)
+
+
+def _parse_chunk(payload: bytes) -> Any:
+    try:
+        return orjson.loads(payload)
+    except orjson.JSONDecodeError as error:
+        raise BrokenAnswerError("a chunk is not JSON") from error
+
+
+def _number_chunk(stream: AnswerStream, chunk: Chunk) -> Chunk:
+    """Number a token by its arrival where the engine does not number it."""
+    if chunk.sequence is not None or not chunk.text:
+        return chunk
+    return replace(chunk, sequence=stream.tokens)
+
+
+def _note_progress(node: Node, answer: _Answer, target: Target, tokens: int) -> None:
+    request_id = answer.routed.id
+    node.router.book.first_token(request_id, node.now())
+    for _ in range(tokens):
+        if node.containment.progress(request_id):
+            node.spawn(end_trial, node, target.id, request_id)
+
+
 def _classify(error: TargetFailureError) -> FailureKind:
     if not error.sent:
         return FailureKind.REFUSED
--- a/src/lycheepath/host/handover.py
+++ b/src/lycheepath/host/handover.py
@@ -98,11 +98,11 @@
     """Answer a host that asks for keys which this one issued before."""
     environment = node.environment
     assert environment is not None
-    if environment.revision < int(question["revision"]):
-        return {"reason": Reason.VIEW_TOO_OLD.value}
     region = node.settings.region
     window_s = float(question["window_s"])
-    absent = node.vouching.check_release(environment, region, window_s, node.now())
+    absent = node.vouching.check_release(
+        environment, int(question["revision"]), window_s, node.now()
+    )
     if absent is not None:
         return {"reason": absent.reason.value}
 
@@ -226,7 +226,7 @@
         host=node.settings.host,
         incarnation=node.owner.incarnation,
         revision=environment.revision,
-        wait_s=node.vouching.remaining_wait(_longest_window(environment), node.now()),
+        wait_s=node.vouching.handover_wait(environment, node.now()),
         sealed_at=node.now(),
         records=records,
     )
--- a/src/lycheepath/host/members.py
+++ b/src/lycheepath/host/members.py
@@ -8,7 +8,7 @@
 import trio
 
 from ..adapters.peers.socket import PeerRunner
-from ..core.gossip.news import NewsKind, read_target_load
+from ..core.gossip.news import NewsKind, read_quarantine, read_target_load
 from ..core.membership.actions import (
     Joined,
     MemberChanged,
@@ -23,6 +23,7 @@
 from ..core.routing.reports import LoadReport
 from .configuration import fetch_value
 from .member_views import publish_hosts
+from .quarantine import hear_conviction
 
 if TYPE_CHECKING:
     from ..core.gossip.news import HeldNews
@@ -105,5 +106,8 @@
             leaving=node.is_target_leaving(target),
         )
         node.router.book.load_report(target, report, held.observed_at)
+    elif news.kind is NewsKind.QUARANTINE:
+        ttl_s = max(0.0, news.ttl_s - news.age_ms / 1000)
+        hear_conviction(node, read_quarantine(news), ttl_s, news.stamp)
     elif news.kind is NewsKind.TARGET_LEAVING and target is not None:
         node.set_target_leaving(target, bool(news.word), f"peer {held.source}")
--- a/src/lycheepath/host/node.py
+++ b/src/lycheepath/host/node.py
@@ -10,7 +10,7 @@
 import random
 import time
 from dataclasses import asdict, dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import trio
 
@@ -32,6 +32,8 @@
 from ..core.hosts.selection import MemberState
 from ..core.limits.admission import Limiter
 from ..core.membership.rendezvous import computed_readers
+from ..core.quarantine.arbiter import Arbiter
+from ..core.quarantine.containment import Containment
 from ..core.retries.budget import HostBudget
 from ..core.routing.router import Router
 from ..core.routing.services import ServiceBook
@@ -39,6 +41,8 @@
 from .member_views import publish_hosts, read_member_state
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from ..adapters.links import MayReach
     from ..adapters.peers.socket import PeerRunner
     from ..core.configuration.values import HostList
@@ -95,6 +99,7 @@
     watched: dict[str, int] = field(default_factory=dict)
     fetching: set[str] = field(default_factory=set)
     checked: bool = False
+    nursery: trio.Nursery | None = None
     lost_regions: set[str] = field(default_factory=set)
     region_checks: dict[str, float] = field(default_factory=dict)
     superseded: trio.Event = field(default_factory=trio.Event)
@@ -106,6 +111,9 @@
     _stamp: int = 0
     explanations: Explanations = field(default_factory=Explanations)
     retry_budget: HostBudget = field(default_factory=HostBudget)
+    containment: Containment = field(default_factory=Containment)
+    arbiter: Arbiter = field(default_factory=Arbiter)
+    host_addresses: dict[str, str] = field(default_factory=dict)
     ledger: ActionLedger = field(init=False)
     shelf: HandoverShelf = field(init=False)
     service_book: ServiceBook = field(default_factory=ServiceBook)
@@ -204,6 +212,11 @@
         if self.membership is not None:
             self.membership.publish_news(news, self.now(), to)
 
+    def spawn(self, function: Callable[..., Awaitable[Any]], *arguments: Any) -> None:
+        """Run a task beside the caller, for as long as the process serves."""
+        if self.nursery is not None:
+            self.nursery.start_soon(function, *arguments)
+
     def next_stamp(self) -> int:
         """Return a number that tells two publications apart."""
         self._stamp = (self._stamp + 1) % (1 << STAMP_BITS)
@@ -280,7 +293,12 @@
     @property
     def ready(self) -> bool:
         """Whether this host can serve: it has a configuration and isn't leaving."""
-        return self.environment is not None and self.checked and not self.draining
+        return self.configured and self.checked and not self.draining
+
+    @property
+    def configured(self) -> bool:
+        """Whether an environment and a directory of clients are in force."""
+        return self.environment is not None and bool(self.keeper.get("directory"))
 
     def adopt_environment(self, environment: Environment) -> None:
         """Put a configuration in force."""
@@ -292,6 +310,7 @@
         self.zone_regions = {zone.id: zone.region for zone in environment.zones}
         self.targets = {target.id: target for target in environment.targets}
         self.target_by_key = {hash_name(target): target for target in self.targets}
+        self.host_addresses = {h.id: h.callers_address for h in environment.hosts}
         published = publish_hosts(self, environment)
         self.zone_hosts = tuple(h for h in published if h.zone == self.settings.zone)
         self.region_hosts = tuple(
--- a/src/lycheepath/host/process.py
+++ b/src/lycheepath/host/process.py
@@ -48,6 +48,7 @@
     node = Node(settings, may_reach=may_reach)
     shutdown = trio.Event()
     async with trio.open_nursery() as nursery:
+        node.nursery = nursery
         await nursery.start(node.timers.run)
         node.timers.every("expiry", EXPIRY_S, partial(_expire, node))
         binds = await nursery.start(serve_http, node, shutdown.wait)
--- a/tests/promises/test_answers.py
+++ b/tests/promises/test_answers.py
@@ -52,7 +52,11 @@
 
         async def kill_one() -> None:
             await trio.sleep(0.5)
-            await fleet.processes["runner-2"].kill()
+            running = {
+                name: (await fleet.read(name, "/v1/load"))["running"]
+                for name in ("runner-1", "runner-2", "runner-3")
+            }
+            await fleet.processes[max(running, key=lambda n: running[n])].kill()
 
         nursery.start_soon(kill_one)
         outcomes = await ask_many(fleet, address, 12)
--- /dev/null
+++ b/tests/promises/test_quarantine.py
@@ -0,0 +1,61 @@
+"""A request that crashes targets is contained, and innocents are served."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from standins.caller import Kind, build_messages
+
+if TYPE_CHECKING:
+    from standins.caller import Outcome
+    from standins.fleet import Fleet
+
+MARKER = "crash-the-engine"
+ENGINES = 5
+HOSTS = ("accra-1", "accra-2", "accra-3")
+MOST_LOST = 2
+
+
+async def start_fleet(fleet: Fleet) -> None:
+    """Start three hosts before engines that a marked request crashes."""
+    for number in range(1, ENGINES + 1):
+        await fleet.start_engine(
+            f"runner-{number}", "accra-a", crash_marker=MARKER, token_ms=10
+        )
+    for name in HOSTS:
+        fleet.add_host(name, "accra-a")
+    await fleet.publish_environment()
+    await fleet.start_hosts()
+
+
+def count_lost(fleet: Fleet) -> int:
+    """Return how many engines have died."""
+    names = [f"runner-{number}" for number in range(1, ENGINES + 1)]
+    return sum(not fleet.processes[name].running for name in names)
+
+
+async def test_crashing_request_takes_two_targets_at_most(fleet: Fleet) -> None:
+    await start_fleet(fleet)
+    outcomes: list[Outcome] = []
+    innocents: list[Outcome] = []
+
+    async def ask_innocent(number: int) -> None:
+        host = fleet.processes[HOSTS[number % 3]].address
+        messages = build_messages(f"innocent {number}")
+        innocents.append(await fleet.caller().ask(host, messages, max_tokens=80))
+
+    async with trio.open_nursery() as nursery:
+        for number in range(9):
+            nursery.start_soon(ask_innocent, number)
+        await trio.sleep(0.3)
+        for number in range(9):
+            host = fleet.processes[HOSTS[number % 3]].address
+            outcomes.append(await fleet.caller().ask(host, build_messages(MARKER)))
+    assert count_lost(fleet) <= MOST_LOST
+    assert all(outcome.kind is not Kind.WHOLE for outcome in outcomes)
+    assert all(outcome.kind is not Kind.WRONG for outcome in outcomes)
+    assert outcomes[-1].reason == "quarantined"
+    assert outcomes[-1].retry_after_s > 0
+    assert [outcome.kind for outcome in innocents] == [Kind.WHOLE] * 9, innocents
