--- /dev/null
+++ b/bench/setting.py
@@ -0,0 +1,57 @@
+"""The setting of each benchmark: a platform, engines and one host."""
+
+from __future__ import annotations
+
+import json
+import tempfile
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+from standins.fleet import Fleet, open_fleet
+from standins.processes import Process, launch_process
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+HOST = "host-1"
+ZONE = "accra-1"
+PREFILL_TOKENS_PER_S = 1_000_000
+LOAD_LIMIT_S = 120.0
+
+
+@asynccontextmanager
+async def open_setting(engines: int, **options: Any) -> AsyncIterator[Fleet]:
+    """Provide a fleet of one ready host and some engines."""
+    with tempfile.TemporaryDirectory() as directory:
+        async with open_fleet(Path(directory)) as fleet:
+            await fleet.start_platform()
+            for number in range(engines):
+                await fleet.start_engine(
+                    f"runner-{number}",
+                    ZONE,
+                    prefill_tokens_per_s=PREFILL_TOKENS_PER_S,
+                    **options,
+                )
+            fleet.add_host(HOST, ZONE)
+            await fleet.publish_environment()
+            await fleet.start_host(HOST)
+            yield fleet
+
+
+def start_load(fleet: Fleet, number: int = 0, **options: Any) -> Process:
+    """Start a process that sends load to the host."""
+    arguments = ["-m", "bench.load", "--address", fleet.processes[HOST].address]
+    arguments += ["--key", fleet.caller().key]
+    for name, value in options.items():
+        arguments += ["--" + name.replace("_", "-"), str(value)]
+    process = launch_process(f"load-{number}", arguments, fleet.directory)
+    fleet.processes[process.name] = process
+    return process
+
+
+async def read_load(process: Process) -> dict[str, Any]:
+    """Wait for a load process to end and return what it measured."""
+    await process.wait(LOAD_LIMIT_S)
+    result: dict[str, Any] = json.loads(process.read_output().splitlines()[-1])
+    return result
