--- a/bench/membership/network.py
+++ b/bench/membership/network.py
@@ -1,8 +1,9 @@
 """
 Memberships of one process, joined by an in-memory network.
 
-Time is virtual. Each message is encoded as on the wire so that its bytes are
-real; it arrives after a delay, or is lost, or is cut by the caller's rule.
+Time is virtual. Each message is encoded, signed, verified and decoded as on the
+wire, so that bytes and processor time are real; it arrives after a delay, or is
+lost, or is cut by the caller's rule. Tests may pass messages as they are.
 """
 
 from __future__ import annotations
@@ -14,19 +15,22 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-from lycheepath.adapters.peers.authentication import HEADER_BYTES
-from lycheepath.adapters.peers.codec import encode_message
-from lycheepath.core.membership.actions import Action, SendMessage
+from lycheepath.adapters.peers.authentication import sign, verify
+from lycheepath.adapters.peers.codec import decode_message, encode_message
+from lycheepath.core.membership.actions import Action, SendMessage, ValueLearned
 from lycheepath.core.membership.model import Member, PublishedHost
 from lycheepath.core.membership.node import Membership
 from lycheepath.core.membership.options import Options
+from lycheepath.host.settings import PeerKey
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from lycheepath.core.gossip.values import ValueDigest
     from lycheepath.core.membership.messages import Message
 
 TICK_S = 0.1
+KEYS = (PeerKey("bench", b"a key of the benchmarks"),)
 IP_UDP_BYTES = 28
 
 
@@ -40,7 +44,7 @@
     received_bytes: int = 0
 
 
-@dataclass(slots=True)
+@dataclass
 class Network:
     """Hosts by address, the messages under way and the virtual time."""
 
@@ -51,12 +55,15 @@
     delay_s: float = 0.001
     encodes: bool = True
     passes: Callable[[str, str], bool] = lambda source, target: True
+    on_send: Callable[[Message], None] = lambda message: None
     now: float = 1000.0
     nodes: dict[str, Membership] = field(default_factory=dict)
     traffic: dict[str, Traffic] = field(default_factory=dict)
     actions: list[tuple[float, str, Action]] = field(default_factory=list)
     kinds: Counter[str] = field(default_factory=Counter)
-    _queue: list[tuple[float, int, str, str, Message]] = field(default_factory=list)
+    _queue: list[tuple[float, int, str, str, Message | bytes]] = field(
+        default_factory=list
+    )
     _ticks: list[tuple[float, int, str]] = field(default_factory=list)
     _order: count[int] = field(default_factory=count)
     _addresses: dict[str, str] = field(default_factory=dict)
@@ -87,6 +94,11 @@
         """End a process without a word."""
         self.nodes.pop(host_id, None)
 
+    def resume(self, host_id: str, node: Membership) -> None:
+        """Let a process run that had been stopped."""
+        self.nodes[host_id] = node
+        heappush(self._ticks, (self.now, next(self._order), host_id))
+
     def carry_out(self, host_id: str, actions: list[Action]) -> None:
         """Send what ``host_id`` sends and note its other actions."""
         for action in actions:
@@ -127,9 +139,12 @@
         heappush(self._ticks, (self.now + TICK_S, next(self._order), host_id))
 
     def _send(self, host_id: str, action: SendMessage) -> None:
+        self.on_send(action.message)
+        carried: Message | bytes = action.message
         size = 0
         if self.encodes:
-            size = len(encode_message(action.message)) + HEADER_BYTES + IP_UDP_BYTES
+            carried = sign(encode_message(action.message), KEYS)
+            size = len(carried) + IP_UDP_BYTES
         traffic = self.traffic[host_id]
         traffic.sent += 1
         traffic.sent_bytes += size
@@ -140,18 +155,19 @@
         if not self.passes(host_id, target):
             return
         at = self.now + self.delay_s * (0.5 + self.random.random())
-        item = (at, next(self._order), host_id, target, action.message)
-        heappush(self._queue, item)
+        heappush(self._queue, (at, next(self._order), host_id, target, carried))
         received = self.traffic[target]
         received.received += 1
         received.received_bytes += size
 
-    def _deliver(self, source: str, target: str, message: Message) -> None:
+    def _deliver(self, source: str, target: str, carried: Message | bytes) -> None:
         node = self.nodes.get(target)
         if node is None or not self.passes(source, target):
             return
         address = self.hosts[source].peers_address
-        self.carry_out(target, node.receive(message, address, self.now))
+        if isinstance(carried, bytes):
+            carried = decode_message(verify(carried, KEYS))
+        self.carry_out(target, node.receive(carried, address, self.now))
 
 
 def make_hosts(count: int, zones: dict[str, str]) -> dict[str, PublishedHost]:
@@ -166,3 +182,21 @@
             host_id, f"{ip}:7400", f"{ip}:8400", zone, zones[zone]
         )
     return hosts
+
+
+def fetch_values(network: Network, value: ValueDigest) -> bool:
+    """Let every host that learned of a value hold it; return whether all hold it."""
+    for _, host_id, action in network.actions:
+        if isinstance(action, ValueLearned) and host_id in network.nodes:
+            _hold(network, host_id, action.value)
+    network.actions[:] = [
+        item for item in network.actions if not isinstance(item[2], ValueLearned)
+    ]
+    return all(value in node.values() for node in network.nodes.values())
+
+
+def _hold(network: Network, host_id: str, value: ValueDigest) -> None:
+    node = network.nodes[host_id]
+    held = {item.name: item.revision for item in node.values()}
+    if held.get(value.name, -1) < value.revision:
+        network.carry_out(host_id, node.set_value(value, network.now))
--- a/src/lycheepath/core/routing/router.py
+++ b/src/lycheepath/core/routing/router.py
@@ -18,6 +18,7 @@
 from ..reasons import Absent, Reason
 from .choice import assert_residency, choose_target
 from .facts import read_facts
+from .policy import DEFAULT_POLICY
 from .targets import TargetBook
 
 if TYPE_CHECKING:
@@ -26,22 +27,30 @@
     from ..environment.model import Environment
     from .choice import Choice
     from .facts import Facts
+    from .policy import Policy
     from .request import RoutedRequest
 
 
 class Router:
     """State: the book of targets and the facts of the environment in force."""
 
-    def __init__(self, host: str, region: str, random: Random) -> None:
+    def __init__(
+        self,
+        host: str,
+        region: str,
+        random: Random,
+        policy: Policy = DEFAULT_POLICY,
+    ) -> None:
         self.host = host
         self.region = region
         self.book = TargetBook(host)
         self._random = random
+        self._policy = policy
         self._facts: Facts | None = None
 
     def apply(self, environment: Environment) -> None:
         """Put an environment document in force."""
-        self._facts = read_facts(environment, self.host, self.region)
+        self._facts = read_facts(environment, self.host, self.region, self._policy)
         self.book.apply(environment)
 
     def choose(
@@ -63,6 +72,11 @@
         cached = self.book.cached_tokens(request)
         return choose_target(request, views, cached, self._facts, now, self._random)
 
+    def estimate_cost(self, request: RoutedRequest) -> int:
+        """Return the prompt tokens that the warmest target would prefill."""
+        cached = max(self.book.cached_tokens(request).values(), default=0)
+        return max(1, request.prompt_tokens - cached)
+
     def start(self, request: RoutedRequest, choice: Choice, now: float) -> None:
         """Record that the chosen target is being sent the request."""
         assert_residency(request, choice.region)
