--- a/bench/membership/core.py
+++ b/bench/membership/core.py
@@ -30,6 +30,7 @@
     cell_of_target,
     computed_pollers,
 )
+from lycheepath.core.membership.summaries import list_contacts
 
 from .network import Network, Traffic, fetch_values, make_hosts
 
@@ -79,7 +80,7 @@
     contacts = {
         node.own.id
         for node in network.nodes.values()
-        if node.own.id in node._state.contacts()
+        if node.own.id in list_contacts(node._state)
     }
     for host_id in network.traffic:
         network.traffic[host_id] = Traffic()
--- a/src/lycheepath/core/membership/node.py
+++ b/src/lycheepath/core/membership/node.py
@@ -19,6 +19,7 @@
 from typing import TYPE_CHECKING
 
 from ..gossip.news import POLICIES, HeldNews, Reach
+from .beliefs import restate_own
 from .messages import Kind
 from .model import State
 from .reception import handle_message
@@ -115,7 +116,7 @@
         """Say that this host takes no new work; for good, in this incarnation."""
         state = self._state
         if not state.own.leaving:
-            state.restate_own(now, state.own.refutation + 1, leaving=True)
+            restate_own(state, now, state.own.refutation + 1, leaving=True)
         return self.tick(now)
 
     def leave(self, now: float) -> list[Action]:
--- a/src/lycheepath/core/membership/reception.py
+++ b/src/lycheepath/core/membership/reception.py
@@ -10,24 +10,23 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from ..gossip.news import NewsKind
 from .actions import Joined
+from .beliefs import hear_about_self, merge, suspect
+from .learning import learn_news, learn_summary, learn_value
 from .messages import Kind
 from .model import State
 from .probes import Probe, Purpose
-from .spreading import NEWS_BYTES, age_news
-from .table import bucket_of
+from .summaries import compose_summary, send_summary
+from .syncing import request_sync, send_sync_request, serve_sync
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..gossip.news import News
     from .messages import Message, RegionSummary
     from .model import Member
     from .state import NodeState
 
 CHALLENGE_ECHO_SPAN = 100_000
-SUMMARIES_IN_SUMMARY = 2
 
 
 def handle_message(state: NodeState, message: Message, source: str, now: float) -> None:
@@ -107,7 +106,7 @@
 
 def _repeat(state: NodeState, probe: Probe, cookie: int, now: float) -> None:
     if probe.purpose is Purpose.SYNC:
-        state.send_sync_request(probe, now, cookie)
+        send_sync_request(state, probe, now, cookie)
     elif probe.purpose is Purpose.SUMMARY:
         send_summary(state, probe, now, cookie)
     else:
@@ -136,22 +135,22 @@
     for member in message.members:
         _learn_member(state, message, member, now)
     for value in message.values:
-        state.learn_value(value, message.sender, now)
+        learn_value(state, value, message.sender, now)
     for news in message.news:
-        state.learn_news(news, message.sender, now)
+        learn_news(state, news, message.sender, now)
     for summary in message.summaries:
-        state.learn_summary(summary, now)
+        learn_summary(state, summary, now)
 
 
 def _learn_member(
     state: NodeState, message: Message, member: Member, now: float
 ) -> None:
     if member.id == state.own.id:
-        state.hear_about_self(member, now)
+        hear_about_self(state, member, now)
         return
     if (member.region or message.region) != state.own.region:
         return
-    state.merge(member, message.sender, now)
+    merge(state, member, message.sender, now)
 
 
 def _handle_ping(state: NodeState, message: Message, source: str, now: float) -> None:
@@ -224,7 +223,7 @@
     state.counters["address_reused"] += 1
     probe.answered = True
     if probe.purpose is Purpose.MEMBER:
-        state.suspect(probe.member, now)
+        suspect(state, probe.member, now)
 
 
 def _handle_gossip(state: NodeState, message: Message, source: str, now: float) -> None:
@@ -233,57 +232,6 @@
         state.ping(message.sender, held.peers_address, Purpose.CONTACT, now)
 
 
-def _handle_sync_request(
-    state: NodeState, message: Message, source: str, now: float
-) -> None:
-    if state.served.available(now) <= 0 or now < state.view_old_until:
-        state.counters["syncs_refused"] += 1
-        return
-    address = _answer_address(state, message, source)
-    pages = state.pages(_members_to_serve(state, message))
-    for number, page in enumerate(pages):
-        last = number == len(pages) - 1
-        answer = state.compose(Kind.SYNC, message.sender, now)
-        answer = replace(answer, echo=message.sequence, members=page, last=last)
-        if last:
-            answer = replace(
-                answer,
-                values=tuple(state.values),
-                values_hash=state.values.hash,
-                view_hash=state.table.view_hash,
-            )
-        state.served.spend(state.options.payload_bytes if not last else 200)
-        state.send(address, answer)
-    _serve_news(state, message, address, now)
-
-
-def _serve_news(state: NodeState, message: Message, address: str, now: float) -> None:
-    kinds = (NewsKind.QUARANTINE, NewsKind.TARGET_LEAVING, NewsKind.REGION_LOAD)
-    items = [
-        age_news(held, now) for kind in kinds for held in state.news.all(kind, now)
-    ]
-    size = state.options.payload_bytes // NEWS_BYTES
-    if state.served.available(now) <= 0:
-        return
-    for start in range(0, len(items), size):
-        page: tuple[News, ...] = tuple(items[start : start + size])
-        answer = state.compose(Kind.SYNC, message.sender, now)
-        state.served.spend(NEWS_BYTES * len(page))
-        state.send(address, replace(answer, echo=message.sequence, news=page))
-
-
-def _members_to_serve(state: NodeState, message: Message) -> list[Member]:
-    own = state.table.bucket_hashes
-    theirs = message.bucket_hashes
-    if len(theirs) != len(own):
-        return list(state.table)
-    return [
-        member
-        for member in state.table
-        if own[bucket_of(member.id)] != theirs[bucket_of(member.id)]
-    ]
-
-
 def _handle_sync(state: NodeState, message: Message, source: str, now: float) -> None:
     probe = state.probes.get(message.echo)
     if probe is None or not message.last:
@@ -311,30 +259,14 @@
         state.regions.note_answer(message.region)
 
 
-def _ignore(state: NodeState, message: Message, source: str, now: float) -> None:
-    return
-
-
-def compose_summary(state: NodeState, kind: Kind, to: str, now: float) -> Message:
-    """Return what this host tells another region."""
-    message = state.compose(kind, to, now)
-    kinds = (NewsKind.QUARANTINE, NewsKind.REGION_LOAD)
-    items = [held for kind in kinds for held in state.news.all(kind, now)]
-    newest = sorted(items, key=lambda held: -held.observed_at)
-    return replace(
-        message,
-        values=tuple(state.values),
-        values_hash=state.values.hash,
-        news=tuple(age_news(held, now) for held in newest[:10]),
-        summaries=state.some_summaries(SUMMARIES_IN_SUMMARY, now),
-    )
+def _handle_sync_request(
+    state: NodeState, message: Message, source: str, now: float
+) -> None:
+    serve_sync(state, message, _answer_address(state, message, source), now)
 
 
-def send_summary(state: NodeState, probe: Probe, now: float, cookie: int = 0) -> None:
-    """Send the own region's summary to the contact that ``probe`` names."""
-    message = compose_summary(state, Kind.SUMMARY, probe.member, now)
-    state.probes.add(message.sequence, probe)
-    state.send(probe.address, replace(message, cookie=cookie))
+def _ignore(state: NodeState, message: Message, source: str, now: float) -> None:
+    return
 
 
 def finish_joining(state: NodeState, answered: bool) -> None:
@@ -349,7 +281,7 @@
     for probe in state.probes:
         if probe.purpose is Purpose.SYNC and not probe.answered:
             return
-    state.request_sync(member_id, now)
+    request_sync(state, member_id, now)
 
 
 def _for_newcomer(state: NodeState, message: Message) -> tuple[RegionSummary, ...]:
--- a/src/lycheepath/core/membership/schedule.py
+++ b/src/lycheepath/core/membership/schedule.py
@@ -12,11 +12,14 @@
 from typing import TYPE_CHECKING
 
 from .actions import PauseNoticed
+from .beliefs import accept, suspect
 from .messages import Kind
 from .model import State
 from .probes import Probe, Purpose, sample
-from .reception import finish_joining, send_summary
+from .reception import finish_joining
 from .spreading import size_of_load
+from .summaries import list_contacts, send_summary
+from .syncing import request_sync
 from .table import condemned
 
 if TYPE_CHECKING:
@@ -57,7 +60,7 @@
     state.view_old_until = now + VIEW_OLD_S
     state.emit(PauseNoticed(gap))
     for member in _peers(state, SYNC_PEERS_AFTER_PAUSE):
-        state.request_sync(member, now)
+        request_sync(state, member, now)
 
 
 def _conclude_probes(state: NodeState, now: float) -> None:
@@ -69,7 +72,7 @@
         if probe.purpose is Purpose.MEMBER:
             if waited >= options.probe_deadline_s:
                 probe.answered = True
-                state.suspect(probe.member, now)
+                suspect(state, probe.member, now)
             elif waited >= options.probe_timeout_s and not probe.repeated:
                 _probe_indirectly(state, probe, now)
         elif probe.purpose is Purpose.SUMMARY and waited >= options.probe_deadline_s:
@@ -104,7 +107,7 @@
         if held is None or held.state is not State.SUSPECT:
             state.suspicions.drop(member_id)
             continue
-        state.accept(condemned(held), now)
+        accept(state, condemned(held), now)
 
 
 def _probe_next(state: NodeState, now: float) -> None:
@@ -137,7 +140,7 @@
     if since is None or now - since < VIEWS_SETTLE_S:
         return
     for member_id in _peers(state, 1):
-        state.request_sync(member_id, now)
+        request_sync(state, member_id, now)
 
 
 def _seek_absent(state: NodeState, now: float) -> None:
@@ -167,7 +170,7 @@
 
 
 def _exchange_summaries(state: NodeState, now: float) -> None:
-    if state.own.id not in state.contacts():
+    if state.own.id not in list_contacts(state):
         return
     for region in state.regions.names():
         contact = state.regions.pick_contact(region)
