--- /dev/null
+++ b/tests/core/gossip/test_rumors.py
@@ -0,0 +1,48 @@
+from __future__ import annotations
+
+from lycheepath.core.gossip.rumors import RumorQueue
+
+
+def make_queue(limit: int = 10) -> RumorQueue[str]:
+    return RumorQueue(limit)
+
+
+def test_rumors_go_by_priority_and_then_by_how_often_they_were_sent() -> None:
+    queue = make_queue()
+    queue.add("late", "late", size=10, priority=5)
+    queue.add("urgent", "urgent", size=10, priority=0)
+    queue.add("also", "also", size=10, priority=0)
+    assert queue.take(room=10, transmissions=3) == ["urgent"]
+    assert queue.take(room=10, transmissions=3) == ["also"]
+    assert queue.take(room=30, transmissions=3) == ["urgent", "also", "late"]
+
+
+def test_rumors_end_after_their_transmissions() -> None:
+    queue = make_queue()
+    queue.add("one", "one", size=10, priority=0)
+    taken = [queue.take(room=100, transmissions=3) for _ in range(5)]
+    assert taken == [["one"], ["one"], ["one"], [], []]
+
+
+def test_rumors_on_one_subject_replace_each_other() -> None:
+    queue = make_queue()
+    queue.add("one", "old", size=10, priority=0)
+    queue.take(room=100, transmissions=3)
+    queue.add("one", "new", size=10, priority=0)
+    assert queue.take(room=100, transmissions=3) == ["new"]
+    assert len(queue) == 1
+
+
+def test_a_full_queue_sheds_the_least_useful() -> None:
+    queue = make_queue(limit=3)
+    for name, priority in (("a", 0), ("b", 5), ("c", 1), ("d", 0)):
+        queue.add(name, name, size=10, priority=priority)
+    assert queue.shed == 1
+    assert queue.take(room=100, transmissions=9) == ["a", "d", "c"]
+
+
+def test_a_rumor_too_large_for_the_room_does_not_block_others() -> None:
+    queue = make_queue()
+    queue.add("big", "big", size=500, priority=0)
+    queue.add("small", "small", size=10, priority=5)
+    assert queue.take(room=100, transmissions=9) == ["small"]
