--- a/src/lycheepath/core/gossip/news.py
+++ b/src/lycheepath/core/gossip/news.py
@@ -26,6 +26,7 @@
 MAX_16 = 0xFFFF
 MAX_32 = 0xFFFFFFFF
 MAX_AGE_MS = MAX_32
+SAME_OBSERVATION_S = 1.0
 
 
 class NewsKind(Enum):
@@ -70,8 +71,9 @@
     """
     One item on the wire.
 
-    ``stamp`` tells two publications of the same origin apart; ``age_ms`` is
-    the time since the observation; ``ttl_s`` cuts the kind's own age limit.
+    ``stamp`` is different for each publication of one host, so that an item
+    that comes back over another path is known; ``age_ms`` is the time since
+    the observation; ``ttl_s`` cuts the kind's own age limit.
     """
 
     kind: NewsKind
@@ -237,6 +239,7 @@
 
 
 def _is_old(news: News, observed_at: float, known: HeldNews) -> bool:
-    if news.stamp == known.news.stamp:
+    apart_s = abs(observed_at - known.observed_at)
+    if news.stamp == known.news.stamp and apart_s < SAME_OBSERVATION_S:
         return True
     return observed_at <= known.observed_at
--- a/src/lycheepath/core/membership/node.py
+++ b/src/lycheepath/core/membership/node.py
@@ -98,14 +98,14 @@
 
     def publish_news(self, news: News, now: float, to: Iterable[str] = ()) -> None:
         """
-        Share an item that this host observed just now.
+        Share an item that this host observed ``news.age_ms`` ago.
 
         News whose kind reaches only named hosts goes to ``to``; other news
         spreads by itself.
         """
         state = self._state
         state.news.put(news, state.own.id, now)
-        held = HeldNews(news, now, state.own.id)
+        held = HeldNews(news, now - news.age_ms / 1000, state.own.id)
         if POLICIES[news.kind].reach is Reach.DIRECTED:
             recipients = tuple(host for host in to if host != state.own.id)
             state.spreading.direct_news(held, recipients)
--- a/src/lycheepath/core/membership/reception.py
+++ b/src/lycheepath/core/membership/reception.py
@@ -136,6 +136,9 @@
         _learn_member(state, message, member, now)
     for value in message.values:
         learn_value(state, value, message.sender, now)
+    if now < state.view_old_until:
+        state.counters["dropped_while_view_old"] += len(message.news)
+        return
     for news in message.news:
         learn_news(state, news, message.sender, now)
     for summary in message.summaries:
--- a/tests/core/gossip/test_news.py
+++ b/tests/core/gossip/test_news.py
@@ -41,6 +41,7 @@
     assert table.put(replace(new, age_ms=0), "a-3", now=100.0) is None
     (held,) = table.get(NewsKind.TARGET_LOAD, KEY, now=100.0)
     assert (held.news.stamp, held.observed_at) == (2, 99.5)
+    assert table.put(new, "a-4", now=103.0) is not None
 
 
 def test_table_never_shows_news_beyond_its_age() -> None:
--- a/tests/core/membership/test_node.py
+++ b/tests/core/membership/test_node.py
@@ -29,6 +29,7 @@
     from collections.abc import Callable
 
     from bench.membership.network import Network
+    from lycheepath.core.membership.messages import Message
 
     Make = Callable[..., Network]
 
@@ -120,6 +121,26 @@
     assert states_of(network, other) == {State.DEAD}
 
 
+def test_news_that_waited_out_a_pause_is_not_taken_as_fresh(
+    make_network: Make,
+) -> None:
+    network = make_network(9)
+    network.run(SPREAD_S)
+    waiting: list[Message] = []
+    network.on_send = waiting.append
+    paused = network.nodes.pop("a1-0000")
+    load = TargetLoad("runner-1", running=0, queued=0, kv_free_tokens=0, latency_ms=0)
+    sender = network.nodes["a2-0001"]
+    sender.publish_news(pack_target_load(load, 1), network.now, to=["a1-0000"])
+    network.run(5.0)
+    waited = [one for one in waiting if one.to == "a1-0000" and one.news]
+    assert waited
+    for one in waited:
+        paused.receive(one, sender.own.peers_address, network.now)
+    assert not paused.news(NewsKind.TARGET_LOAD, network.now)
+    assert paused.counters()["dropped_while_view_old"] == len(waited)
+
+
 def test_an_address_that_another_host_took_is_noticed(make_network: Make) -> None:
     network = make_network(9)
     network.run(SPREAD_S)
