--- a/src/lycheepath/core/membership/node.py
+++ b/src/lycheepath/core/membership/node.py
@@ -19,6 +19,7 @@
 from typing import TYPE_CHECKING
 
 from ..gossip.news import POLICIES, HeldNews, Reach
+from .beliefs import restate_own
 from .messages import Kind
 from .model import State
 from .reception import handle_message
@@ -97,14 +98,14 @@
 
     def publish_news(self, news: News, now: float, to: Iterable[str] = ()) -> None:
         """
-        Share an item that this host observed just now.
+        Share an item that this host observed ``news.age_ms`` ago.
 
         News whose kind reaches only named hosts goes to ``to``; other news
         spreads by itself.
         """
         state = self._state
         state.news.put(news, state.own.id, now)
-        held = HeldNews(news, now, state.own.id)
+        held = HeldNews(news, now - news.age_ms / 1000, state.own.id)
         if POLICIES[news.kind].reach is Reach.DIRECTED:
             recipients = tuple(host for host in to if host != state.own.id)
             state.spreading.direct_news(held, recipients)
@@ -115,7 +116,7 @@
         """Say that this host takes no new work; for good, in this incarnation."""
         state = self._state
         if not state.own.leaving:
-            state.restate_own(now, state.own.refutation + 1, leaving=True)
+            restate_own(state, now, state.own.refutation + 1, leaving=True)
         return self.tick(now)
 
     def leave(self, now: float) -> list[Action]:
