Pause targets that refuse connections instead of counting towards an ejection

Cause: a refused connection counted as one of three failures to an ejection of which half of a region's targets are exempt, so hosts kept trying the dead runners of a lost region and those that the poison request had felled.

Ruled out: ejecting without a floor; a wrong verdict could then empty a region. A pause needs none, since paused targets are used where no other is left.

Change: a refusal pauses the target for 0.5 s, doubling to 8 s; then one request probes it.

--- a/src/lycheepath/core/routing/choice.py
+++ b/src/lycheepath/core/routing/choice.py
@@ -27,6 +27,7 @@
 
 REPORT_TRUST_S = 5.0
 EXPLAINED_CANDIDATES = 8
+PAUSED = "paused after refused connections"
 DEFAULT_SERVICE_S = 2.0
 HALF_LOADED_SHARE = 0.5
 FAILURE_COST_S = 4.0
@@ -203,13 +204,17 @@
     rejected: dict[str, str],
 ) -> list[TargetView]:
     candidates = []
+    paused = []
     for view in views:
         reason = _reject(request, view, now)
         if reason is None:
             candidates.append(view)
-        elif len(rejected) < EXPLAINED_CANDIDATES:
+            continue
+        if reason == PAUSED:
+            paused.append(view)
+        if len(rejected) < EXPLAINED_CANDIDATES:
             rejected[view.id] = reason
-    return candidates
+    return candidates or paused
 
 
 def _reject(request: RoutedRequest, view: TargetView, now: float) -> str | None:
@@ -221,6 +226,8 @@
         return "draining"
     if now < view.ejected_until:
         return "ejected"
+    if now < view.paused_until:
+        return PAUSED
     if view.on_probation and view.in_flight >= PROBES_AT_ONCE:
         return "on probation with a probe in flight"
     return None
--- a/src/lycheepath/core/routing/health.py
+++ b/src/lycheepath/core/routing/health.py
@@ -21,6 +21,9 @@
 FORGIVE_AFTER_S = 120.0
 PROBES_AT_ONCE = 1
 MAX_EJECTED_SHARE = 0.5
+FIRST_PAUSE_S = 0.5
+LONGEST_PAUSE_S = 8.0
+MAX_COUNTED_REFUSALS = 16
 
 
 @dataclass(slots=True)
@@ -34,10 +37,14 @@
     ejections: int = 0
     last_ejection: float = float("-inf")
     on_probation: bool = False
+    refusals: int = 0
+    paused_until: float = 0.0
 
     def record_success(self) -> None:
         """Count a whole answer; it ends the probation of an ejected target."""
         self.consecutive = 0
+        self.refusals = 0
+        self.paused_until = 0.0
         self.observations += 1
         self.failure_ratio *= FAILURE_MEMORY
         if self.on_probation:
@@ -45,6 +52,18 @@
             self.failure_ratio = 0.0
             self.observations = 0
 
+    def record_refusal(self, now: float) -> None:
+        """
+        Count a connection that could not be made.
+
+        It pauses the target for a time that doubles with each refusal in a
+        row. No floor is needed: a paused target is still used where no other
+        is left.
+        """
+        pause_s = min(FIRST_PAUSE_S * 2.0**self.refusals, LONGEST_PAUSE_S)
+        self.refusals = min(self.refusals + 1, MAX_COUNTED_REFUSALS)
+        self.paused_until = now + pause_s
+
     def record_failure(self, wrong_answer: bool) -> bool:
         """Count a failure; return whether the target should be ejected."""
         self.consecutive += CONSECUTIVE_FAILURES if wrong_answer else 1
--- a/src/lycheepath/core/routing/targets.py
+++ b/src/lycheepath/core/routing/targets.py
@@ -54,7 +54,8 @@
     ``prefill_tokens`` are prompt tokens sent from here and not yet answered.
     ``slowness`` compares recent times to the first token with what was
     expected (1 is as expected); ``service_s`` and ``answer_tokens`` are means of
-    recent answers, zero before the first. ``oldest_wait_at`` and
+    recent answers, zero before the first. A target is paused after connections
+    to it failed and on probation until it answers again. ``oldest_wait_at`` and
     ``oldest_wait_estimate_s`` describe the request that has waited longest
     for its first token. ``model_states`` holds what the target reported.
     """
@@ -83,6 +84,7 @@
     failure_ratio: float
     ejected_until: float
     on_probation: bool
+    paused_until: float
     draining: bool
     model_states: Mapping[str, ModelState]
 
@@ -213,6 +215,9 @@
         if kind in (FailureKind.CANCELLED, FailureKind.OVERLOADED):
             return
         entry = self._entries[flight.target]
+        if kind is FailureKind.REFUSED:
+            entry.health.record_refusal(now)
+            return
         wrong = kind is FailureKind.WRONG_ANSWER
         if entry.health.record_failure(wrong) and self._may_eject(entry, now):
             entry.health.eject(now)
@@ -342,7 +347,8 @@
             oldest_wait_estimate_s=oldest.estimate_s if oldest else 0.0,
             failure_ratio=entry.health.failure_ratio,
             ejected_until=entry.health.ejected_until,
-            on_probation=entry.health.on_probation,
+            on_probation=entry.health.on_probation or entry.health.refusals > 0,
+            paused_until=entry.health.paused_until,
             draining=entry.draining,
             model_states=report.models if report else {},
         )
