--- a/src/lycheepath/core/retries/budget.py
+++ b/src/lycheepath/core/retries/budget.py
@@ -14,6 +14,7 @@
 MAX_ATTEMPTS = 3
 RETRY_RATIO = 0.1
 MAX_SAVED_RETRIES = 10.0
+MAX_DIGITS = 9
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,21 +45,22 @@
 
 
 def encode_budget(budget: RequestBudget, now: float) -> str:
-    """Return the budget for a header, as attempts and milliseconds left."""
+    """Return the budget for a header: attempts and milliseconds left."""
     left_ms = max(0, int((budget.deadline - now) * 1000.0))
-    return f"attempts={budget.attempts_left};ms={left_ms}"
+    return f"{budget.attempts_left};{left_ms}"
 
 
 def decode_budget(text: str, now: float) -> RequestBudget | None:
     """Return the budget that another host handed over, or None if malformed."""
-    fields = dict(part.partition("=")[::2] for part in text.split(";"))
-    attempts = fields.get("attempts", "")
-    left_ms = fields.get("ms", "")
-    if not (attempts.isdecimal() and left_ms.isdecimal()):
+    parts = text.split(";")
+    if len(parts) != 2 or not all(map(_is_small_number, parts)):
         return None
-    if len(attempts) > 2 or len(left_ms) > 9:
-        return None
-    return RequestBudget(min(int(attempts), MAX_ATTEMPTS), now + int(left_ms) / 1000.0)
+    attempts, left_ms = map(int, parts)
+    return RequestBudget(min(attempts, MAX_ATTEMPTS), now + left_ms / 1000.0)
+
+
+def _is_small_number(text: str) -> bool:
+    return len(text) <= MAX_DIGITS and text.isascii() and text.isdecimal()
 
 
 @dataclass(slots=True)
