Queue at the host while runners are full; order runners from the document

Cause: the choice says that all runners are full and the host refused at once; nobody ordered models. Change: a fair queue in front of the targets, served when a request ends or a report comes; a target is reserved as it is chosen, so that the next in the queue sees it; each host plans and rechecks the orders of its share every second. A verdict that falls while a request waits is seen before it is sent. Ruled out: reserving on sending, since several waiting requests took the same free slot.

--- a/src/lycheepath/host/chat.py
+++ b/src/lycheepath/host/chat.py
@@ -6,11 +6,13 @@
 
 from contextlib import aclosing
 from dataclasses import dataclass, replace
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import orjson
 import trio
 
+from ..core.limits.queue import Waiting
 from ..core.outcomes import RequestFailedError, Run
 from ..core.quarantine.arbiter import TRIAL_RETRY_S
 from ..core.quarantine.containment import Standing
@@ -77,6 +79,7 @@
     """One answer in the making: what is asked, what came, what failed last."""
 
     chat: ChatRequest
+    team: str
     routed: RoutedRequest
     suspect: Suspect
     stream: AnswerStream
@@ -119,7 +122,8 @@
         raise RequestFailedError(admission, Run.NOT_RUN)
     answer = _Answer(
         chat,
-        routed,
+        client.team,
+        replace(routed, priority=admission.priority),
         identify(node, chat, routed.bound_region),
         AnswerStream(),
         open_budget(routed.deadline).spend(),
@@ -179,25 +183,59 @@
         standing = admit(node, answer.suspect)
         if isinstance(standing, Absent):
             raise answer.fail(standing)
-        if standing is Standing.CLEAR:
-            return _choose(node, answer, answer.tried), False
-        answer.on_trial = True
-        choice = await _choose_for_trial(node, answer)
+        choice = await _reserve(node, answer, standing)
         if isinstance(choice, Choice):
-            return choice, True
+            if admit(node, answer.suspect) is standing:
+                return choice, standing is Standing.SUSPECT
+            _release(node, answer)
+            continue
         if choice.reason is not Reason.IN_PROGRESS or node.now() > waited_until:
             raise answer.fail(choice)
         await trio.sleep(max(TRIAL_RETRY_S, min(choice.retry_after_s, RETRY_AFTER_S)))
 
 
-def _choose(node: Node, answer: _Answer, excluded: frozenset[str]) -> Choice:
-    choice = node.router.choose(answer.routed, node.now(), excluded)
+async def _reserve(node: Node, answer: _Answer, standing: Standing) -> Choice | Absent:
+    if standing is Standing.CLEAR:
+        return await _choose(node, answer)
+    answer.on_trial = True
+    return await _choose_for_trial(node, answer)
+
+
+async def _choose(node: Node, answer: _Answer) -> Choice:
+    """Reserve the best target, after waiting in the queue while all are full."""
+    choice = _take(node, answer)
+    if isinstance(choice, Absent) and choice.reason is Reason.OVERLOADED:
+        now = node.now()
+        routed = answer.routed
+        waiting = Waiting(
+            routed.id,
+            answer.team,
+            node.router.estimate_cost(routed),
+            routed.priority,
+            routed.deadline,
+            now,
+        )
+        choice = await node.queue.wait(
+            waiting, partial(_take, node, answer), partial(_release, node, answer)
+        )
     node.explanations.add(Explanation.of_choice(answer.routed, choice))
     if isinstance(choice, Absent):
         raise answer.fail(choice)
     return choice
 
 
+def _take(node: Node, answer: _Answer) -> Choice | Absent:
+    """Choose a target and count the request as in flight there."""
+    choice = node.router.choose(answer.routed, node.now(), answer.tried)
+    if isinstance(choice, Choice):
+        node.router.start(answer.routed, choice, node.now())
+    return choice
+
+
+def _release(node: Node, answer: _Answer) -> None:
+    node.router.book.failed(answer.routed.id, FailureKind.CANCELLED, node.now())
+
+
 async def _choose_for_trial(node: Node, answer: _Answer) -> Choice | Absent:
     """Find a target for a suspect that runs no other suspect."""
     absent = await ask_for_trial(node, answer.suspect, answer.routed.id)
@@ -215,6 +253,7 @@
             return choice if absent is None else absent
         absent = await ask_for_target(node, choice.target, answer.routed.id)
         if absent is None:
+            node.router.start(answer.routed, choice, node.now())
             return choice
         busy |= {choice.target}
 
@@ -250,7 +289,6 @@
     node.containment.start(
         request_id, suspect.fingerprint, suspect.scope, target.id, trial
     )
-    node.router.start(answer.routed, choice, node.now())
     failure: FailureKind | None = FailureKind.CANCELLED
     try:
         async with aclosing(_read_tokens(node, answer, target)) as batches:
@@ -281,6 +319,7 @@
         node.router.book.finished(request_id, node.now(), answer.stream.tokens)
     else:
         node.router.book.failed(request_id, failure, node.now())
+    node.queue.serve(node.now())
 
 
 async def _read_tokens(
--- a/src/lycheepath/host/explanations.py
+++ b/src/lycheepath/host/explanations.py
@@ -42,7 +42,7 @@
             reason = f"{choice.reason.value}: {choice.detail}"
         else:
             target, reason = choice.target, "lowest score"
-            scores = tuple(asdict(score) for score in choice.scores)
+            scores = tuple(score._asdict() for score in choice.scores)
             rejected = dict(choice.rejected)
         return cls(
             request_id=request.id,
--- a/src/lycheepath/host/loads.py
+++ b/src/lycheepath/host/loads.py
@@ -12,9 +12,10 @@
 
 import trio
 
-from ..core.environment.model import TargetKind
+from ..core.environment.model import Role, TargetKind
 from ..core.gossip.news import TargetLoad, pack_target_leaving, pack_target_load
 from ..core.membership.rendezvous import computed_pollers
+from ..core.orders.desired import ObservedState
 from ..core.routing.reports import LoadReport, ModelState
 
 if TYPE_CHECKING:
@@ -42,10 +43,12 @@
     if environment is None:
         return []
     hosts = node.live_hosts_here()
+    watched = frozenset(node.orders.list_watched())
     return [
         target
         for target in environment.targets
-        if node.settings.host in computed_pollers(target.id, hosts)
+        if target.id in watched
+        or node.settings.host in computed_pollers(target.id, hosts)
     ]
 
 
@@ -73,17 +76,25 @@
         return
     measured_at = now - float(answer.get("age_ms", 0)) / 1000
     kv_free_tokens = int(answer.get("kv_free_tokens", 0))
+    models = {
+        model: MODEL_STATES[state]
+        for model, state in answer.get("models", {}).items()
+        if state in MODEL_STATES
+    }
     report = LoadReport(
         int(answer["running"]),
         int(answer["queued"]),
         kv_free_tokens,
-        {
-            model: MODEL_STATES[state]
-            for model, state in answer.get("models", {}).items()
-            if state in MODEL_STATES
-        },
+        models,
         node.is_target_leaving(target.id),
     )
     node.router.book.load_report(target.id, report, measured_at)
+    node.observed_runners[target.id] = ObservedState(
+        measured_at,
+        models,
+        str(answer.get("role", Role.ANY.value)),
+        int(answer.get("fencing", 0)),
+    )
+    node.queue.serve(now)
     load = TargetLoad(target.id, report.running, report.queued, kv_free_tokens, 0)
     node.publish(pack_target_load(load, node.next_stamp()), node.live_hosts_here())
--- a/src/lycheepath/host/members.py
+++ b/src/lycheepath/host/members.py
@@ -106,6 +106,7 @@
             leaving=node.is_target_leaving(target),
         )
         node.router.book.load_report(target, report, held.observed_at)
+        node.queue.serve(node.now())
     elif news.kind is NewsKind.QUARANTINE:
         ttl_s = max(0.0, news.ttl_s - news.age_ms / 1000)
         hear_conviction(node, read_quarantine(news), ttl_s, news.stamp)
--- a/src/lycheepath/host/node.py
+++ b/src/lycheepath/host/node.py
@@ -32,6 +32,7 @@
 from ..core.hosts.selection import MemberState
 from ..core.limits.admission import Limiter
 from ..core.membership.rendezvous import computed_readers
+from ..core.orders.planning import OrderIssuer
 from ..core.quarantine.arbiter import Arbiter
 from ..core.quarantine.containment import Containment
 from ..core.retries.budget import HostBudget
@@ -39,6 +40,7 @@
 from ..core.routing.services import ServiceBook
 from .explanations import Explanations
 from .member_views import publish_hosts, read_member_state
+from .queueing import TargetQueue
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -51,6 +53,7 @@
     from ..core.gossip.values import ValueDigest
     from ..core.membership.model import PublishedHost
     from ..core.membership.node import Membership
+    from ..core.orders.desired import ObservedState
     from ..ports.targets import Engines, Services
     from ..ports.timers import Pause
     from .owners import OwnerClock
@@ -114,6 +117,9 @@
     containment: Containment = field(default_factory=Containment)
     arbiter: Arbiter = field(default_factory=Arbiter)
     host_addresses: dict[str, str] = field(default_factory=dict)
+    queue: TargetQueue = field(default_factory=TargetQueue)
+    observed_runners: dict[str, ObservedState] = field(default_factory=dict)
+    orders: OrderIssuer = field(init=False)
     ledger: ActionLedger = field(init=False)
     shelf: HandoverShelf = field(init=False)
     service_book: ServiceBook = field(default_factory=ServiceBook)
@@ -129,6 +135,7 @@
         self.watch_counters()
         self.router = Router(self.settings.host, self.settings.region, self.random)
         self.limiter = Limiter(self.settings.host)
+        self.orders = OrderIssuer(self.settings.host, trio.current_time())
         settings = self.settings
         incarnation = str(self.incarnation)
         self.keeper = Keeper(build_readers(settings.platform.environment))
@@ -278,6 +285,7 @@
         metrics.watch_counters("actions", lambda: asdict(self.ledger.counts))
         metrics.watch_counters("membership", self._read_membership_counters)
         metrics.watch_gauge("in_flight", lambda: self.in_flight)
+        metrics.watch_gauge("queued", lambda: len(self.queue))
         metrics.watch_gauge("claims", lambda: len(self.ledger))
         metrics.watch_gauge("ready", lambda: self.ready)
         metrics.watch_gauge(
@@ -319,6 +327,7 @@
         if self.membership is not None:
             self.membership.set_published(published)
         self.router.apply(environment)
+        self.orders.apply(environment, self.now())
         self.vouching.apply_revision(environment, self.settings.region, self.now())
         self._apply_limits()
 
--- a/src/lycheepath/host/process.py
+++ b/src/lycheepath/host/process.py
@@ -23,6 +23,7 @@
 from .loads import poll_targets
 from .members import run_membership
 from .node import Node
+from .orders import issue_orders
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -32,6 +33,7 @@
 
 DRAIN_POLL_S = 0.05
 EXPIRY_S = 0.5
+QUEUE_S = 0.1
 
 
 def run_host(settings: Settings, may_reach: MayReach = reach_all) -> None:
@@ -51,6 +53,7 @@
         node.nursery = nursery
         await nursery.start(node.timers.run)
         node.timers.every("expiry", EXPIRY_S, partial(_expire, node))
+        node.timers.every("queue", QUEUE_S, node.queue.serve)
         binds = await nursery.start(serve_http, node, shutdown.wait)
         _announce(node, binds)
         nursery.start_soon(follow_platform, node)
@@ -66,6 +69,7 @@
     await bootstrap(node)
     nursery.start_soon(run_membership, node)
     nursery.start_soon(poll_targets, node)
+    nursery.start_soon(issue_orders, node)
     nursery.start_soon(renew_releases, node)
     await claim_predecessor(node)
     await establish_vouching(node)
--- /dev/null
+++ b/src/lycheepath/host/queueing.py
@@ -0,0 +1,89 @@
+"""
+Requests that wait at this host because all their targets are full.
+
+The queue decides who is next; a pass over it is made whenever a request ends,
+a load report comes, or the time for one has come.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import trio
+
+from ..core.limits.queue import MIN_RETRY_AFTER_S, FairQueue, Waiting
+from ..core.reasons import Absent, Reason
+from ..core.routing.choice import Choice
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+@dataclass(slots=True)
+class _Pending:
+    take: Callable[[], Choice | Absent]
+    decided: trio.Event = field(default_factory=trio.Event)
+    outcome: Choice | Absent | None = None
+
+
+class TargetQueue:
+    """The requests of one host that wait for a target."""
+
+    def __init__(self) -> None:
+        self._queue = FairQueue()
+        self._pending: dict[str, _Pending] = {}
+
+    def __len__(self) -> int:
+        return len(self._pending)
+
+    async def wait(
+        self,
+        waiting: Waiting,
+        take: Callable[[], Choice | Absent],
+        release: Callable[[], None],
+    ) -> Choice | Absent:
+        """
+        Wait until ``take`` yields a target, or return why it never will.
+
+        ``take`` reserves the target that it returns; ``release`` gives it back
+        if the caller hangs up at that moment.
+        """
+        refusal = self._queue.push(waiting, waiting.queued_at)
+        if isinstance(refusal, Absent):
+            return refusal
+        pending = _Pending(take)
+        self._pending[waiting.id] = pending
+        try:
+            await pending.decided.wait()
+        except trio.Cancelled:
+            self._queue.cancel(waiting.id)
+            if isinstance(pending.outcome, Choice):
+                release()
+            raise
+        finally:
+            self._pending.pop(waiting.id, None)
+        assert pending.outcome is not None
+        return pending.outcome
+
+    def serve(self, now: float) -> None:
+        """Give targets to waiting requests in their order, while there are any."""
+        while len(self._queue):
+            waiting, expired = self._queue.pop(now)
+            for late in expired:
+                detail = "no runner became free in time"
+                refusal = Absent(Reason.OVERLOADED, MIN_RETRY_AFTER_S, detail)
+                self._decide(late, refusal)
+            if waiting is None:
+                return
+            outcome = self._pending[waiting.id].take()
+            if isinstance(outcome, Absent) and outcome.reason is Reason.OVERLOADED:
+                self._queue.put_back(waiting)
+                return
+            self._queue.confirm(waiting, now)
+            self._decide(waiting, outcome)
+
+    def _decide(self, waiting: Waiting, outcome: Choice | Absent) -> None:
+        pending = self._pending[waiting.id]
+        pending.outcome = outcome
+        pending.decided.set()
