--- /dev/null
+++ b/bench/actions/costs.py
@@ -0,0 +1,110 @@
+"""
+Cost of actions that run at most once: time and memory for each claim.
+
+Run from the repository's root::
+
+    python -m bench.actions.costs
+"""
+
+from __future__ import annotations
+
+import time
+import tracemalloc
+
+from lycheepath.core.actions.claims import (
+    Claim,
+    Permit,
+    RecordedAnswer,
+    Terms,
+    fingerprint_request,
+)
+from lycheepath.core.actions.issuance import issuer_for
+from lycheepath.core.actions.ledger import ActionLedger, LedgerLimits
+from lycheepath.core.actions.tickets import (
+    Owner,
+    encode_ticket,
+    issue_ticket,
+    verify_ticket,
+)
+from tests.core.actions.environments import KEYS, make_environment
+
+SIZES = (1_000, 10_000, 40_000)
+LIMITS = LedgerLimits(max_claims=50_000, max_team_claims=50_000)
+BODY = b"x" * 200
+
+
+def run_claims(ledger: ActionLedger, number: int) -> None:
+    """Take claims all the way, with an answer of 200 bytes each."""
+    for index in range(number):
+        claim = Claim("brides", "deposits", f"5f0c7a52-9d5e-4b7c-8a51-{index:012d}")
+        fingerprint = fingerprint_request("POST", "/deposits", BODY)
+        terms = Terms(heard_at=1.0, window_s=120.0, deadline=10.0, revision=1)
+        permit = ledger.begin(claim, fingerprint, terms, 1.0)
+        assert isinstance(permit, Permit)
+        assert ledger.authorise_send(permit, 1.0, 1) is None
+        body = index.to_bytes(200, "big")
+        ledger.complete(permit, RecordedAnswer(200, "application/json", body))
+
+
+def print_claims(number: int) -> None:
+    ledger = ActionLedger(LIMITS)
+    began = time.perf_counter()
+    run_claims(ledger, number)
+    claim_us = (time.perf_counter() - began) / number * 1e6
+    ledger.close()
+    began = time.perf_counter()
+    records = ledger.export_records("h2", 2.0)
+    export_us = (time.perf_counter() - began) / number * 1e6
+    successor = ActionLedger(LIMITS)
+    began = time.perf_counter()
+    successor.import_records(records, 2.0)
+    import_us = (time.perf_counter() - began) / number * 1e6
+    began = time.perf_counter()
+    forgotten = successor.expire(1_000.0)
+    expire_us = (time.perf_counter() - began) / number * 1e6
+    assert forgotten == number
+    tracemalloc.start()
+    measured = ActionLedger(LIMITS)
+    run_claims(measured, number)
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    print(
+        f"claims {number:6d}: {claim_us:5.1f} us begin to complete,"
+        f" {export_us:4.1f} us export, {import_us:4.1f} us import,"
+        f" {expire_us:4.1f} us expire, {held / number:5.0f} bytes each"
+    )
+
+
+def print_step(name: str, step: object, number: int = 20_000) -> None:
+    assert callable(step)
+    began = time.perf_counter()
+    for index in range(number):
+        step(index)
+    print(f"{name}: {(time.perf_counter() - began) / number * 1e6:.1f} us")
+
+
+def main() -> None:
+    """Print all figures."""
+    for number in SIZES:
+        print_claims(number)
+    owner = Owner("h1", "incarnation-1", "10.0.0.1:8080")
+    ticket = issue_ticket(owner, "brides", "deposits", b"n" * 16, 125.0)
+    text = encode_ticket(ticket, KEYS[0])
+    print(f"a ticket has {len(text)} characters")
+    print_step("encode a ticket", lambda _: encode_ticket(ticket, KEYS[0]))
+    print_step(
+        "verify a ticket", lambda _: verify_ticket(text, KEYS, "brides", "deposits")
+    )
+    for hosts in (3, 30, 220):
+        environment = make_environment(tuple(f"h{n}" for n in range(hosts)))
+        print_step(
+            f"find a key's issuer among {hosts} hosts",
+            lambda index, environment=environment: issuer_for(
+                environment, "accra", "brides", "deposits", str(index)
+            ),
+            number=2_000,
+        )
+
+
+if __name__ == "__main__":
+    main()
--- a/src/lycheepath/core/actions/claims.py
+++ b/src/lycheepath/core/actions/claims.py
@@ -124,6 +124,9 @@
     """
     An answer that runs nothing now; it maps one to one to an HTTP problem.
 
+    ``run`` speaks of the action, ``copy`` of this one sending of it: a caller
+    of which every sending under a key was answered with ``copy`` not run
+    knows that the action was not run and may start anew with a ticket.
     ``retry_after_s`` is in seconds; zero means that the answer is final and
     asking again under this key or ticket yields the same.
     """
@@ -133,6 +136,7 @@
     reason: Reason
     retry_after_s: float = 0.0
     detail: str = ""
+    copy: Run = Run.NOT_RUN
 
 
 Begun: TypeAlias = Permit | Replay | Refusal
--- a/src/lycheepath/core/actions/issuance.py
+++ b/src/lycheepath/core/actions/issuance.py
@@ -10,17 +10,22 @@
 
 from __future__ import annotations
 
+from collections import deque
+from dataclasses import dataclass
+from functools import lru_cache
 from typing import TYPE_CHECKING
 
 from ..reasons import Absent, Reason
 from .claims import digest_fields
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable, Mapping
 
     from ..environment.model import Environment
 
-_SCORE_BYTES = 8
+MAX_HASHED_HOSTS = 8192
+MAX_LAYOUTS = 4
+_MASK = 0xFFFFFFFFFFFFFFFF
 
 
 def issuer_for(
@@ -36,7 +41,7 @@
         return Absent(
             Reason.OWNER_UNREACHABLE, detail=f"no issuer is named in region {region}"
         )
-    return rank_hosts(hosts, team, service, key)[0]
+    return max(hosts, key=_scorer(team, service, key))
 
 
 def previous_issuers_for(
@@ -64,13 +69,7 @@
 
 def list_issuers(environment: Environment, region: str) -> tuple[str, ...]:
     """List the hosts of ``region`` that share the callers' keys."""
-    named = environment.issuers.hosts
-    regions = map_host_regions(environment)
-    return tuple(
-        host
-        for host, host_region in regions.items()
-        if host_region == region and (not named or host in named)
-    )
+    return _find_layout(environment).issuers.get(region, ())
 
 
 def list_holders(environment: Environment, host: str) -> tuple[str, ...]:
@@ -109,24 +108,62 @@
     )
 
 
-def map_host_regions(environment: Environment) -> dict[str, str]:
+def map_host_regions(environment: Environment) -> Mapping[str, str]:
     """Map each listed host to its region."""
-    zones = {zone.id: zone.region for zone in environment.zones}
-    return {host.id: zones.get(host.zone, "") for host in environment.hosts}
+    return _find_layout(environment).regions
 
 
 def rank_hosts(
     hosts: Iterable[str], team: str, service: str, key: str
 ) -> tuple[str, ...]:
     """Order hosts for a key by rendezvous hashing, the highest score first."""
-    fields = (team.encode(), service.encode(), key.encode())
-    return tuple(
-        sorted(
-            hosts,
-            key=lambda host: (
-                digest_fields(_SCORE_BYTES, host.encode(), *fields),
-                host,
-            ),
-            reverse=True,
-        )
-    )
+    return tuple(sorted(hosts, key=_scorer(team, service, key), reverse=True))
+
+
+def _scorer(team: str, service: str, key: str) -> Callable[[str], tuple[int, str]]:
+    digest = digest_fields(8, team.encode(), service.encode(), key.encode())
+    key_hash = int.from_bytes(digest, "big")
+    return lambda host: (_mix(key_hash ^ _hash_host(host)), host)
+
+
+@lru_cache(maxsize=MAX_HASHED_HOSTS)
+def _hash_host(host: str) -> int:
+    return int.from_bytes(digest_fields(8, host.encode()), "big")
+
+
+def _mix(value: int) -> int:
+    """Spread a 64-bit value, by the finaliser of SplitMix64."""
+    value = ((value ^ (value >> 30)) * 0xBF58476D1CE4E5B9) & _MASK
+    value = ((value ^ (value >> 27)) * 0x94D049BB133111EB) & _MASK
+    return value ^ (value >> 31)
+
+
+@dataclass(frozen=True, slots=True)
+class _Layout:
+    environment: Environment
+    regions: Mapping[str, str]
+    issuers: Mapping[str, tuple[str, ...]]
+
+
+_layouts: deque[_Layout] = deque(maxlen=MAX_LAYOUTS)
+
+
+def _find_layout(environment: Environment) -> _Layout:
+    """Return what is derived from a document, computed once for each."""
+    for layout in _layouts:
+        if layout.environment is environment:
+            return layout
+    layout = _build_layout(environment)
+    _layouts.appendleft(layout)
+    return layout
+
+
+def _build_layout(environment: Environment) -> _Layout:
+    zones = {zone.id: zone.region for zone in environment.zones}
+    regions = {host.id: zones.get(host.zone, "") for host in environment.hosts}
+    named = set(environment.issuers.hosts)
+    issuers: dict[str, tuple[str, ...]] = {}
+    for host, region in regions.items():
+        if not named or host in named:
+            issuers[region] = (*issuers.get(region, ()), host)
+    return _Layout(environment, regions, issuers)
--- a/src/lycheepath/core/actions/ledger.py
+++ b/src/lycheepath/core/actions/ledger.py
@@ -549,6 +549,7 @@
         Run.UNKNOWN,
         Reason.ANSWER_LOST,
         detail="sent, but no whole answer came; it will not be sent again",
+        copy=Run.UNKNOWN,
     )
 
 
--- a/src/lycheepath/core/actions/ownership.py
+++ b/src/lycheepath/core/actions/ownership.py
@@ -97,12 +97,13 @@
     )
 
 
-def refuse_unreachable(detail: str = "") -> Refusal:
+def refuse_unreachable(detail: str = "", delivered: bool = False) -> Refusal:
     """
     Answer for an owner that did not answer; the outcome is unknown.
 
-    This holds even if it refused the connection, since another copy of the
-    request may have reached it.
+    ``delivered`` says that a part of this request may have reached the owner.
+    Even a refused connection leaves the action unknown, since another copy
+    of the request may have reached the owner before.
     """
     return Refusal(
         503,
@@ -110,6 +111,7 @@
         Reason.OWNER_UNREACHABLE,
         OWNER_RETRY_S,
         detail or "send the same request again with the same key or ticket",
+        Run.UNKNOWN if delivered else Run.NOT_RUN,
     )
 
 
