--- a/src/lycheepath/adapters/http/peers.py
+++ b/src/lycheepath/adapters/http/peers.py
@@ -8,6 +8,7 @@
 from quart import Response, request
 
 from ...core.outcomes import Run
+from ...host.admission import describe_use
 from ...host.handover import accept_handover, release_handover, release_moved
 from ...host.quarantine import answer_trial, take_conviction, take_report
 from .answers import ProblemError
@@ -34,6 +35,11 @@
     )
 
 
+async def handle_use(node: Node) -> Response:
+    """Say what this host lately admitted for each team."""
+    return respond_json(describe_use(node))
+
+
 async def handle_value(node: Node, name: str) -> Response:
     """Give the text of a value in force to a peer."""
     held = node.keeper.get(name) if name in node.value_names else None
--- a/src/lycheepath/adapters/http/server.py
+++ b/src/lycheepath/adapters/http/server.py
@@ -27,6 +27,7 @@
     handle_state,
     handle_suspicion,
     handle_trial,
+    handle_use,
     handle_value,
 )
 from .problems import Problem, problem_from_absent
@@ -119,6 +120,7 @@
     route("/operator/explain/<request_id>", handle_explain)
     route("/operator/audit", handle_audit)
     route("/peer/state", handle_state)
+    route("/peer/use", handle_use)
     route("/peer/values/<path:name>", handle_value)
     route("/peer/handover", handle_handover, "POST")
     route("/peer/handover/release", handle_handover_release, "POST")
--- a/src/lycheepath/adapters/http/services.py
+++ b/src/lycheepath/adapters/http/services.py
@@ -145,7 +145,9 @@
         call.request.timeout_s + FORWARD_MARGIN_S,
     )
     if isinstance(answer, PeerUnreachable):
-        return _respond_refusal(node, call, refuse_unreachable(answer.detail))
+        return _respond_refusal(
+            node, call, refuse_unreachable(answer.detail, answer.sent)
+        )
     response = Response(answer.body, answer.status)
     for name in ("content-type", "retry-after", RUN_HEADER, REPLAYED_HEADER):
         if name in answer.headers:
@@ -154,7 +156,7 @@
 
 
 def _respond_refusal(node: Node, call: ActionCall, refusal: Refusal) -> Response:
-    members: dict[str, Any] = {}
+    members: dict[str, Any] = {"copy": refusal.copy.value}
     if refusal.reason is Reason.TICKET_NEEDED:
         members["ticket"] = issue_new_ticket(node, call.client.team, call.service)
     node.metrics.count(
--- a/src/lycheepath/core/limits/admission.py
+++ b/src/lycheepath/core/limits/admission.py
@@ -100,6 +100,10 @@
                 self._reports.pop(host, None)
             self._share_again()
 
+    def hosts_of(self, team: str) -> tuple[str, ...]:
+        """Return the hosts that count the team's limit."""
+        return self._find_hosts(team)
+
     def counts_here(self, team: str) -> bool:
         """Whether this host is one that counts the team's limit."""
         return self._find_limit(team) is None or self.host in self._find_hosts(team)
--- a/src/lycheepath/host/chat.py
+++ b/src/lycheepath/host/chat.py
@@ -26,7 +26,7 @@
 from ..core.streams.assembly import AnswerStream, Whole
 from ..core.streams.chunks import read_chunk
 from ..ports.targets import EngineRequest, TargetFailureError
-from .admission import require_team_host
+from .admission import admit_request
 from .explanations import Explanation
 from .quarantine import (
     Suspect,
@@ -111,15 +111,9 @@
     routed = _build_request(
         node, environment, chat, client, request_id, node.now() + timeout_s
     )
-    await require_team_host(node, client)
-    admission = node.limiter.admit(
-        client.team,
-        routed.prompt_tokens + chat.max_tokens,
-        DEFAULT_PRIORITY,
-        node.now(),
+    admission = await admit_request(
+        node, client, routed.prompt_tokens + chat.max_tokens, DEFAULT_PRIORITY
     )
-    if isinstance(admission, Absent):
-        raise RequestFailedError(admission, Run.NOT_RUN)
     answer = _Answer(
         chat,
         client.team,
--- a/src/lycheepath/host/node.py
+++ b/src/lycheepath/host/node.py
@@ -105,6 +105,7 @@
     nursery: trio.Nursery | None = None
     lost_regions: set[str] = field(default_factory=set)
     region_checks: dict[str, float] = field(default_factory=dict)
+    use_asked: dict[str, float] = field(default_factory=dict)
     superseded: trio.Event = field(default_factory=trio.Event)
     membership: Membership | None = None
     runner: PeerRunner | None = None
