Fail the demonstration when chats aren't answered whole

Change: under nine tenths of whole chats, or any internal error, is a broken promise; at most 20 lines of them are printed.

--- a/demo/promises.py
+++ b/demo/promises.py
@@ -7,17 +7,21 @@
 from standins.caller import Kind, Outcome
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator, Mapping
+    from collections.abc import Iterable, Iterator, Mapping, Sequence
+
+LEAST_WHOLE_SHARE = 0.9
+INTERNAL_ERROR = 500
 
 
 def list_broken_promises(
-    chats: Iterable[Outcome],
+    chats: Sequence[Outcome],
     bookings: Mapping[str, Outcome],
     executions: Mapping[str, int],
     killed_addresses: frozenset[str],
 ) -> list[str]:
     """Return one line for each promise that was broken."""
     return [
+        *_check_share(chats),
         *_check_answers([*chats, *bookings.values()], killed_addresses),
         *_check_executions(bookings, executions),
     ]
@@ -32,10 +36,18 @@
     ]
 
 
+def _check_share(chats: Sequence[Outcome]) -> Iterator[str]:
+    whole = sum(outcome.kind is Kind.WHOLE for outcome in chats)
+    if whole < LEAST_WHOLE_SHARE * len(chats):
+        yield f"only {whole} of {len(chats)} chats were answered whole"
+
+
 def _check_answers(
     outcomes: Iterable[Outcome], killed_addresses: frozenset[str]
 ) -> Iterator[str]:
     for outcome in outcomes:
+        if outcome.status == INTERNAL_ERROR:
+            yield f"{outcome.address} failed inside: {outcome.detail}"
         if outcome.kind is Kind.WRONG:
             yield f"a wrong answer from {outcome.address}: {outcome.detail}"
         if outcome.kind is Kind.BROKEN and outcome.address not in killed_addresses:
--- a/demo/run.py
+++ b/demo/run.py
@@ -32,6 +32,7 @@
 BETWEEN_KILLS_S = 5.0
 LIMIT_S = 110.0
 SEED = 1
+LINES_SHOWN = 20
 SHOWN_TICKETED = "deposit under a ticket"
 SHOWN_KEYED = "deposit under an idempotency key"
 
@@ -52,8 +53,10 @@
             _say("ending all processes", started)
     if limit.cancelled_caught:
         broken = [f"the demonstration took longer than {LIMIT_S:g} s"]
-    for line in broken:
+    for line in broken[:LINES_SHOWN]:
         print("BROKEN PROMISE:", line)
+    if len(broken) > LINES_SHOWN:
+        print(f"... and {len(broken) - LINES_SHOWN} more")
     _say("no promise broke" if not broken else "FAILED", started)
     return 1 if broken else 0
 
