Compare views with the peer that differed

Cause: a host that saw its view differ asked a random peer, often one that knew no more or had to be shown first that the host is fresh. Starting 300 hosts in ten regions at once took 4.1 s until all knew their region. Ruled out: shorter intervals (more requests that bring nothing). Change: the peer whose hash differed last is asked.

--- a/src/lycheepath/core/membership/reception.py
+++ b/src/lycheepath/core/membership/reception.py
@@ -296,6 +296,7 @@
     if message.region != state.own.region or message.view_hash == state.table.view_hash:
         state.views_differ_since = None
         return
+    state.differing_peer = message.sender
     if state.views_differ_since is None:
         state.views_differ_since = now
 
--- a/src/lycheepath/core/membership/schedule.py
+++ b/src/lycheepath/core/membership/schedule.py
@@ -139,8 +139,7 @@
     since = state.views_differ_since
     if since is None or now - since < VIEWS_SETTLE_S:
         return
-    for member_id in _peers(state, 1):
-        request_sync(state, member_id, now)
+    request_sync(state, state.differing_peer, now)
 
 
 def _seek_absent(state: NodeState, now: float) -> None:
--- a/src/lycheepath/core/membership/state.py
+++ b/src/lycheepath/core/membership/state.py
@@ -68,6 +68,7 @@
         self.join_deadline = now + options.join_timeout_s
         self.view_old_until = 0.0
         self.views_differ_since: float | None = None
+        self.differing_peer = ""
         self.last_active = now
         self.due: dict[str, float] = {}
         self._sequence = random.getrandbits(SEQUENCE_BITS) + 1
