Keep the list's word and the target's own apart, and test the core by random runs

Cause: a load report with leaving=false, even one measured before, undid a drain that peers or the list had announced, and a leaving target got new work again. Found while writing the state machine, whose model first hid it.

Change: a target drains while either says so.

--- a/src/lycheepath/core/routing/targets.py
+++ b/src/lycheepath/core/routing/targets.py
@@ -114,11 +114,15 @@
     decode_slowness: float = 1.0
     service_s: float = 0.0
     answer_tokens: float = 0.0
-    draining: bool = False
+    drained: bool = False
     cache_sequence: int = -1
     health: TargetHealth = field(default_factory=TargetHealth)
     view: TargetView | None = None
 
+    def is_draining(self) -> bool:
+        """Tell whether the target or anyone else says that it takes no work."""
+        return self.drained or (self.report is not None and self.report.leaving)
+
 
 class TargetBook:
     """State: all targets of the environment and the requests in flight."""
@@ -232,14 +236,17 @@
         own = sum(f.started_at <= measured_at for f in entry.in_flight.values())
         own += sum(start <= measured_at < end for start, end in entry.ends)
         entry.others = max(0, report.running + report.queued - own)
-        entry.draining = report.leaving
         entry.view = None
 
     def drained(self, target: str, draining: bool = True) -> None:
-        """Record that a target takes no new work, or does so again."""
+        """
+        Record what others say of a target: it takes no new work, or does again.
+
+        The target's own word, in its load reports, stands beside it.
+        """
         entry = self._entries.get(target)
         if entry is not None:
-            entry.draining = draining
+            entry.drained = draining
             entry.view = None
 
     def cache_events(self, target: str, events: Iterable[CacheEvent]) -> None:
@@ -310,7 +317,7 @@
             other
             for other in self._entries.values()
             if other.region == entry.region
-            and not other.draining
+            and not other.is_draining()
             and set(other.target.models) & set(entry.target.models)
         ]
         ejected = sum(
@@ -349,7 +356,7 @@
             ejected_until=entry.health.ejected_until,
             on_probation=entry.health.on_probation or entry.health.refusals > 0,
             paused_until=entry.health.paused_until,
-            draining=entry.draining,
+            draining=entry.is_draining(),
             model_states=report.models if report else {},
         )
         return entry.view
--- a/tests/core/routing/conftest.py
+++ b/tests/core/routing/conftest.py
@@ -9,20 +9,20 @@
 from lycheepath.core.environment.model import (
     Environment,
     Host,
+    Limit,
     Link,
     Model,
     Region,
     Stage,
     Target,
     TargetKind,
-    Weights,
     Zone,
 )
 from lycheepath.core.routing.router import Router
 
 
 def build_environment(
-    regions: int = 2, runners: int = 2, weights: Weights | None = None
+    regions: int = 2, runners: int = 2, limits: tuple[Limit, ...] = ()
 ) -> Environment:
     """Return an environment with one zone and one host in each region."""
     names = [f"region-{number}" for number in range(regions)]
@@ -55,7 +55,7 @@
             for right in names
             if left < right
         ),
-        weights=weights or Weights(),
+        limits=limits,
     )
 
 
--- /dev/null
+++ b/tests/core/routing/test_machine.py
@@ -0,0 +1,178 @@
+"""
+A randomised run of the book, the choice and the limits together.
+
+The invariants: residency is never broken, no draining target is chosen, counts
+in flight are never negative and end at zero, the limit's bound holds, and a
+region is never emptied by ejections.
+"""
+
+from __future__ import annotations
+
+from random import Random
+
+from hypothesis import settings, strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from lycheepath.core.environment.model import Limit
+from lycheepath.core.limits.admission import Admission, Limiter
+from lycheepath.core.routing.choice import Choice
+from lycheepath.core.routing.reports import FailureKind, LoadReport, ModelState
+from lycheepath.core.routing.request import RoutedRequest
+from lycheepath.core.routing.router import Router
+
+from .conftest import build_environment
+
+RUNS = 60
+STEPS = 120
+RATE = 2_000.0
+BURST = 20_000.0
+REGIONS = ("region-0", "region-1", "region-2")
+TARGETS = tuple(f"{region}-runner-{n}" for region in REGIONS for n in range(3))
+
+names = st.sampled_from(TARGETS)
+bindings = st.sampled_from((None, *REGIONS))
+
+
+class RoutingMachine(RuleBasedStateMachine):
+    """Drives one host's core by random events in random order."""
+
+    steps = 0
+
+    def __init__(self) -> None:
+        super().__init__()
+        limits = (Limit("*", RATE, BURST),)
+        self.environment = build_environment(3, 3, limits=limits)
+        self.router = Router("host-region-0", "region-0", Random(7))
+        self.router.apply(self.environment)
+        self.limiter = Limiter("host-region-0")
+        self.limiter.apply(self.environment, {"team": ("region-0",)})
+        self.now = 0.0
+        self.count = 0
+        self.admitted = 0.0
+        self.drained: set[str] = set()
+        self.leaving: set[str] = set()
+        self.measured: dict[str, float] = {}
+        self.flying: dict[str, tuple[RoutedRequest, str]] = {}
+
+    @rule(
+        binding=bindings,
+        home=st.sampled_from(REGIONS),
+        tokens=st.integers(1, 8000),
+        prefix=st.integers(0, 5),
+        patience=st.floats(0.01, 120.0),
+    )
+    def send(
+        self, binding: str | None, home: str, tokens: int, prefix: int, patience: float
+    ) -> None:
+        self.count += 1
+        admission = self.limiter.admit("team", tokens, 5, self.now)
+        if not isinstance(admission, Admission):
+            assert admission.retry_after_s > 0.0
+            return
+        self.admitted += tokens
+        blocks = tuple(prefix * 1000 + index for index in range(tokens // 64))
+        request = RoutedRequest(
+            f"q{self.count}",
+            "chat",
+            blocks,
+            tokens,
+            200,
+            5,
+            self.now + patience,
+            home,
+            binding,
+        )
+        choice = self.router.choose(request, self.now)
+        if not isinstance(choice, Choice):
+            self.limiter.settle(admission, 0.0, self.now)
+            self.admitted -= tokens
+            return
+        assert binding in (None, choice.region)
+        assert choice.target.startswith(choice.region)
+        assert choice.target not in self.drained | self.leaving
+        assert self.now + choice.finish_s <= request.deadline
+        assert len(choice.scores) <= 8
+        self.router.start(request, choice, self.now)
+        self.flying[request.id] = (request, choice.target)
+
+    @precondition(lambda self: self.flying)
+    @rule(data=st.data(), kind=st.sampled_from((None, *FailureKind)))
+    def end(self, data: st.DataObject, kind: FailureKind | None) -> None:
+        request_id = data.draw(st.sampled_from(sorted(self.flying)))
+        del self.flying[request_id]
+        book = self.router.book
+        if kind is None:
+            book.first_token(request_id, self.now, cached_tokens=64)
+            book.finished(request_id, self.now, 20)
+            book.finished(request_id, self.now, 20)
+        else:
+            book.failed(request_id, kind, self.now)
+            book.failed(request_id, kind, self.now)
+
+    @rule(name=names, running=st.integers(0, 40), age=st.floats(0.0, 20.0))
+    def report(self, name: str, running: int, age: float) -> None:
+        states = {"chat": ModelState.LOADED}
+        leaving = running % 8 == 0
+        report = LoadReport(running, models=states, leaving=leaving)
+        measured_at = self.now - age
+        self.router.book.load_report(name, report, measured_at)
+        if measured_at >= self.measured.get(name, float("-inf")):
+            self.measured[name] = measured_at
+            (self.leaving.add if leaving else self.leaving.discard)(name)
+
+    @rule(name=names, draining=st.booleans())
+    def drain(self, name: str, draining: bool) -> None:
+        self.router.book.drained(name, draining)
+        (self.drained.add if draining else self.drained.discard)(name)
+
+    @rule(step=st.floats(0.0, 30.0))
+    def wait(self, step: float) -> None:
+        self.now += step
+
+    @rule()
+    def apply_again(self) -> None:
+        self.router.apply(self.environment)
+
+    @invariant()
+    def counts_agree(self) -> None:
+        type(self).steps += 1
+        for target in TARGETS:
+            expected = sum(sent == target for _, sent in self.flying.values())
+            assert self.router.book.in_flight(target) == expected
+
+    @invariant()
+    def limit_holds(self) -> None:
+        assert self.admitted <= RATE * self.now + BURST
+
+    @invariant()
+    def no_region_is_emptied(self) -> None:
+        views = self.router.book.views()
+        for region in REGIONS:
+            alike = [view for view in views if view.region == region]
+            assert sum(self.now < view.ejected_until for view in alike) <= 1
+
+    def teardown(self) -> None:
+        for request_id in self.flying:
+            self.router.book.failed(request_id, FailureKind.CANCELLED, self.now)
+        assert all(self.router.book.in_flight(target) == 0 for target in TARGETS)
+
+
+def test_core_keeps_its_invariants_in_random_runs() -> None:
+    run_state_machine_as_test(
+        RoutingMachine,
+        settings=settings(
+            max_examples=RUNS,
+            stateful_step_count=STEPS,
+            deadline=None,
+            derandomize=True,
+            database=None,
+        ),
+    )
+    print(f"seed: derandomised, steps: {RoutingMachine.steps}")
+    assert RoutingMachine.steps > RUNS
