Let retries avoid unproven targets and a fresh report end a pause

Cause: after a lost region came back, bound requests were refused for the ten seconds by which the list lags, and a retry often went to the next dead runner (up to six attempts for one request). A request that had tried all targets of its bound region was also told that the region has none.

Ruled out: avoiding them by a filter before the choice; for bound requests it can leave targets of other regions only.

Change: tried targets are candidates' rejections like any other; a retry uses a target on probation only as a last resort; a load report measured after the refusal ends the pause. The replay no longer tells ours that a lost target is leaving, which it is not.

--- a/src/lycheepath/core/routing/choice.py
+++ b/src/lycheepath/core/routing/choice.py
@@ -30,6 +30,8 @@
 REPORT_TRUST_S = 5.0
 EXPLAINED_CANDIDATES = 8
 PAUSED = "paused after refused connections"
+UNPROVEN = "on probation, which a retry does not probe"
+LAST_RESORTS = (PAUSED, UNPROVEN)
 DEFAULT_SERVICE_S = 2.0
 HALF_LOADED_SHARE = 0.5
 FAILURE_COST_S = 4.0
@@ -102,19 +104,20 @@
     facts: Facts,
     now: float,
     random: Random,
+    excluded: frozenset[str] = frozenset(),
 ) -> Choice | Absent:
     """
     Return the best target, or why there is none and when to come back.
 
     ``cached`` holds the tokens of the prompt that each target probably has
-    in its cache. Draining and ejected targets and those outside the bound
-    region are never chosen.
+    in its cache. Draining and ejected targets, those outside the bound region
+    and ``excluded`` ones, which the request has tried, are never chosen.
     """
     preferred = [view for view in views if view.id in facts.subset]
     sample = sample_candidates(preferred, cached, request.home_region, random)
-    scored = _score_all(request, sample, cached, facts, now)
+    scored = _score_all(request, sample, cached, facts, now, excluded)
     if not scored.in_time and len(sample) < len(views):
-        scored = _score_all(request, views, cached, facts, now)
+        scored = _score_all(request, views, cached, facts, now, excluded)
     if not scored.scores:
         return _explain_absence(request, views)
     if not scored.accepting:
@@ -224,23 +227,26 @@
     request: RoutedRequest,
     views: Sequence[TargetView],
     now: float,
+    excluded: frozenset[str],
     rejected: dict[str, str],
 ) -> list[TargetView]:
     candidates = []
-    paused = []
+    last_resorts = []
     for view in views:
-        reason = _reject(request, view, now)
+        reason = _reject(request, view, now, excluded)
         if reason is None:
             candidates.append(view)
             continue
-        if reason == PAUSED:
-            paused.append(view)
+        if reason in LAST_RESORTS:
+            last_resorts.append(view)
         if len(rejected) < EXPLAINED_CANDIDATES:
             rejected[view.id] = reason
-    return candidates or paused
+    return candidates or last_resorts
 
 
-def _reject(request: RoutedRequest, view: TargetView, now: float) -> str | None:
+def _reject(
+    request: RoutedRequest, view: TargetView, now: float, excluded: frozenset[str]
+) -> str | None:
     if request.model not in view.models:
         return "does not serve the model"
     if request.bound_region not in (None, view.region):
@@ -249,8 +255,12 @@
         return "draining"
     if now < view.ejected_until:
         return "ejected"
+    if view.id in excluded:
+        return "tried already"
     if now < view.paused_until:
         return PAUSED
+    if view.on_probation and excluded:
+        return UNPROVEN
     if view.on_probation and view.in_flight >= PROBES_AT_ONCE:
         return "on probation with a probe in flight"
     return None
@@ -275,10 +285,11 @@
     cached: Mapping[str, int],
     facts: Facts,
     now: float,
+    excluded: frozenset[str],
 ) -> _Scored:
     """Return the scores of the targets that may serve the request."""
     rejected: dict[str, str] = {}
-    candidates = _find_candidates(request, views, now, rejected)
+    candidates = _find_candidates(request, views, now, excluded, rejected)
     score = make_scorer(request, facts, now)
     scores = [score(view, cached.get(view.id, 0)) for view in candidates]
     scores.sort(key=attrgetter("score_s"))
--- a/src/lycheepath/core/routing/health.py
+++ b/src/lycheepath/core/routing/health.py
@@ -39,6 +39,7 @@
     on_probation: bool = False
     refusals: int = 0
     paused_until: float = 0.0
+    refused_at: float = float("-inf")
 
     def record_success(self) -> None:
         """Count a whole answer; it ends the probation of an ejected target."""
@@ -62,8 +63,14 @@
         """
         pause_s = min(FIRST_PAUSE_S * 2.0**self.refusals, LONGEST_PAUSE_S)
         self.refusals = min(self.refusals + 1, MAX_COUNTED_REFUSALS)
+        self.refused_at = now
         self.paused_until = now + pause_s
 
+    def record_report(self, measured_at: float) -> None:
+        """End the pause of a target that has reported since it refused."""
+        if measured_at > self.refused_at:
+            self.paused_until = 0.0
+
     def record_failure(self, wrong_answer: bool) -> bool:
         """Count a failure; return whether the target should be ejected."""
         self.consecutive += CONSECUTIVE_FAILURES if wrong_answer else 1
--- a/src/lycheepath/core/routing/router.py
+++ b/src/lycheepath/core/routing/router.py
@@ -66,11 +66,15 @@
         """
         if self._facts is None:
             return Absent(Reason.VIEW_TOO_OLD, 1.0, "no environment is in force yet")
-        views = self.book.views()
-        if excluded:
-            views = tuple(view for view in views if view.id not in excluded)
-        cached = self.book.cached_tokens(request)
-        return choose_target(request, views, cached, self._facts, now, self._random)
+        return choose_target(
+            request,
+            self.book.views(),
+            self.book.cached_tokens(request),
+            self._facts,
+            now,
+            self._random,
+            excluded,
+        )
 
     def estimate_cost(self, request: RoutedRequest) -> int:
         """Return the prompt tokens that the warmest target would prefill."""
--- a/src/lycheepath/core/routing/targets.py
+++ b/src/lycheepath/core/routing/targets.py
@@ -233,6 +233,7 @@
             return
         entry.report = report
         entry.measured_at = measured_at
+        entry.health.record_report(measured_at)
         own = sum(f.started_at <= measured_at for f in entry.in_flight.values())
         own += sum(start <= measured_at < end for start, end in entry.ends)
         entry.others = max(0, report.running + report.queued - own)
--- a/traces/policies.py
+++ b/traces/policies.py
@@ -131,13 +131,15 @@
         self.finished = book.finished
         self.failed = book.failed
         self.load_report = book.load_report
-        self.drained = book.drained
 
     def choose(
         self, request: RoutedRequest, now: float, excluded: frozenset[str]
     ) -> Choice | Absent:
         return self.router.choose(request, now, excluded)
 
+    def drained(self, target: str, draining: bool) -> None:
+        """Ignore the list: a lost target is not leaving, and may be back already."""
+
 
 def make_round_robin(
     environment: Environment, host: str, region: str, random: Random
