Keep a repeated handover from replacing a later one; test trials directly

Cause: a handover that the network repeated replaced the one of the next incarnation, so the incarnation after that could run its claims again. Seen by reading, not by the randomised run. And noting that a conviction explains no death at all raised StopIteration. Change: the holder remembers which handovers it has held; direct tests of trial leases, verdicts, suspicions and the mass failure rule, which a test let pass because the verdict's wait hid it; the fleet machine restarts more. Seen failing on a scratch copy, one mechanism taken out at a time: holder's memory, lease of the target, wait for the verdict, suspicion told to peers, trial's end, bound of suspects, mass failure rule, and before: no conviction, no lease of the fingerprint, suspects sent at once, arbiter forgets verdicts, asking prolongs the sentence, old news convict again, bound verdicts told elsewhere, one death convicts.

--- a/src/lycheepath/core/actions/handover.py
+++ b/src/lycheepath/core/actions/handover.py
@@ -69,6 +69,7 @@
     hold_s: float = HOLD_S
     max_held: int = MAX_HELD
     _held: dict[str, _Held] = field(default_factory=dict)
+    _known: dict[tuple[str, str], float] = field(default_factory=dict)
 
     def __len__(self) -> int:
         return len(self._held)
@@ -79,17 +80,20 @@
 
         ``heard_at`` is the holder's own clock value that the leaving process
         had heard before it stopped. A refusal is definite: nothing is held.
+        A repeated handover changes nothing, also after a later incarnation's
+        took its place: it would bring back claims from before that one.
         """
         self.expire(now)
         until = heard_at + self.hold_s
         if now >= until:
             return Absent(Reason.VIEW_TOO_OLD, detail="the handover came too late")
-        held = self._held.get(handover.host)
-        if held is not None and held.handover.incarnation == handover.incarnation:
+        if (handover.host, handover.incarnation) in self._known:
             return None
+        held = self._held.get(handover.host)
         if held is None and len(self._held) >= self.max_held:
             return Absent(Reason.OVERLOADED, RETRY_S)
         self._held[handover.host] = _Held(handover, until)
+        self._known[handover.host, handover.incarnation] = until
         return None
 
     def release(self, host: str, incarnation: str, now: float) -> Handover | Absent:
@@ -113,3 +117,5 @@
         """Drop the handovers whose time is over."""
         for host in [host for host, held in self._held.items() if held.until <= now]:
             del self._held[host]
+        for known in [known for known, until in self._known.items() if until <= now]:
+            del self._known[known]
--- a/src/lycheepath/core/quarantine/arbiter.py
+++ b/src/lycheepath/core/quarantine/arbiter.py
@@ -187,5 +187,7 @@
     for death in deaths:
         explained.pop(death, None)
         explained[death] = now + EVIDENCE_LIFE_S
-    while len(explained) > limit or next(iter(explained.values())) <= now:
+    for death in [death for death, until in explained.items() if until <= now]:
+        del explained[death]
+    while len(explained) > limit:
         del explained[next(iter(explained))]
--- a/tests/core/actions/test_fleet.py
+++ b/tests/core/actions/test_fleet.py
@@ -22,7 +22,16 @@
 )
 CHANGES = (
     *("hear", "hear_all", "leave", "hand_over", "restart", "publish", "adopt"),
-    *("adopt_all", "ask_release", "release_all", "deliver_release", "wait"),
+    *(
+        "restart",
+        "crash",
+        "crash",
+        "adopt_all",
+        "ask_release",
+        "release_all",
+        "deliver_release",
+        "wait",
+    ),
 )
 WAITS_S = (0.1, 1.0, 5.0, 11.0, 30.0, 59.0, 100.0, 135.0)
 RECENT = 3
@@ -250,9 +259,14 @@
         self.fleet.leave(host)
         for index in range(len(self.fleet.handovers)):
             self.fleet.deliver_handover(index)
+        self.crash(place, host, stale)
+
+    def crash(self, place: int, host: str, stale: bool) -> None:
+        """Die and come back at once, and ask for a handover."""
         self.fleet.kill(host)
         self.fleet.start(host, stale)
         self.fleet.fetch_handover(host, lost=False)
+        self.hear_all(place, host, stale)
 
     def publish(self, place: int, host: str, flag: bool) -> None:
         self.fleet.publish(tuple(h for h in HOSTS if h != host))
--- a/tests/core/actions/test_vouching.py
+++ b/tests/core/actions/test_vouching.py
@@ -110,3 +110,13 @@
     assert isinstance(shelf.release("h1", "i1", HOLD_S), Absent)
     assert len(shelf) == 0
     assert isinstance(shelf.accept(HANDOVER, 0.0, HOLD_S), Absent)
+
+
+def test_repeated_handover_does_not_replace_a_later_one() -> None:
+    shelf = HandoverShelf()
+    later = Handover("h1", "i1", 1, 0.0, 0.0, ())
+    assert shelf.accept(HANDOVER, heard_at=0.0, now=1.0) is None
+    assert shelf.release("h1", "i1", 2.0) == HANDOVER
+    assert shelf.accept(later, heard_at=3.0, now=4.0) is None
+    assert shelf.accept(HANDOVER, heard_at=0.0, now=5.0) is None
+    assert shelf.release("h1", "i2", 6.0) == later
--- a/tests/core/quarantine/test_containment.py
+++ b/tests/core/quarantine/test_containment.py
@@ -1,7 +1,8 @@
 from __future__ import annotations
 
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from functools import partial
 
 import pytest
 from hypothesis import strategies as st
@@ -81,25 +82,76 @@
     for number in range(MASS_DEATHS):
         containment.note_death(f"x{number}", "1", 0.0)
     for number in range(2):
-        _, reports = containment.note_death(f"t{number}", "1", 0.0)
+        _, reports = containment.note_death(f"t{number}", "1", 0.0, alone=True)
         verdicts += [arbiter.report(report, 0.0) for report in reports]
     assert verdicts == [None, None]
     _, reports = containment.note_death("t5", "1", 60.0, alone=True)
     assert arbiter.report(reports[0], 60.0) is not None
 
 
+def test_trials_share_neither_request_nor_target() -> None:
+    arbiter = Arbiter(lease_s=20.0)
+    for grant in (
+        partial(arbiter.grant_trial, POISON),
+        partial(arbiter.grant_target, "t1"),
+    ):
+        assert isinstance(grant("h1/r1", 0.0), Trial)
+        assert isinstance(grant("h1/r1", 15.0), Trial)
+        assert isinstance(grant("h2/r2", 30.0), Absent)
+        assert isinstance(grant("h2/r2", 35.0), Trial)
+    arbiter.end_trial("t1", "h1/r1")
+    assert isinstance(arbiter.grant_target("t1", "h1/r1", 36.0), Absent)
+    arbiter.end_trial("t1", "h2/r2")
+    assert isinstance(arbiter.grant_target("t1", "h1/r1", 36.0), Trial)
+
+
+def test_verdict_waits_for_an_explanation_unless_alone() -> None:
+    arbiter = Arbiter()
+    report = Report(POISON, EVERYWHERE, BOTH_DEATHS)
+    assert arbiter.report(replace(report, alone=True), 0.0) is not None
+    for explained, verdict in ((frozenset[Death](), Conviction), (BOTH_DEATHS, Trial)):
+        arbiter = Arbiter()
+        assert arbiter.report(report, 0.0) is None
+        assert isinstance(arbiter.grant_trial(POISON, "h1/r1", 1.0), Absent)
+        arbiter.explain(explained, 1.0)
+        assert isinstance(arbiter.grant_trial(POISON, "h1/r1", 2.0), verdict)
+
+
+def test_trial_is_passed_beyond_the_point_of_the_death() -> None:
+    containment = Containment()
+    containment.start("r", POISON, EVERYWHERE, "t1", trial=False)
+    assert not any(containment.progress("r") for _ in range(6))
+    containment.note_death("t1", "1", 0.0)
+    containment.start("r", POISON, EVERYWHERE, "t2", trial=True)
+    passed = [containment.progress("r") for _ in range(10)]
+    assert passed.index(True) == 7
+    assert passed.count(True) == 1
+
+
+def test_peers_suspicion_sends_a_request_on_trial() -> None:
+    containment = Containment()
+    report = Report(POISON, EVERYWHERE, frozenset({Death("t1", "1")}))
+    assert containment.admit((POISON,), 0.0) is Standing.CLEAR
+    assert containment.hear_suspicion(report, 0.0)
+    assert not containment.hear_suspicion(report, 1.0)
+    assert containment.admit((b"other", POISON), 1.0) is Standing.SUSPECT
+
+
 def test_memory_is_bounded() -> None:
     containment = Containment(max_convictions=10, max_suspects=10)
+    unjudged = Containment(max_suspects=10)
     arbiter = Arbiter(max_tracked=10)
     for number in range(100):
         fingerprint = number.to_bytes(16, "big")
         containment.start("r", fingerprint, EVERYWHERE, "t", trial=True)
         _, reports = containment.note_death("t", str(number), number)
+        unjudged.hear_suspicion(reports[0], number)
         arbiter.report(reports[0], number)
         arbiter.grant_target(f"t{number}", "h", number)
         conviction = Conviction(fingerprint, EVERYWHERE, 9.0 + number, BOTH_DEATHS)
         containment.apply_conviction(conviction, number)
     assert len(containment) <= 20
+    assert len(unjudged) <= 10
     assert len(arbiter) <= 20
 
 
