--- a/Makefile
+++ b/Makefile
@@ -21,5 +21,17 @@
 	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
 	touch $@
 
+demo: $(INSTALLED)
+	$(BIN)/python -m demo.run
+
+binary: $(INSTALLED)
+	$(BIN)/python -m binary.build build/lycheepath
+
+bench: $(INSTALLED)
+	$(BIN)/python -m bench.latency
+	$(BIN)/python -m bench.capacity
+	$(BIN)/python -m bench.memory
+	$(BIN)/python -m bench.start
+
 clean:
 	rm -rf $(VENV) build dist
--- a/src/lycheepath/adapters/http/server.py
+++ b/src/lycheepath/adapters/http/server.py
@@ -4,6 +4,7 @@
 
 import logging
 from functools import partial
+from importlib.resources import files
 from typing import TYPE_CHECKING, Any
 
 from hypercorn.config import Config
@@ -111,6 +112,7 @@
     route("/health", _answer_health)
     route("/ready", _answer_ready)
     route("/metrics", _answer_metrics)
+    route("/openapi.json", _answer_openapi)
     route("/v1/chat/completions", handle_chat, "POST")
     route("/v1/host", handle_host_question)
     route("/v1/tickets", handle_ticket, "POST")
@@ -154,6 +156,11 @@
         application.register_error_handler(status, answer_http_error)
 
 
+async def _answer_openapi(node: Node) -> Response:
+    text = files(__package__).joinpath("openapi.json").read_bytes()
+    return Response(text, content_type="application/json")
+
+
 async def _answer_health(node: Node) -> Response:
     return Response("ok\n", content_type="text/plain")
 
--- a/src/lycheepath/host/member_views.py
+++ b/src/lycheepath/host/member_views.py
@@ -9,6 +9,7 @@
 
 if TYPE_CHECKING:
     from ..core.environment.model import Environment
+    from ..core.membership.messages import RegionSummary
     from .node import Node
 
 STATES = {
@@ -39,3 +40,9 @@
     if member.leaving and state is not MemberState.DEAD:
         return MemberState.LEAVING
     return state
+
+
+def read_summary_states(summary: RegionSummary) -> dict[str, MemberState]:
+    """Return what another region says of its hosts that are not simply live."""
+    leaving = dict.fromkeys(summary.leaving, MemberState.LEAVING)
+    return {**leaving, **dict.fromkeys(summary.down, MemberState.DEAD)}
--- a/src/lycheepath/host/members.py
+++ b/src/lycheepath/host/members.py
@@ -13,6 +13,7 @@
     Joined,
     MemberChanged,
     NewsLearned,
+    RegionChanged,
     Superseded,
     ValueConflict,
     ValueLearned,
@@ -73,6 +74,8 @@
         )
     elif isinstance(action, MemberChanged):
         _note_member(node, action)
+    elif isinstance(action, RegionChanged):
+        node.limiter.update_members(node.member_states())
     elif isinstance(action, NewsLearned):
         _note_news(node, action.news)
     elif isinstance(action, ValueConflict):
--- a/src/lycheepath/host/node.py
+++ b/src/lycheepath/host/node.py
@@ -39,7 +39,7 @@
 from ..core.routing.router import Router
 from ..core.routing.services import ServiceBook
 from .explanations import Explanations
-from .member_views import publish_hosts, read_member_state
+from .member_views import publish_hosts, read_member_state, read_summary_states
 from .queueing import TargetQueue
 
 if TYPE_CHECKING:
@@ -174,6 +174,8 @@
         """
         states = dict(self.listed_states)
         if self.membership is not None:
+            for held in self.membership.regions():
+                states.update(read_summary_states(held.summary))
             for member in self.membership.members():
                 states[member.id] = read_member_state(member)
         if self.lost_regions and self.environment is not None:
