Pick hosts' ports below those of outgoing connections

Cause: a port was picked from the range that the system gives to outgoing connections, some time before the host bound it; on a machine that runs many tests at once another process could take it in between. Ruled out: letting hosts bind port 0, as the published document names ports. Change: ports come from 10,000 to 32,000.

--- a/standins/processes.py
+++ b/standins/processes.py
@@ -13,6 +13,7 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -31,6 +32,7 @@
 POLL_S = 0.02
 READY_LIMIT_S = 20.0
 END_LIMIT_S = 5.0
+FIRST_PORT, LAST_PORT = 10_000, 32_000
 
 
 class ProcessEndedError(Exception):
@@ -144,15 +146,20 @@
 
 
 def pick_port() -> int:
-    """Return a port on loopback that is free for TCP and UDP just now."""
+    """
+    Return a port on loopback that is free for TCP and UDP just now.
+
+    It lies below the ports that systems give to outgoing connections, so that
+    none of these takes it before the process that it is meant for.
+    """
     while True:
+        port = random.randrange(FIRST_PORT, LAST_PORT)
         with (
             socket.socket(socket.AF_INET, socket.SOCK_STREAM) as stream,
             socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams,
         ):
-            stream.bind((LOOPBACK, 0))
-            port = int(stream.getsockname()[1])
             try:
+                stream.bind((LOOPBACK, port))
                 datagrams.bind((LOOPBACK, port))
             except OSError:
                 continue
