Count streamed events as they arrive; compare with the bare libraries

Cause: on a busy machine no request of the heaviest load ended inside the measured time, and events were counted at the end of their request only. Change: the load process counts events as they come; bench.passthrough passes the same streams on with hypercorn and httpx alone, so that the cost of a chunk can be told apart from that of the libraries in the same state of the machine.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -1,57 +1,115 @@
 """
 What one host carries on one core: ``python -m bench.capacity``.
 
-Prints, for growing loads, what was offered, what came through, and the
-processor time of the host; then the same for short whole answers.
+For growing loads of streams it prints what was offered, what came through and
+the processor time of the host, beside the same load through the bare libraries
+(see ``bench.passthrough``). Then it keeps the host busy with short whole
+answers and prints requests a second.
 """
 
 from __future__ import annotations
 
 import argparse
+from typing import TYPE_CHECKING
 
 import trio
 
+from standins.processes import start_process
+
+from .client import Pool, build_body
 from .setting import HOST, open_setting, read_load, start_load
 from .usage import read_usage, share_of_core
 
+if TYPE_CHECKING:
+    from standins.fleet import Fleet
+    from standins.processes import Process
+
 ENGINES = 4
 ENGINE_SLOTS = 200
 TOKEN_MS = 10.0
 WARM_UP_S = 6.0
 TOKENS = 400
+SHORT_CALLERS = 16
 US_PER_S = 1_000_000
 
 
 async def main(options: argparse.Namespace) -> None:
     """Run the benchmark and print its figures."""
     async with open_setting(ENGINES, slots=ENGINE_SLOTS, token_ms=TOKEN_MS) as fleet:
-        host = fleet.processes[HOST]
-        before = read_usage(host.pid)
-        await trio.sleep(options.duration_s)
-        at_rest = share_of_core(before, read_usage(host.pid))
-        print(f"at rest: {at_rest:.2%} of a core")
+        host, bare = fleet.processes[HOST], await _start_passthrough(fleet)
+        await _measure_rest(host, options.duration_s)
         for rate in options.rates:
-            load = start_load(
-                fleet,
-                rate=rate,
-                tokens=TOKENS,
-                warm_up_s=WARM_UP_S,
-                duration_s=options.duration_s,
-            )
-            await trio.sleep(WARM_UP_S)
-            before = read_usage(host.pid)
-            await trio.sleep(options.duration_s)
-            share = share_of_core(before, read_usage(host.pid))
-            result = await read_load(load)
-            per_event_us = share / max(1, result["events_per_s"]) * US_PER_S
-            print(
-                f"offered {rate:g} requests/s, {rate * TOKENS:g} tokens/s: {result}; "
-                f"host {share:.0%} of a core, {per_event_us:.0f} us for each chunk"
-            )
+            for process in (host, bare):
+                await _measure_streams(fleet, process, rate, options.duration_s)
+        await _measure_requests(fleet, host, options.duration_s)
+
+
+async def _start_passthrough(fleet: Fleet) -> Process:
+    target = fleet.processes["runner-0"].address
+    arguments = ["-m", "bench.passthrough", "--target", target]
+    process = await start_process("passthrough", arguments, fleet.directory)
+    fleet.processes[process.name] = process
+    return process
+
+
+async def _measure_rest(process: Process, duration_s: float) -> None:
+    before = read_usage(process.pid)
+    await trio.sleep(duration_s)
+    share = share_of_core(before, read_usage(process.pid))
+    print(f"{process.name} at rest: {share:.2%} of a core")
+
+
+async def _measure_streams(
+    fleet: Fleet, process: Process, rate: float, duration_s: float
+) -> None:
+    load = start_load(
+        fleet,
+        process,
+        rate=rate,
+        tokens=TOKENS,
+        warm_up_s=WARM_UP_S,
+        duration_s=duration_s,
+    )
+    await trio.sleep(WARM_UP_S)
+    before = read_usage(process.pid)
+    await trio.sleep(duration_s)
+    share = share_of_core(before, read_usage(process.pid))
+    result = await read_load(load)
+    chunk_us = share / max(1, result["events_per_s"]) * US_PER_S
+    print(
+        f"{process.name}, offered {rate:g} requests/s and {rate * TOKENS:g} tokens/s: "
+        f"{result}; {share:.0%} of a core, {chunk_us:.0f} us for each chunk",
+        flush=True,
+    )
+
+
+async def _measure_requests(fleet: Fleet, host: Process, duration_s: float) -> None:
+    pool = Pool(host.address, fleet.caller().key)
+    ended = 0
+
+    async def ask_again() -> None:
+        nonlocal ended
+        while True:
+            async with pool.connect() as connection:
+                await connection.complete(build_body("short", 1, stream=False))
+            ended += 1
+
+    before = read_usage(host.pid)
+    async with trio.open_nursery() as nursery:
+        for _ in range(SHORT_CALLERS):
+            nursery.start_soon(ask_again)
+        await trio.sleep(duration_s)
+        nursery.cancel_scope.cancel()
+    share = share_of_core(before, read_usage(host.pid))
+    rate = ended / duration_s
+    print(
+        f"{host.name}, short whole answers: {rate:.0f} requests/s at {share:.0%} of a "
+        f"core, {share / max(1, rate) * 1000:.1f} ms for each"
+    )
 
 
 if __name__ == "__main__":
     parser = argparse.ArgumentParser(description="What one host carries.")
-    parser.add_argument("--rates", type=float, nargs="+", default=[3, 10, 25, 50])
-    parser.add_argument("--duration-s", type=float, default=8.0)
+    parser.add_argument("--rates", type=float, nargs="+", default=[2, 10, 25])
+    parser.add_argument("--duration-s", type=float, default=6.0)
     trio.run(main, parser.parse_args())
--- a/bench/client.py
+++ b/bench/client.py
@@ -21,7 +21,7 @@
 from standins.caller import MODEL, build_messages
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Callable
 
 RECEIVE_BYTES = 65_536
 EVENT_MARK = b"data: "
@@ -60,17 +60,26 @@
         )
         await self.stream_socket.send_all(head.encode() + body)
 
-    async def stream(self, body: bytes) -> Sample:
-        """Send one request and read its stream to the end."""
+    async def stream(
+        self, body: bytes, on_events: Callable[[int], None] = lambda _: None
+    ) -> Sample:
+        """
+        Send one request and read its stream to the end.
+
+        ``on_events`` is told how many events have come, as they come.
+        """
         started = time.perf_counter()
         await self.send(body)
         received = await self._receive_past(b"", TOKEN_MARK)
         first_token_s = time.perf_counter() - started
         events = received.count(EVENT_MARK)
+        on_events(events)
         tail = received
         while not tail.endswith(LAST_CHUNK):
             piece = await self._receive()
-            events += _count_events(tail, piece)
+            arrived = _count_events(tail, piece)
+            events += arrived
+            on_events(arrived)
             tail = (tail + piece)[-len(LAST_CHUNK) - len(EVENT_MARK) :]
         return Sample(first_token_s, time.perf_counter() - started, events)
 
--- a/bench/latency.py
+++ b/bench/latency.py
@@ -43,6 +43,7 @@
         }
         load = start_load(
             fleet,
+            host,
             rate=options.rate,
             tokens=options.tokens,
             warm_up_s=WARM_UP_S,
--- a/bench/load.py
+++ b/bench/load.py
@@ -26,6 +26,10 @@
     failed: int = 0
     detail: str = ""
 
+    def add_events(self, arrived: int) -> None:
+        """Count events as they arrive."""
+        self.events += arrived
+
 
 async def send_load(
     pool: Pool, rate: float, tokens: int, duration_s: float, tally: Tally
@@ -42,13 +46,13 @@
 async def _ask(pool: Pool, text: str, tokens: int, tally: Tally) -> None:
     try:
         async with pool.connect() as connection:
-            sample = await connection.stream(build_body(text, tokens, stream=True))
+            body = build_body(text, tokens, stream=True)
+            await connection.stream(body, tally.add_events)
     except (UnexpectedAnswerError, OSError, trio.BrokenResourceError) as error:
         tally.failed += 1
         tally.detail = repr(error)
         return
     tally.ended += 1
-    tally.events += sample.events
 
 
 async def _main(options: argparse.Namespace) -> None:
--- a/bench/setting.py
+++ b/bench/setting.py
@@ -39,13 +39,14 @@
             yield fleet
 
 
-def start_load(fleet: Fleet, number: int = 0, **options: Any) -> Process:
-    """Start a process that sends load to the host."""
-    arguments = ["-m", "bench.load", "--address", fleet.processes[HOST].address]
+def start_load(fleet: Fleet, target: Process, **options: Any) -> Process:
+    """Start a process that sends load to ``target``."""
+    arguments = ["-m", "bench.load", "--address", target.address]
     arguments += ["--key", fleet.caller().key]
     for name, value in options.items():
         arguments += ["--" + name.replace("_", "-"), str(value)]
-    process = launch_process(f"load-{number}", arguments, fleet.directory)
+    name = f"load-{len(fleet.processes)}"
+    process = launch_process(name, arguments, fleet.directory)
     fleet.processes[process.name] = process
     return process
 
