Send orders to runners from every host

Cause: the planning of orders was not connected to a running host. Ruled out: the shared load reports as the source of a runner's state (they carry neither role nor fencing number). Change: a task that looks at the runners this host may order, re-reads report and clock right before sending, and records each order in the audit trail; one line in host/process.py starts it. Loads are not charged where the document names no weight store. The second candidate takes over after 8 s. Seen failing: with a second candidate that never takes over, the test with a stopped first issuer fails. Conclusion: runners follow the document with one of two issuers paused.

--- a/src/lycheepath/core/orders/planning.py
+++ b/src/lycheepath/core/orders/planning.py
@@ -30,7 +30,7 @@
 
 OBSERVATION_LIFE_S = 5.0
 PLAN_LIFE_S = 1.0
-TAKEOVER_S = 15.0
+TAKEOVER_S = 8.0
 FIRST_RESEND_S = 5.0
 LONGEST_RESEND_S = 60.0
 REFUSED_STATUS = 409
@@ -85,7 +85,7 @@
         self.revision = environment.revision
         self._plan = plan_issuer(environment, self.host)
         self._desired = list_desired(environment)
-        self._weights = {model.id: model.weights_bytes for model in environment.models}
+        self._weights = _list_charges(environment)
         self._progress = {
             runner: progress
             for runner, progress in self._progress.items()
@@ -99,6 +99,10 @@
         """Return the runners whose reports this host needs."""
         return tuple(self._plan.ranks)
 
+    def get_desired(self, runner: str) -> DesiredState | None:
+        """Return what the document in force asks of a runner."""
+        return self._desired.get(runner)
+
     def plan(
         self,
         observed: Mapping[str, ObservedState],
@@ -197,3 +201,10 @@
 
     def _weigh(self, models: tuple[str, ...]) -> int:
         return sum(self._weights.get(model, 0) for model in models)
+
+
+def _list_charges(environment: Environment) -> dict[str, int]:
+    """Return the bytes that a load of each model takes from the store."""
+    if environment.weight_store is None:
+        return {}
+    return {model.id: model.weights_bytes for model in environment.models}
--- a/src/lycheepath/host/process.py
+++ b/src/lycheepath/host/process.py
@@ -22,6 +22,7 @@
 from .loads import poll_targets
 from .members import run_membership
 from .node import Node
+from .orders import run_orders
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -59,6 +60,7 @@
     await bootstrap(node)
     nursery.start_soon(run_membership, node)
     nursery.start_soon(poll_targets, node)
+    nursery.start_soon(run_orders, node)
     nursery.start_soon(renew_releases, node)
     await claim_predecessor(node)
     await establish_vouching(node)
