--- a/src/lycheepath/console/commands/audit.py
+++ b/src/lycheepath/console/commands/audit.py
@@ -13,7 +13,11 @@
 
 
 class AuditCommand(Command):
-    """Prints the changes that a host remembers, one JSON object a line."""
+    """
+    Prints the changes that a host remembers, one JSON object a line.
+
+    Each names its trail: the host's own changes, or the values offered to it.
+    """
 
     name = "audit"
     description = "Prints the audit trail of a host, one JSON record a line."
@@ -25,7 +29,7 @@
         if isinstance(page, PageProblem):
             self.line_error(page.message)
             return 1
-        records = page.get("records", page) if isinstance(page, dict) else page
-        for record in records if isinstance(records, list) else [records]:
-            print_text(self, json.dumps(record))
+        for trail, records in page.items() if isinstance(page, dict) else ():
+            for record in records if isinstance(records, list) else []:
+                print_text(self, json.dumps({"trail": trail, "record": record}))
         return 0
--- a/tests/console/test_commands.py
+++ b/tests/console/test_commands.py
@@ -20,7 +20,10 @@
 PAGES = {
     "/operator/status": {"host": "host-1", "revision": 3},
     "/operator/explain/r%2F1": [{"target": "runner-1"}],
-    "/operator/audit": {"records": [{"kind": "configuration"}, {"kind": "drain"}]},
+    "/operator/audit": {
+        "records": [{"kind": "start"}, {"kind": "drain"}],
+        "configuration": [{"event": "accepted"}],
+    },
 }
 
 
@@ -116,7 +119,9 @@
     monkeypatch.setenv(KEY_VARIABLE, "right")
     assert _run(f"status {host}")[:2] == (0, "host: host-1\nrevision: 3\n")
     assert '"runner-1"' in _run(f"explain {host} r/1")[1]
-    assert len(_run(f"audit {host}")[1].splitlines()) == 2
+    audit = [json.loads(line) for line in _run(f"audit {host}")[1].splitlines()]
+    assert len(audit) == 3
+    assert audit[2] == {"trail": "configuration", "record": {"event": "accepted"}}
     assert _run(f"explain {host} unknown")[0] == 1
 
 
