--- a/src/lycheepath/core/orders/planning.py
+++ b/src/lycheepath/core/orders/planning.py
@@ -99,10 +99,6 @@
         """Return the runners whose reports this host needs."""
         return tuple(self._plan.ranks)
 
-    def get_desired(self, runner: str) -> DesiredState | None:
-        """Return what the document in force asks of a runner."""
-        return self._desired.get(runner)
-
     def plan(
         self,
         observed: Mapping[str, ObservedState],
--- a/src/lycheepath/core/routing/choice.py
+++ b/src/lycheepath/core/routing/choice.py
@@ -11,14 +11,16 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from operator import attrgetter
+from typing import TYPE_CHECKING, NamedTuple
 
 from ..reasons import Absent, Reason
 from .health import PROBES_AT_ONCE
 from .reports import ModelState
+from .subset import sample_candidates
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping, Sequence
+    from collections.abc import Callable, Mapping, Sequence
     from random import Random
 
     from .facts import Facts
@@ -27,24 +29,32 @@
 
 REPORT_TRUST_S = 5.0
 EXPLAINED_CANDIDATES = 8
+PAUSED = "paused after refused connections"
+UNPROVEN = "on probation, which a retry does not probe"
+LAST_RESORTS = (PAUSED, UNPROVEN)
 DEFAULT_SERVICE_S = 2.0
 HALF_LOADED_SHARE = 0.5
 FAILURE_COST_S = 4.0
 TIE_S = 0.02
 AWAY_COST_S = 0.2
 MIN_RETRY_AFTER_S = 0.5
+LENGTH_MARGIN = 2.0
 
 
 class ResidencyError(AssertionError):
     """A request bound to a region was about to leave it."""
 
 
-@dataclass(frozen=True, slots=True)
-class Score:
+class Score(NamedTuple):
     """
     One candidate as the choice saw it; all times in seconds.
 
-    ``score_s`` is what was compared, lowest first.
+    A named tuple, since one is built for each candidate of each request and
+    builds in a third of a frozen dataclass's time.
+
+    ``score_s`` is what was compared, lowest first. ``wait_s`` is the part of
+    the time to the first token that other requests cause, ``load`` the
+    estimated number of requests there, ``fill`` its share of the slots.
     """
 
     target: str
@@ -52,8 +62,10 @@
     score_s: float
     first_token_s: float
     finish_s: float
+    wait_s: float
     cached_tokens: int
     load: float
+    fill: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,6 +82,21 @@
     rejected: Mapping[str, str]
 
 
+@dataclass(frozen=True, slots=True)
+class _Scored:
+    """
+    The scores, best first, and why other targets have none.
+
+    ``accepting`` are those that take more work, ``in_time`` those of them that
+    should finish by the deadline.
+    """
+
+    scores: Sequence[Score]
+    accepting: Sequence[Score]
+    in_time: Sequence[Score]
+    rejected: Mapping[str, str]
+
+
 def choose_target(
     request: RoutedRequest,
     views: Sequence[TargetView],
@@ -77,28 +104,27 @@
     facts: Facts,
     now: float,
     random: Random,
+    excluded: frozenset[str] = frozenset(),
 ) -> Choice | Absent:
     """
     Return the best target, or why there is none and when to come back.
 
     ``cached`` holds the tokens of the prompt that each target probably has
-    in its cache. Draining and ejected targets and those outside the bound
-    region are never chosen.
+    in its cache. Draining and ejected targets, those outside the bound region
+    and ``excluded`` ones, which the request has tried, are never chosen.
     """
-    rejected: dict[str, str] = {}
-    candidates = _find_candidates(request, views, now, rejected)
-    if not candidates:
+    preferred = [view for view in views if view.id in facts.subset]
+    sample = sample_candidates(preferred, cached, request.home_region, random)
+    scored = _score_all(request, sample, cached, facts, now, excluded)
+    if not scored.in_time and len(sample) < len(views):
+        scored = _score_all(request, views, cached, facts, now, excluded)
+    if not scored.scores:
         return _explain_absence(request, views)
-    scores = [
-        score_target(request, view, cached.get(view.id, 0), facts, now)
-        for view in candidates
-    ]
-    scores.sort(key=lambda score: score.score_s)
-    best = _break_tie(scores, random)
-    if now + best.finish_s > request.deadline:
-        best = min(scores, key=lambda score: score.finish_s)
-        if now + best.finish_s > request.deadline:
-            return _refuse_late(candidates)
+    if not scored.accepting:
+        return _refuse_full(scored.scores, facts)
+    if not scored.in_time:
+        return _refuse_late(views)
+    best = _break_tie(scored.in_time, random)
     assert_residency(request, best.region)
     return Choice(
         target=best.target,
@@ -107,8 +133,8 @@
         finish_s=best.finish_s,
         cached_tokens=best.cached_tokens,
         away=best.region != request.home_region,
-        scores=tuple(scores[:EXPLAINED_CANDIDATES]),
-        rejected=rejected,
+        scores=tuple(scored.scores[:EXPLAINED_CANDIDATES]),
+        rejected=scored.rejected,
     )
 
 
@@ -120,46 +146,59 @@
         )
 
 
-def score_target(
-    request: RoutedRequest,
-    view: TargetView,
-    cached_tokens: int,
-    facts: Facts,
-    now: float,
-) -> Score:
-    """Return the estimates and the score of one candidate."""
-    cached = min(cached_tokens, max(0, request.prompt_tokens - 1))
-    load = estimate_load(view, facts.sharers, now)
-    slowness = estimate_slowness(view, now)
-    prefill_s = (request.prompt_tokens - cached) / view.prefill_tokens_per_s
-    backlog_s = view.prefill_tokens / view.prefill_tokens_per_s
-    first_token_s = (
-        2.0 * facts.delay_s.get(view.region, 0.0)
-        + _load_model_s(request.model, view, facts)
-        + _slot_wait_s(view, load)
-        + (backlog_s + prefill_s) * slowness
-    )
-    decode_s = request.max_tokens / view.decode_tokens_per_s * view.decode_slowness
-    weights = facts.weights
-    score_s = (
-        weights.tail_latency * first_token_s
-        + weights.cost * prefill_s * view.accelerators
-        + view.failure_ratio * FAILURE_COST_S
-    )
-    if view.region != request.home_region:
-        score_s += weights.cost * AWAY_COST_S
-    return Score(
-        target=view.id,
-        region=view.region,
-        score_s=score_s,
-        first_token_s=first_token_s,
-        finish_s=first_token_s + decode_s,
-        cached_tokens=cached,
-        load=load,
-    )
+def make_scorer(
+    request: RoutedRequest, facts: Facts, now: float
+) -> Callable[[TargetView, int], Score]:
+    """
+    Return the function that scores a target with its cached tokens.
+
+    What depends on the request alone is looked up once.
+    """
+    prompt_tokens = request.prompt_tokens
+    max_cached = max(0, prompt_tokens - 1)
+    home = request.home_region
+    cost = facts.weights.cost
+    tail = facts.weights.tail_latency
+    pressure = tail if facts.policy.price_pressure else 0.0
+    delay_s = facts.delay_s
+
+    def score(view: TargetView, cached_tokens: int) -> Score:
+        cached = min(cached_tokens, max_cached)
+        region = view.region
+        load = estimate_load(view, now)
+        fill = load / view.slots
+        slowness = estimate_slowness(view, now)
+        prefill_s = (prompt_tokens - cached) / view.prefill_tokens_per_s
+        wait_s = view.prefill_tokens / view.prefill_tokens_per_s * slowness
+        if fill >= 1.0:
+            wait_s += _slot_wait_s(view, load)
+        first_token_s = wait_s + prefill_s * slowness + 2.0 * delay_s.get(region, 0.0)
+        if view.model_states:
+            first_token_s += _load_model_s(request.model, view, facts)
+        decode_s = _expect_tokens(request, view, facts) / view.decode_tokens_per_s
+        score_s = (
+            tail * first_token_s
+            + prefill_s * view.accelerators * (cost + pressure * fill)
+            + view.failure_ratio * FAILURE_COST_S
+        )
+        if region != home:
+            score_s += cost * AWAY_COST_S
+        return Score(
+            view.id,
+            region,
+            score_s,
+            first_token_s,
+            first_token_s + decode_s * view.decode_slowness,
+            wait_s,
+            cached,
+            load,
+            fill,
+        )
 
+    return score
 
-def estimate_load(view: TargetView, sharers: int, now: float) -> float:
+
+def estimate_load(view: TargetView, now: float) -> float:
     """
     Return the estimated number of requests at a target.
 
@@ -167,7 +206,8 @@
     report that told of them.
     """
     age = max(0.0, now - view.measured_at)
-    return view.in_flight + view.others * REPORT_TRUST_S / (REPORT_TRUST_S + age)
+    others = view.others * REPORT_TRUST_S / (REPORT_TRUST_S + age)
+    return view.in_flight + others
 
 
 def estimate_slowness(view: TargetView, now: float) -> float:
@@ -187,19 +227,26 @@
     request: RoutedRequest,
     views: Sequence[TargetView],
     now: float,
+    excluded: frozenset[str],
     rejected: dict[str, str],
 ) -> list[TargetView]:
     candidates = []
+    last_resorts = []
     for view in views:
-        reason = _reject(request, view, now)
+        reason = _reject(request, view, now, excluded)
         if reason is None:
             candidates.append(view)
-        elif len(rejected) < EXPLAINED_CANDIDATES:
+            continue
+        if reason in LAST_RESORTS:
+            last_resorts.append(view)
+        if len(rejected) < EXPLAINED_CANDIDATES:
             rejected[view.id] = reason
-    return candidates
+    return candidates or last_resorts
 
 
-def _reject(request: RoutedRequest, view: TargetView, now: float) -> str | None:
+def _reject(
+    request: RoutedRequest, view: TargetView, now: float, excluded: frozenset[str]
+) -> str | None:
     if request.model not in view.models:
         return "does not serve the model"
     if request.bound_region not in (None, view.region):
@@ -208,6 +255,12 @@
         return "draining"
     if now < view.ejected_until:
         return "ejected"
+    if view.id in excluded:
+        return "tried already"
+    if now < view.paused_until:
+        return PAUSED
+    if view.on_probation and excluded:
+        return UNPROVEN
     if view.on_probation and view.in_flight >= PROBES_AT_ONCE:
         return "on probation with a probe in flight"
     return None
@@ -226,8 +279,56 @@
     return Absent(Reason.NO_TARGET, MIN_RETRY_AFTER_S, "all runners drain or are out")
 
 
-def _refuse_late(candidates: Sequence[TargetView]) -> Absent:
-    shortest = min(view.service_s or DEFAULT_SERVICE_S for view in candidates)
+def _score_all(
+    request: RoutedRequest,
+    views: Sequence[TargetView],
+    cached: Mapping[str, int],
+    facts: Facts,
+    now: float,
+    excluded: frozenset[str],
+) -> _Scored:
+    """Return the scores of the targets that may serve the request."""
+    rejected: dict[str, str] = {}
+    candidates = _find_candidates(request, views, now, excluded, rejected)
+    score = make_scorer(request, facts, now)
+    scores = [score(view, cached.get(view.id, 0)) for view in candidates]
+    scores.sort(key=attrgetter("score_s"))
+    base = _find_base(request, candidates, facts)
+    accepting = _keep_open(scores, base, facts)
+    in_time = [score for score in accepting if now + score.finish_s <= request.deadline]
+    return _Scored(scores, accepting, in_time, rejected)
+
+
+def _find_base(
+    request: RoutedRequest, candidates: Sequence[TargetView], facts: Facts
+) -> str:
+    """Return the region where a request need not look for spare capacity."""
+    if any(view.region == request.home_region for view in candidates):
+        return request.home_region
+    return facts.region
+
+
+def _keep_open(scores: Sequence[Score], home: str, facts: Facts) -> list[Score]:
+    policy = facts.policy
+    return [
+        score
+        for score in scores
+        if score.wait_s <= policy.engine_wait_s
+        and (score.region == home or score.fill <= policy.spill_load)
+    ]
+
+
+def _refuse_full(scores: Sequence[Score], facts: Facts) -> Absent:
+    shortest = min(score.wait_s for score in scores)
+    return Absent(
+        Reason.OVERLOADED,
+        max(MIN_RETRY_AFTER_S, shortest - facts.policy.engine_wait_s),
+        "all runners are full",
+    )
+
+
+def _refuse_late(views: Sequence[TargetView]) -> Absent:
+    shortest = min(view.service_s or DEFAULT_SERVICE_S for view in views)
     return Absent(
         Reason.DEADLINE,
         max(MIN_RETRY_AFTER_S, shortest),
@@ -241,6 +342,12 @@
     return random.choice(near)
 
 
+def _expect_tokens(request: RoutedRequest, view: TargetView, facts: Facts) -> float:
+    if not facts.policy.learn_length or view.answer_tokens == 0.0:
+        return float(request.max_tokens)
+    return min(request.max_tokens, LENGTH_MARGIN * view.answer_tokens)
+
+
 def _load_model_s(model: str, view: TargetView, facts: Facts) -> float:
     state = view.model_states.get(model, ModelState.LOADED)
     if state is ModelState.LOADED:
@@ -250,6 +357,4 @@
 
 
 def _slot_wait_s(view: TargetView, load: float) -> float:
-    if load < view.slots:
-        return 0.0
     return (load - view.slots + 1) / view.slots * (view.service_s or DEFAULT_SERVICE_S)
--- a/src/lycheepath/core/routing/facts.py
+++ b/src/lycheepath/core/routing/facts.py
@@ -3,7 +3,7 @@
 
 The facts are computed once for each revision, not for each request::
 
-    facts = read_facts(environment, host="host-1")
+    facts = read_facts(environment, "host-1", "accra", DEFAULT_POLICY)
 """
 
 from __future__ import annotations
@@ -12,6 +12,9 @@
 from types import MappingProxyType
 from typing import TYPE_CHECKING
 
+from .policy import DEFAULT_POLICY, Policy
+from .subset import compute_subset
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
@@ -28,8 +31,7 @@
 
     ``delay_s`` is the one-way delay from this host to each region.
     ``load_s`` is the time to fetch each model's weights at the full rate of
-    the weight store. ``sharers`` is the number of hosts that use the same
-    targets.
+    the weight store. ``subset`` names the targets that the host uses first.
     """
 
     host: str
@@ -37,10 +39,13 @@
     weights: Weights
     delay_s: Mapping[str, float]
     load_s: Mapping[str, float]
-    sharers: int
+    subset: frozenset[str]
+    policy: Policy = DEFAULT_POLICY
 
 
-def read_facts(environment: Environment, host: str, region: str) -> Facts:
+def read_facts(
+    environment: Environment, host: str, region: str, policy: Policy
+) -> Facts:
     """Return the facts for a host in a region."""
     delays = {
         item.id: _delay_s(environment.links, region, item.id)
@@ -52,7 +57,8 @@
         weights=environment.weights,
         delay_s=MappingProxyType(delays),
         load_s=MappingProxyType(_load_seconds(environment)),
-        sharers=max(1, len(environment.hosts)),
+        subset=compute_subset(environment, host, region),
+        policy=policy,
     )
 
 
--- a/src/lycheepath/core/routing/targets.py
+++ b/src/lycheepath/core/routing/targets.py
@@ -50,10 +50,12 @@
 
     ``in_flight`` counts this host's own requests, ``others`` those of other
     hosts at the time ``measured_at`` of the last load report (minus infinity
-    where there was none), ``echo`` this host's starts since then.
+    where there was none).
     ``prefill_tokens`` are prompt tokens sent from here and not yet answered.
     ``slowness`` compares recent times to the first token with what was
-    expected (1 is as expected); ``oldest_wait_at`` and
+    expected (1 is as expected); ``service_s`` and ``answer_tokens`` are means of
+    recent answers, zero before the first. A target is paused after connections
+    to it failed and on probation until it answers again. ``oldest_wait_at`` and
     ``oldest_wait_estimate_s`` describe the request that has waited longest
     for its first token. ``model_states`` holds what the target reported.
     """
@@ -71,17 +73,18 @@
     prefill_tokens: int
     others: int
     queued: int
-    echo: int
     measured_at: float
     kv_free_tokens: int | None
     slowness: float
     decode_slowness: float
     service_s: float
+    answer_tokens: float
     oldest_wait_at: float
     oldest_wait_estimate_s: float
     failure_ratio: float
     ejected_until: float
     on_probation: bool
+    paused_until: float
     draining: bool
     model_states: Mapping[str, ModelState]
 
@@ -110,11 +113,16 @@
     slowness: float = 1.0
     decode_slowness: float = 1.0
     service_s: float = 0.0
-    draining: bool = False
+    answer_tokens: float = 0.0
+    drained: bool = False
     cache_sequence: int = -1
     health: TargetHealth = field(default_factory=TargetHealth)
     view: TargetView | None = None
 
+    def is_draining(self) -> bool:
+        """Tell whether the target or anyone else says that it takes no work."""
+        return self.drained or (self.report is not None and self.report.leaving)
+
 
 class TargetBook:
     """State: all targets of the environment and the requests in flight."""
@@ -192,7 +200,9 @@
         took = now - flight.started_at
         if entry.service_s == 0.0:
             entry.service_s = took
+            entry.answer_tokens = generated_tokens
         entry.service_s += SERVICE_STEP * (took - entry.service_s)
+        entry.answer_tokens += SERVICE_STEP * (generated_tokens - entry.answer_tokens)
         if flight.first_token_at is not None and generated_tokens > 1:
             nominal = (generated_tokens - 1) / entry.target.decode_tokens_per_s
             observed = (now - flight.first_token_at) / nominal
@@ -209,6 +219,9 @@
         if kind in (FailureKind.CANCELLED, FailureKind.OVERLOADED):
             return
         entry = self._entries[flight.target]
+        if kind is FailureKind.REFUSED:
+            entry.health.record_refusal(now)
+            return
         wrong = kind is FailureKind.WRONG_ANSWER
         if entry.health.record_failure(wrong) and self._may_eject(entry, now):
             entry.health.eject(now)
@@ -220,17 +233,21 @@
             return
         entry.report = report
         entry.measured_at = measured_at
+        entry.health.record_report(measured_at)
         own = sum(f.started_at <= measured_at for f in entry.in_flight.values())
         own += sum(start <= measured_at < end for start, end in entry.ends)
         entry.others = max(0, report.running + report.queued - own)
-        entry.draining = report.leaving
         entry.view = None
 
     def drained(self, target: str, draining: bool = True) -> None:
-        """Record that a target takes no new work, or does so again."""
+        """
+        Record what others say of a target: it takes no new work, or does again.
+
+        The target's own word, in its load reports, stands beside it.
+        """
         entry = self._entries.get(target)
         if entry is not None:
-            entry.draining = draining
+            entry.drained = draining
             entry.view = None
 
     def cache_events(self, target: str, events: Iterable[CacheEvent]) -> None:
@@ -301,7 +318,7 @@
             other
             for other in self._entries.values()
             if other.region == entry.region
-            and not other.draining
+            and not other.is_draining()
             and set(other.target.models) & set(entry.target.models)
         ]
         ejected = sum(
@@ -328,20 +345,19 @@
             prefill_tokens=sum(f.prefill_tokens for f in waiting),
             others=entry.others,
             queued=report.queued if report else 0,
-            echo=sum(
-                f.started_at > entry.measured_at for f in entry.in_flight.values()
-            ),
             measured_at=entry.measured_at,
             kv_free_tokens=report.kv_free_tokens if report else None,
             slowness=entry.slowness,
             decode_slowness=entry.decode_slowness,
             service_s=entry.service_s,
+            answer_tokens=entry.answer_tokens,
             oldest_wait_at=oldest.started_at if oldest else float("inf"),
             oldest_wait_estimate_s=oldest.estimate_s if oldest else 0.0,
             failure_ratio=entry.health.failure_ratio,
             ejected_until=entry.health.ejected_until,
-            on_probation=entry.health.on_probation,
-            draining=entry.draining,
+            on_probation=entry.health.on_probation or entry.health.refusals > 0,
+            paused_until=entry.health.paused_until,
+            draining=entry.is_draining(),
             model_states=report.models if report else {},
         )
         return entry.view
--- a/src/lycheepath/host/node.py
+++ b/src/lycheepath/host/node.py
@@ -10,11 +10,12 @@
 import random
 import time
 from dataclasses import asdict, dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import trio
 
 from ..adapters.audit import AuditRecord, AuditTrail
+from ..adapters.links import reach_all
 from ..adapters.metrics import Metrics
 from ..adapters.peer_requests import PeerRequests
 from ..adapters.targets.engine import EngineClient
@@ -31,13 +32,20 @@
 from ..core.hosts.selection import MemberState
 from ..core.limits.admission import Limiter
 from ..core.membership.rendezvous import computed_readers
+from ..core.orders.planning import OrderIssuer
+from ..core.quarantine.arbiter import Arbiter
+from ..core.quarantine.containment import Containment
 from ..core.retries.budget import HostBudget
 from ..core.routing.router import Router
 from ..core.routing.services import ServiceBook
 from .explanations import Explanations
 from .member_views import publish_hosts, read_member_state
+from .queueing import TargetQueue
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from ..adapters.links import MayReach
     from ..adapters.peers.socket import PeerRunner
     from ..core.configuration.values import HostList
     from ..core.environment.model import Environment, Host, Target
@@ -45,6 +53,8 @@
     from ..core.gossip.values import ValueDigest
     from ..core.membership.model import PublishedHost
     from ..core.membership.node import Membership
+    from ..core.orders.desired import ObservedState
+    from ..ports.targets import Engines, Services
     from ..ports.timers import Pause
     from .owners import OwnerClock
     from .settings import Settings
@@ -72,8 +82,9 @@
     metrics: Metrics = field(default_factory=Metrics)
     audit: AuditTrail = field(default_factory=AuditTrail)
     random: random.Random = field(default_factory=random.Random)
-    engines: EngineClient = field(default_factory=EngineClient)
-    services: ServiceClient = field(default_factory=ServiceClient)
+    may_reach: MayReach = reach_all
+    engines: Engines = field(init=False)
+    services: Services = field(init=False)
     environment: Environment | None = None
     directory: Directory = EMPTY_DIRECTORY
     draining: bool = False
@@ -91,6 +102,10 @@
     watched: dict[str, int] = field(default_factory=dict)
     fetching: set[str] = field(default_factory=set)
     checked: bool = False
+    nursery: trio.Nursery | None = None
+    lost_regions: set[str] = field(default_factory=set)
+    region_checks: dict[str, float] = field(default_factory=dict)
+    use_asked: dict[str, float] = field(default_factory=dict)
     superseded: trio.Event = field(default_factory=trio.Event)
     membership: Membership | None = None
     runner: PeerRunner | None = None
@@ -100,6 +115,12 @@
     _stamp: int = 0
     explanations: Explanations = field(default_factory=Explanations)
     retry_budget: HostBudget = field(default_factory=HostBudget)
+    containment: Containment = field(default_factory=Containment)
+    arbiter: Arbiter = field(default_factory=Arbiter)
+    host_addresses: dict[str, str] = field(default_factory=dict)
+    queue: TargetQueue = field(default_factory=TargetQueue)
+    observed_runners: dict[str, ObservedState] = field(default_factory=dict)
+    orders: OrderIssuer = field(init=False)
     ledger: ActionLedger = field(init=False)
     shelf: HandoverShelf = field(init=False)
     service_book: ServiceBook = field(default_factory=ServiceBook)
@@ -115,6 +136,7 @@
         self.watch_counters()
         self.router = Router(self.settings.host, self.settings.region, self.random)
         self.limiter = Limiter(self.settings.host)
+        self.orders = OrderIssuer(self.settings.host, trio.current_time())
         settings = self.settings
         incarnation = str(self.incarnation)
         self.keeper = Keeper(build_readers(settings.platform.environment))
@@ -124,7 +146,9 @@
             "hosts",
         )
         self.owner = Owner(settings.host, incarnation, settings.listen_callers)
-        self.peers = PeerRequests(settings.host, settings.peer_keys)
+        self.peers = PeerRequests(settings.host, settings.peer_keys, self.may_reach)
+        self.engines = EngineClient(self.may_reach)
+        self.services = ServiceClient(self.may_reach)
         times = settings.actions
         self.ledger = ActionLedger(LedgerLimits(freshness_s=times.freshness_s))
         self.shelf = HandoverShelf(times.hold_s)
@@ -152,6 +176,10 @@
         if self.membership is not None:
             for member in self.membership.members():
                 states[member.id] = read_member_state(member)
+        if self.lost_regions and self.environment is not None:
+            for host in self.environment.hosts:
+                if self.region_of(host) in self.lost_regions:
+                    states[host.id] = MemberState.DEAD
         if self.draining:
             states[self.settings.host] = MemberState.LEAVING
         return states
@@ -162,6 +190,18 @@
         gone = (MemberState.DEAD, MemberState.LEAVING)
         return tuple(h for h in self.region_hosts if states.get(h) not in gone)
 
+    def set_region_lost(self, region: str, lost: bool) -> None:
+        """Note whether another region can be reached."""
+        if lost == (region in self.lost_regions):
+            return
+        if lost:
+            self.lost_regions.add(region)
+        else:
+            self.lost_regions.discard(region)
+        states = ("reachable", "lost") if lost else ("lost", "reachable")
+        self.record(f"region {region}", "request", *states)
+        self.limiter.update_members(self.member_states())
+
     def is_reader(self) -> bool:
         """Whether this host is one that watches the platform for its zone."""
         live = frozenset(self.live_hosts_here())
@@ -180,6 +220,11 @@
         if self.membership is not None:
             self.membership.publish_news(news, self.now(), to)
 
+    def spawn(self, function: Callable[..., Awaitable[Any]], *arguments: Any) -> None:
+        """Run a task beside the caller, for as long as the process serves."""
+        if self.nursery is not None:
+            self.nursery.start_soon(function, *arguments)
+
     def next_stamp(self) -> int:
         """Return a number that tells two publications apart."""
         self._stamp = (self._stamp + 1) % (1 << STAMP_BITS)
@@ -216,10 +261,12 @@
         """Forget the clock of a host whose process may be another now."""
         self.owner_clocks.pop(host, None)
 
+    def is_target_leaving(self, target: str) -> bool:
+        """Whether the target itself, a peer or the list says that it leaves."""
+        return target in self.leaving_targets or target in self.listed_leaving_targets
+
     def _apply_leaving(self, target: str) -> None:
-        leaving = (
-            target in self.leaving_targets or target in self.listed_leaving_targets
-        )
+        leaving = self.is_target_leaving(target)
         self.router.book.drained(target, leaving)
         if leaving:
             self.service_book.draining.add(target)
@@ -239,6 +286,7 @@
         metrics.watch_counters("actions", lambda: asdict(self.ledger.counts))
         metrics.watch_counters("membership", self._read_membership_counters)
         metrics.watch_gauge("in_flight", lambda: self.in_flight)
+        metrics.watch_gauge("queued", lambda: len(self.queue))
         metrics.watch_gauge("claims", lambda: len(self.ledger))
         metrics.watch_gauge("ready", lambda: self.ready)
         metrics.watch_gauge(
@@ -254,7 +302,12 @@
     @property
     def ready(self) -> bool:
         """Whether this host can serve: it has a configuration and isn't leaving."""
-        return self.environment is not None and self.checked and not self.draining
+        return self.configured and self.checked and not self.draining
+
+    @property
+    def configured(self) -> bool:
+        """Whether an environment and a directory of clients are in force."""
+        return self.environment is not None and bool(self.keeper.get("directory"))
 
     def adopt_environment(self, environment: Environment) -> None:
         """Put a configuration in force."""
@@ -266,6 +319,7 @@
         self.zone_regions = {zone.id: zone.region for zone in environment.zones}
         self.targets = {target.id: target for target in environment.targets}
         self.target_by_key = {hash_name(target): target for target in self.targets}
+        self.host_addresses = {h.id: h.callers_address for h in environment.hosts}
         published = publish_hosts(self, environment)
         self.zone_hosts = tuple(h for h in published if h.zone == self.settings.zone)
         self.region_hosts = tuple(
@@ -274,6 +328,7 @@
         if self.membership is not None:
             self.membership.set_published(published)
         self.router.apply(environment)
+        self.orders.apply(environment, self.now())
         self.vouching.apply_revision(environment, self.settings.region, self.now())
         self._apply_limits()
 
--- a/src/lycheepath/host/process.py
+++ b/src/lycheepath/host/process.py
@@ -11,6 +11,7 @@
 import trio
 
 from ..adapters.http.server import serve_http
+from ..adapters.links import reach_all
 from ..adapters.logs import set_up_logs
 from .configuration import bootstrap, follow_platform
 from .handover import (
@@ -22,29 +23,37 @@
 from .loads import poll_targets
 from .members import run_membership
 from .node import Node
-from .orders import run_orders
+from .orders import issue_orders
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from ..adapters.links import MayReach
     from .settings import Settings
 
 DRAIN_POLL_S = 0.05
 EXPIRY_S = 0.5
+QUEUE_S = 0.1
 
 
-def run_host(settings: Settings) -> None:
-    """Run a host until it is told to end and has drained."""
+def run_host(settings: Settings, may_reach: MayReach = reach_all) -> None:
+    """
+    Run a host until it is told to end and has drained.
+
+    ``may_reach`` says which addresses this process can reach at the moment.
+    """
     set_up_logs(settings.log)
-    trio.run(_run_node, settings)
+    trio.run(_run_node, settings, may_reach)
 
 
-async def _run_node(settings: Settings) -> None:
-    node = Node(settings)
+async def _run_node(settings: Settings, may_reach: MayReach) -> None:
+    node = Node(settings, may_reach=may_reach)
     shutdown = trio.Event()
     async with trio.open_nursery() as nursery:
+        node.nursery = nursery
         await nursery.start(node.timers.run)
         node.timers.every("expiry", EXPIRY_S, partial(_expire, node))
+        node.timers.every("queue", QUEUE_S, node.queue.serve)
         binds = await nursery.start(serve_http, node, shutdown.wait)
         _announce(node, binds)
         nursery.start_soon(follow_platform, node)
@@ -60,7 +69,7 @@
     await bootstrap(node)
     nursery.start_soon(run_membership, node)
     nursery.start_soon(poll_targets, node)
-    nursery.start_soon(run_orders, node)
+    nursery.start_soon(issue_orders, node)
     nursery.start_soon(renew_releases, node)
     await claim_predecessor(node)
     await establish_vouching(node)
--- a/tests/promises/test_orders.py
+++ b/tests/promises/test_orders.py
@@ -95,6 +95,6 @@
     for name in HOSTS:
         page = await fleet.client.get(f"{fleet.processes[name].url}/metrics")
         for line in page.text.splitlines():
-            if "orders_sent_total{" in line:
+            if "orders_total{" in line:
                 total += int(float(line.rpartition(" ")[2]))
     return total
--- a/traces/policies.py
+++ b/traces/policies.py
@@ -7,17 +7,18 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Callable
+from dataclasses import replace
+from random import Random
 from typing import TYPE_CHECKING, Protocol
 
+from lycheepath.core.environment.model import Environment
 from lycheepath.core.reasons import Absent, Reason
 from lycheepath.core.routing.choice import Choice
+from lycheepath.core.routing.policy import DEFAULT_POLICY, Policy
 from lycheepath.core.routing.router import Router
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-    from random import Random
-
-    from lycheepath.core.environment.model import Environment
     from lycheepath.core.routing.reports import FailureKind, LoadReport
     from lycheepath.core.routing.request import RoutedRequest
 
@@ -49,6 +50,9 @@
         """Take in what the published list says."""
 
 
+PolicyFactory = Callable[[Environment, str, str, Random], RoutingPolicy]
+
+
 class PlainPolicy:
     """State: in-flight counts and a turn counter, for the field's plain ways."""
 
@@ -127,13 +131,15 @@
         self.finished = book.finished
         self.failed = book.failed
         self.load_report = book.load_report
-        self.drained = book.drained
 
     def choose(
         self, request: RoutedRequest, now: float, excluded: frozenset[str]
     ) -> Choice | Absent:
         return self.router.choose(request, now, excluded)
 
+    def drained(self, target: str, draining: bool) -> None:
+        """Ignore the list: a lost target is not leaving, and may be back already."""
+
 
 def make_round_robin(
     environment: Environment, host: str, region: str, random: Random
@@ -156,18 +162,43 @@
     return PlainPolicy(environment, random, home_only=True, turns=False)
 
 
-def make_ours(
-    environment: Environment, host: str, region: str, random: Random
-) -> RoutingPolicy:
-    """The decision core as it is."""
-    router = Router(host, region, random)
-    router.apply(environment)
-    return OurPolicy(router)
-
+def make_ours(policy: Policy) -> PolicyFactory:
+    """Return a factory of the decision core with these knobs."""
+
+    def make(
+        environment: Environment, host: str, region: str, random: Random
+    ) -> RoutingPolicy:
+        router = Router(host, region, random, policy)
+        router.apply(environment)
+        return OurPolicy(router)
+
+    return make
+
+
+# The versions of the core's policy in the order in which they came.
+_FIRST = Policy(
+    learn_length=False,
+    engine_wait_s=float("inf"),
+    spill_load=float("inf"),
+    price_pressure=False,
+)
+_SECOND = replace(_FIRST, learn_length=True)
+_THIRD = replace(_SECOND, engine_wait_s=1.0)
+_FOURTH = replace(_THIRD, spill_load=0.5)
+_FIFTH = replace(_FOURTH, engine_wait_s=2.0)
+
+VERSIONS = {
+    "ours-1": _FIRST,
+    "ours-2": _SECOND,
+    "ours-3": _THIRD,
+    "ours-4": _FOURTH,
+    "ours-5": _FIFTH,
+    "ours": DEFAULT_POLICY,
+}
 
-POLICIES: dict[str, Callable[[Environment, str, str, Random], RoutingPolicy]] = {
+POLICIES: dict[str, PolicyFactory] = {
     "round-robin": make_round_robin,
     "least-in-flight": make_least_in_flight,
     "home-only": make_home_only,
-    "ours": make_ours,
+    **{name: make_ours(policy) for name, policy in VERSIONS.items()},
 }
--- a/traces/replay.py
+++ b/traces/replay.py
@@ -13,9 +13,9 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-from lycheepath.core.hosts.selection import MemberState, hosts_for
+from lycheepath.core.hosts.selection import MemberState, hosts_anywhere, hosts_for
 from lycheepath.core.limits.admission import Admission, Limiter
-from lycheepath.core.limits.queue import FairQueue, Waiting
+from lycheepath.core.limits.queue import MIN_RETRY_AFTER_S, FairQueue, Waiting
 from lycheepath.core.reasons import Absent, Reason
 from lycheepath.core.retries.budget import HostBudget, RequestBudget, open_budget
 from lycheepath.core.retries.decision import Retry, decide_retry
@@ -45,6 +45,8 @@
 PREFIX_BYTES_PER_TOKEN = 4
 ANSWER_BYTES_PER_TOKEN = 220
 SETTLE_S = 60.0
+MAX_TOKENS = 512
+EXPECTED_ANSWER_TOKENS = 100
 
 
 @dataclass(slots=True)
@@ -75,7 +77,7 @@
 
     def __init__(self, trace: Trace, policy: str, seed: int = 1) -> None:
         self.trace = trace
-        self.random = Random(f"{seed}/{policy}")
+        self.random = Random(seed)
         self.deployment = DEPLOYMENTS[trace.deployment]
         self.environment = build_environment(self.deployment)
         self.loop = Loop()
@@ -210,19 +212,17 @@
 
     def _find_host(self) -> ReplayedHost | None:
         replay = self.replay
-        home = self.request.region
-        others = [r for r in replay.deployment.regions if r != home]
-        for region in [home] if self.request.bound else [home, *others]:
-            answer = hosts_for(
-                self.request.team,
-                str(self.request.conversation),
-                region,
-                replay.environment,
-                replay.members,
-            )
-            if answer:
-                return replay.hosts[answer.hosts[(self.tries - 1) % len(answer.hosts)]]
-        return None
+        find = hosts_for if self.request.bound else hosts_anywhere
+        answer = find(
+            self.request.team,
+            str(self.request.conversation),
+            self.request.region,
+            replay.environment,
+            replay.members,
+        )
+        if not answer:
+            return None
+        return replay.hosts[answer.hosts[(self.tries - 1) % len(answer.hosts)]]
 
 
 class ReplayedHost:
@@ -251,7 +251,7 @@
             return
         now = self.replay.loop.now
         request = caller.request
-        cost = request.prompt_tokens + request.output_tokens
+        cost = request.prompt_tokens + MAX_TOKENS
         admission = Admission(request.team, cost, request.priority)
         if self.ours:
             answer = self.limiter.admit(request.team, cost, request.priority, now)
@@ -268,7 +268,7 @@
         waiting = Waiting(
             request.id,
             serving.caller.request.team,
-            request.prompt_tokens + request.max_tokens,
+            self._estimate_cost(request),
             request.priority,
             request.deadline,
             now,
@@ -280,14 +280,24 @@
         self.queued[request.id] = serving
         self._start_ticking()
 
+    def _estimate_cost(self, request: RoutedRequest) -> float:
+        if isinstance(self.policy, OurPolicy):
+            return self.policy.router.estimate_cost(request) + EXPECTED_ANSWER_TOKENS
+        return request.prompt_tokens
+
     def pump(self) -> None:
         """Start what waits, as far as targets take it."""
         while len(self.queue):
             waiting, expired = self.queue.pop(self.replay.loop.now)
             for late in expired:
-                self.queued.pop(late.id).refuse(1.0)
-            if waiting is None or not self.queued.pop(waiting.id).attempt():
+                self.queued.pop(late.id).refuse(MIN_RETRY_AFTER_S)
+            if waiting is None:
+                return
+            if not self.queued[waiting.id].attempt(queued=True):
+                self.queue.put_back(waiting)
                 return
+            del self.queued[waiting.id]
+            self.queue.confirm(waiting, self.replay.loop.now)
 
     def _start_ticking(self) -> None:
         if not self.ticking:
@@ -319,7 +329,7 @@
             model=MODEL,
             prefix_blocks=chain_blocks(request),
             prompt_tokens=request.prompt_tokens,
-            max_tokens=request.output_tokens,
+            max_tokens=MAX_TOKENS,
             priority=request.priority,
             deadline=request.at_s + request.deadline_s,
             home_region=home,
@@ -330,7 +340,7 @@
         self.work: Work | None = None
         self.ended = False
 
-    def attempt(self) -> bool:
+    def attempt(self, queued: bool = False) -> bool:
         """Choose a target and send; tell whether the request left the queue."""
         replay = self.host.replay
         now = replay.loop.now
@@ -338,7 +348,8 @@
         choice = self.host.policy.choose(self.routed, now, self.excluded)
         if isinstance(choice, Absent):
             if choice.reason is Reason.OVERLOADED and self.host.ours:
-                self.host.enqueue(self)
+                if not queued:
+                    self.host.enqueue(self)
                 return False
             self.refuse(choice.retry_after_s or 1.0)
             return True
@@ -364,7 +375,7 @@
         work = Work(
             self.routed.prefix_blocks,
             self.routed.prompt_tokens,
-            self.routed.max_tokens,
+            self.caller.request.output_tokens,
             self.routed.priority,
             self.caller.request.poison,
             lambda cached: loop.call_later(
@@ -376,7 +387,7 @@
         self.work = work
         if runner.region != self.host.region:
             size = self.routed.prompt_tokens * PREFIX_BYTES_PER_TOKEN
-            size += self.routed.max_tokens * ANSWER_BYTES_PER_TOKEN
+            size += work.output_tokens * ANSWER_BYTES_PER_TOKEN
             self.host.replay.tally.away_bytes += size
         loop.call_later(delay, lambda: self._arrive(runner, work))
         loop.call_at(self.routed.deadline, lambda: self._expire(work))
@@ -403,7 +414,7 @@
             return
         self.ended = True
         now = self.host.replay.loop.now
-        self.host.policy.finished(self.routed.id, now, self.routed.max_tokens)
+        self.host.policy.finished(self.routed.id, now, work.output_tokens)
         self.host.budget.earn()
         self.caller.finished(self.delay)
         if self.host.ours:
