--- a/src/lycheepath/host/orders.py
+++ b/src/lycheepath/host/orders.py
@@ -1,4 +1,10 @@
-"""Sends runners the orders that this host has to issue."""
+"""
+Sends runners the orders that this host has to issue.
+
+Right before an order is sent the runner's report and the clock are read anew,
+since the runner may have restarted and this process may have been paused. A
+draining host orders nothing; the next candidate takes over.
+"""
 
 from __future__ import annotations
 
@@ -7,6 +13,7 @@
 import trio
 
 from ..core.reasons import Absent
+from .loads import refresh_target
 
 if TYPE_CHECKING:
     from ..core.orders.planning import Order
@@ -22,15 +29,17 @@
         await trio.sleep(PLAN_INTERVAL_S * (0.9 + 0.2 * node.random.random()))
         if node.draining:
             continue
-        for order in node.orders.plan(node.observed_runners, {}, node.now()):
-            await _send(node, order)
+        async with trio.open_nursery() as nursery:
+            for order in node.orders.plan(node.observed_runners, {}, node.now()):
+                nursery.start_soon(_send, node, order)
 
 
 async def _send(node: Node, order: Order) -> None:
     target = node.targets.get(order.runner)
-    observed = node.observed_runners.get(order.runner)
-    if target is None or observed is None:
+    if target is None:
         return
+    await refresh_target(node, target)
+    observed = node.observed_runners[order.runner]
     checked = node.orders.recheck(order, observed, node.now())
     if isinstance(checked, Absent):
         node.metrics.count("orders_withheld_total")
