--- a/src/lycheepath/adapters/http/peers.py
+++ b/src/lycheepath/adapters/http/peers.py
@@ -8,7 +8,9 @@
 from quart import Response, request
 
 from ...core.outcomes import Run
+from ...host.admission import describe_use
 from ...host.handover import accept_handover, release_handover, release_moved
+from ...host.quarantine import answer_trial, take_conviction, take_report
 from .answers import ProblemError
 from .problems import Problem
 
@@ -33,6 +35,11 @@
     )
 
 
+async def handle_use(node: Node) -> Response:
+    """Say what this host lately admitted for each team."""
+    return respond_json(describe_use(node))
+
+
 async def handle_value(node: Node, name: str) -> Response:
     """Give the text of a value in force to a peer."""
     held = node.keeper.get(name) if name in node.value_names else None
@@ -60,6 +67,21 @@
     return await _answer(node, release_handover)
 
 
+async def handle_trial(node: Node) -> Response:
+    """Answer for the trials of requests and targets that this host arbitrates."""
+    return await _answer(node, answer_trial)
+
+
+async def handle_suspicion(node: Node) -> Response:
+    """Take evidence against a request that may crash targets."""
+    return await _answer(node, take_report)
+
+
+async def handle_conviction(node: Node) -> Response:
+    """Put a verdict on a request in force."""
+    return await _answer(node, take_conviction)
+
+
 async def handle_moved(node: Node) -> Response:
     """Give up the keys that a document moved to the asking host."""
     return await _answer(node, release_moved)
--- a/src/lycheepath/core/routing/targets.py
+++ b/src/lycheepath/core/routing/targets.py
@@ -54,7 +54,8 @@
     ``prefill_tokens`` are prompt tokens sent from here and not yet answered.
     ``slowness`` compares recent times to the first token with what was
     expected (1 is as expected); ``service_s`` and ``answer_tokens`` are means of
-    recent answers, zero before the first. ``oldest_wait_at`` and
+    recent answers, zero before the first. A target is paused after connections
+    to it failed and on probation until it answers again. ``oldest_wait_at`` and
     ``oldest_wait_estimate_s`` describe the request that has waited longest
     for its first token. ``model_states`` holds what the target reported.
     """
@@ -83,6 +84,7 @@
     failure_ratio: float
     ejected_until: float
     on_probation: bool
+    paused_until: float
     draining: bool
     model_states: Mapping[str, ModelState]
 
@@ -112,11 +114,15 @@
     decode_slowness: float = 1.0
     service_s: float = 0.0
     answer_tokens: float = 0.0
-    draining: bool = False
+    drained: bool = False
     cache_sequence: int = -1
     health: TargetHealth = field(default_factory=TargetHealth)
     view: TargetView | None = None
 
+    def is_draining(self) -> bool:
+        """Tell whether the target or anyone else says that it takes no work."""
+        return self.drained or (self.report is not None and self.report.leaving)
+
 
 class TargetBook:
     """State: all targets of the environment and the requests in flight."""
@@ -213,6 +219,9 @@
         if kind in (FailureKind.CANCELLED, FailureKind.OVERLOADED):
             return
         entry = self._entries[flight.target]
+        if kind is FailureKind.REFUSED:
+            entry.health.record_refusal(now)
+            return
         wrong = kind is FailureKind.WRONG_ANSWER
         if entry.health.record_failure(wrong) and self._may_eject(entry, now):
             entry.health.eject(now)
@@ -224,17 +233,21 @@
             return
         entry.report = report
         entry.measured_at = measured_at
+        entry.health.record_report(measured_at)
         own = sum(f.started_at <= measured_at for f in entry.in_flight.values())
         own += sum(start <= measured_at < end for start, end in entry.ends)
         entry.others = max(0, report.running + report.queued - own)
-        entry.draining = report.leaving
         entry.view = None
 
     def drained(self, target: str, draining: bool = True) -> None:
-        """Record that a target takes no new work, or does so again."""
+        """
+        Record what others say of a target: it takes no new work, or does again.
+
+        The target's own word, in its load reports, stands beside it.
+        """
         entry = self._entries.get(target)
         if entry is not None:
-            entry.draining = draining
+            entry.drained = draining
             entry.view = None
 
     def cache_events(self, target: str, events: Iterable[CacheEvent]) -> None:
@@ -305,7 +318,7 @@
             other
             for other in self._entries.values()
             if other.region == entry.region
-            and not other.draining
+            and not other.is_draining()
             and set(other.target.models) & set(entry.target.models)
         ]
         ejected = sum(
@@ -342,8 +355,9 @@
             oldest_wait_estimate_s=oldest.estimate_s if oldest else 0.0,
             failure_ratio=entry.health.failure_ratio,
             ejected_until=entry.health.ejected_until,
-            on_probation=entry.health.on_probation,
-            draining=entry.draining,
+            on_probation=entry.health.on_probation or entry.health.refusals > 0,
+            paused_until=entry.health.paused_until,
+            draining=entry.is_draining(),
             model_states=report.models if report else {},
         )
         return entry.view
