--- a/src/lycheepath/core/membership/options.py
+++ b/src/lycheepath/core/membership/options.py
@@ -11,15 +11,15 @@
     What may be tuned; the defaults serve nine hosts and 2,200 alike.
 
     A member is probed every ``probe_interval_s`` divided by the number of
-    probers. A probe that goes unanswered for ``probe_timeout_s`` is repeated
-    through ``indirect_probes`` others, and after ``probe_deadline_s`` it is a
-    suspicion. The verdict falls ``suspicion_max_s`` later, or as early as
+    probers. Each ``probe_timeout_s`` without an answer the probe is repeated,
+    directly and through ``indirect_probes`` others, and after
+    ``probe_deadline_s`` it is a suspicion. The verdict falls ``suspicion_max_s`` later, or as early as
     ``suspicion_min_s`` once ``suspicion_accusers`` others agree.
     """
 
     probe_interval_s: float = 1.0
     probe_timeout_s: float = 0.3
-    probe_deadline_s: float = 1.0
+    probe_deadline_s: float = 1.2
     indirect_probes: int = 3
     suspicion_min_s: float = 3.0
     suspicion_max_s: float = 8.0
--- a/src/lycheepath/core/membership/probes.py
+++ b/src/lycheepath/core/membership/probes.py
@@ -42,7 +42,7 @@
     relay_to: str = ""
     relay_echo: int = 0
     region: str = ""
-    repeated: bool = False
+    repeats: int = 0
     answered: bool = False
 
 
--- a/src/lycheepath/core/membership/schedule.py
+++ b/src/lycheepath/core/membership/schedule.py
@@ -73,7 +73,7 @@
             if waited >= options.probe_deadline_s:
                 probe.answered = True
                 suspect(state, probe.member, now)
-            elif waited >= options.probe_timeout_s and not probe.repeated:
+            elif waited >= options.probe_timeout_s * (probe.repeats + 1):
                 _probe_indirectly(state, probe, now)
         elif probe.purpose is Purpose.SUMMARY and waited >= options.probe_deadline_s:
             probe.answered = True
@@ -85,7 +85,7 @@
 
 
 def _probe_indirectly(state: NodeState, probe: Probe, now: float) -> None:
-    probe.repeated = True
+    probe.repeats += 1
     state.send_ping(probe, now)
     unfit = (state.own.id, probe.member)
     count = state.options.indirect_probes
