Pause the silent rest of a region once two of its targets refuse

Cause: each host found each dead runner of a lost region by a request of its own, half a second apiece.

Ruled out: pausing the region on a single refusal; one crashed runner would then empty it for the time of the pause.

Change: a second refusal pauses the region's targets that have not reported for two seconds. They remain the last resort.

--- a/src/lycheepath/core/routing/targets.py
+++ b/src/lycheepath/core/routing/targets.py
@@ -37,6 +37,7 @@
 SERVICE_STEP = 0.1
 RECENT_ENDS = 64
 EMPTY_ESTIMATE_S = 0.01
+SILENT_S = 2.0
 
 
 class InFlightError(AssertionError):
@@ -221,6 +222,7 @@
         entry = self._entries[flight.target]
         if kind is FailureKind.REFUSED:
             entry.health.record_refusal(now)
+            self._pause_region(entry, now)
             return
         wrong = kind is FailureKind.WRONG_ANSWER
         if entry.health.record_failure(wrong) and self._may_eject(entry, now):
@@ -313,6 +315,20 @@
         entry.view = None
         return flight
 
+    def _pause_region(self, entry: _Entry, now: float) -> None:
+        """Pause the region's other targets too once two of them refuse."""
+        alike = [
+            other
+            for other in self._entries.values()
+            if other.region == entry.region and other is not entry
+        ]
+        if not any(now < other.health.paused_until for other in alike):
+            return
+        for other in alike:
+            if other.health.refusals == 0 and other.measured_at < now - SILENT_S:
+                other.health.record_refusal(now)
+                other.view = None
+
     def _may_eject(self, entry: _Entry, now: float) -> bool:
         alike = [
             other
