Keep the record of a prompt that its target has just prefilled

Cause: the record forgot what the engine had not found in its cache, at the very moment when the engine had prefilled and stored it. The next turn of a conversation then counted as cold everywhere. Found by a test of the record.

Ruled out: forgetting at the start of a request; nothing is known then.

Change: at the first token the target holds the whole prompt. A target with at most one request is never full, so that one stuck stream can't close the only runner of a region.

--- a/src/lycheepath/core/routing/choice.py
+++ b/src/lycheepath/core/routing/choice.py
@@ -37,6 +37,7 @@
 FAILURE_COST_S = 4.0
 TIE_S = 0.02
 AWAY_COST_S = 0.2
+ALWAYS_OPEN_LOAD = 1.0
 MIN_RETRY_AFTER_S = 0.5
 LENGTH_MARGIN = 2.0
 
@@ -313,7 +314,7 @@
     return [
         score
         for score in scores
-        if score.wait_s <= policy.engine_wait_s
+        if (score.wait_s <= policy.engine_wait_s or score.load <= ALWAYS_OPEN_LOAD)
         and (score.region == home or score.fill <= policy.spill_load)
     ]
 
--- a/src/lycheepath/core/routing/locality.py
+++ b/src/lycheepath/core/routing/locality.py
@@ -1,8 +1,8 @@
 """
 Which leading blocks of prompts each target probably holds in its cache.
 
-The record is the host's own: what it sent where, mended by what engines
-report (tokens found in the cache, cache events). Engines report late and with
+The record is the host's own: what it sent where, mended by the engines' cache
+events. Engines report late and with
 gaps, and other hosts use the same cache, so the record is a guess that is only
 used to estimate costs. Memory is bounded for each target by the size of its
 cache, the least recently used block going first.
@@ -69,11 +69,6 @@
         if not targets:
             del self._targets[block]
 
-    def correct(self, target: str, blocks: Sequence[int], cached_tokens: int) -> None:
-        """Forget the blocks that the engine said it did not find in its cache."""
-        for block in blocks[cached_tokens // BLOCK_TOKENS :]:
-            self.remove_block(target, block)
-
     def cached_tokens(self, blocks: Sequence[int]) -> dict[str, int]:
         """Return the tokens of this prefix that each target probably holds."""
         cached: dict[str, int] = {}
--- a/src/lycheepath/core/routing/targets.py
+++ b/src/lycheepath/core/routing/targets.py
@@ -8,7 +8,7 @@
     book = TargetBook(host="host-1")
     book.apply(environment)
     book.started(request, "runner-1", now)
-    book.first_token(request.id, now, cached_tokens=512)
+    book.first_token(request.id, now)
     book.finished(request.id, now, generated_tokens=80)
 """
 
@@ -173,10 +173,8 @@
         entry.view = None
         self.locality.store(target, request.prefix_blocks)
 
-    def first_token(
-        self, request_id: str, now: float, cached_tokens: int | None = None
-    ) -> None:
-        """Record the first token, and what the engine found in its cache."""
+    def first_token(self, request_id: str, now: float) -> None:
+        """Record the first token: the target now holds the whole prompt."""
         flight = self._requests.get(request_id)
         if flight is None or flight.first_token_at is not None:
             return
@@ -186,10 +184,7 @@
         observed = min(max(observed, SLOWNESS_FLOOR), SLOWNESS_CEILING)
         entry.slowness += SLOWNESS_STEP * (observed - entry.slowness)
         entry.view = None
-        if cached_tokens is not None:
-            self.locality.correct(
-                flight.target, flight.request.prefix_blocks, cached_tokens
-            )
+        self.locality.store(flight.target, flight.request.prefix_blocks)
 
     def finished(self, request_id: str, now: float, generated_tokens: int) -> None:
         """Record a whole answer."""
--- a/tests/core/routing/conftest.py
+++ b/tests/core/routing/conftest.py
@@ -16,13 +16,17 @@
     Stage,
     Target,
     TargetKind,
+    WeightStore,
     Zone,
 )
 from lycheepath.core.routing.router import Router
 
 
 def build_environment(
-    regions: int = 2, runners: int = 2, limits: tuple[Limit, ...] = ()
+    regions: int = 2,
+    runners: int = 2,
+    limits: tuple[Limit, ...] = (),
+    store: bool = False,
 ) -> Environment:
     """Return an environment with one zone and one host in each region."""
     names = [f"region-{number}" for number in range(regions)]
@@ -48,7 +52,7 @@
             for name in names
             for number in range(runners)
         ),
-        models=(Model("chat"),),
+        models=(Model("chat", weights_bytes=10**9),),
         links=tuple(
             Link((left, right), 30.0)
             for left in names
@@ -56,6 +60,7 @@
             if left < right
         ),
         limits=limits,
+        weight_store=WeightStore(names[0]) if store else None,
     )
 
 
--- a/tests/core/routing/test_machine.py
+++ b/tests/core/routing/test_machine.py
@@ -108,7 +108,7 @@
         del self.flying[request_id]
         book = self.router.book
         if kind is None:
-            book.first_token(request_id, self.now, cached_tokens=64)
+            book.first_token(request_id, self.now)
             book.finished(request_id, self.now, 20)
             book.finished(request_id, self.now, 20)
         else:
--- a/traces/policies.py
+++ b/traces/policies.py
@@ -34,7 +34,7 @@
     def start(self, request: RoutedRequest, choice: Choice, now: float) -> None:
         """Record that a request was sent."""
 
-    def first_token(self, request_id: str, now: float, cached_tokens: int) -> None:
+    def first_token(self, request_id: str, now: float) -> None:
         """Record a first token."""
 
     def finished(self, request_id: str, now: float, generated_tokens: int) -> None:
@@ -93,7 +93,7 @@
         self._in_flight[choice.target] += 1
         self._sent[request.id] = choice.target
 
-    def first_token(self, request_id: str, now: float, cached_tokens: int) -> None:
+    def first_token(self, request_id: str, now: float) -> None:
         pass
 
     def finished(self, request_id: str, now: float, generated_tokens: int) -> None:
--- a/traces/replay.py
+++ b/traces/replay.py
@@ -406,7 +406,7 @@
     def _first_token(self, work: Work, away: bool, cached: int) -> None:
         if self.work is work and not self.ended:
             now = self.host.replay.loop.now
-            self.host.policy.first_token(self.routed.id, now, cached)
+            self.host.policy.first_token(self.routed.id, now)
             self.caller.first_token(self.delay, away, cached)
 
     def _finished(self, work: Work) -> None:
