Charge more for a request away from home

Change: being away costs 0.5 s where only cost counts, 0.2 s before; a knob of the policy, so that the earlier version can be replayed.

--- a/src/lycheepath/core/routing/choice.py
+++ b/src/lycheepath/core/routing/choice.py
@@ -36,7 +36,6 @@
 HALF_LOADED_SHARE = 0.5
 FAILURE_COST_S = 4.0
 TIE_S = 0.02
-AWAY_COST_S = 0.2
 ALWAYS_OPEN_LOAD = 1.0
 MIN_RETRY_AFTER_S = 0.5
 LENGTH_MARGIN = 2.0
@@ -161,6 +160,7 @@
     cost = facts.weights.cost
     tail = facts.weights.tail_latency
     pressure = tail if facts.policy.price_pressure else 0.0
+    away_cost_s = facts.policy.away_cost_s
     delay_s = facts.delay_s
 
     def score(view: TargetView, cached_tokens: int) -> Score:
@@ -183,7 +183,7 @@
             + view.failure_ratio * FAILURE_COST_S
         )
         if region != home:
-            score_s += cost * AWAY_COST_S
+            score_s += cost * away_cost_s
         return Score(
             view.id,
             region,
--- a/src/lycheepath/core/routing/policy.py
+++ b/src/lycheepath/core/routing/policy.py
@@ -24,12 +24,14 @@
     A target outside the home region is used only while its load is at most
     ``spill_load`` of its slots. With ``price_pressure``, prefilling tokens
     again is dearer the fuller a target is, since others wait for it.
+    ``away_cost_s`` is what a request away costs where cost is all that counts.
     """
 
     learn_length: bool = True
     engine_wait_s: float = 2.0
     spill_load: float = 0.5
     price_pressure: bool = True
+    away_cost_s: float = 0.5
 
 
 DEFAULT_POLICY = Policy()
--- a/traces/policies.py
+++ b/traces/policies.py
@@ -181,11 +181,13 @@
     engine_wait_s=float("inf"),
     spill_load=float("inf"),
     price_pressure=False,
+    away_cost_s=0.2,
 )
 _SECOND = replace(_FIRST, learn_length=True)
 _THIRD = replace(_SECOND, engine_wait_s=1.0)
 _FOURTH = replace(_THIRD, spill_load=0.5)
 _FIFTH = replace(_FOURTH, engine_wait_s=2.0)
+_SIXTH = replace(_FIFTH, price_pressure=True)
 
 VERSIONS = {
     "ours-1": _FIRST,
@@ -193,6 +195,7 @@
     "ours-3": _THIRD,
     "ours-4": _FOURTH,
     "ours-5": _FIFTH,
+    "ours-6": _SIXTH,
     "ours": DEFAULT_POLICY,
 }
 
