--- a/src/lycheepath/core/routing/targets.py
+++ b/src/lycheepath/core/routing/targets.py
@@ -8,7 +8,7 @@
     book = TargetBook(host="host-1")
     book.apply(environment)
     book.started(request, "runner-1", now)
-    book.first_token(request.id, now, cached_tokens=512)
+    book.first_token(request.id, now)
     book.finished(request.id, now, generated_tokens=80)
 """
 
@@ -37,6 +37,7 @@
 SERVICE_STEP = 0.1
 RECENT_ENDS = 64
 EMPTY_ESTIMATE_S = 0.01
+SILENT_S = 2.0
 
 
 class InFlightError(AssertionError):
@@ -172,10 +173,8 @@
         entry.view = None
         self.locality.store(target, request.prefix_blocks)
 
-    def first_token(
-        self, request_id: str, now: float, cached_tokens: int | None = None
-    ) -> None:
-        """Record the first token, and what the engine found in its cache."""
+    def first_token(self, request_id: str, now: float) -> None:
+        """Record the first token: the target now holds the whole prompt."""
         flight = self._requests.get(request_id)
         if flight is None or flight.first_token_at is not None:
             return
@@ -185,10 +184,7 @@
         observed = min(max(observed, SLOWNESS_FLOOR), SLOWNESS_CEILING)
         entry.slowness += SLOWNESS_STEP * (observed - entry.slowness)
         entry.view = None
-        if cached_tokens is not None:
-            self.locality.correct(
-                flight.target, flight.request.prefix_blocks, cached_tokens
-            )
+        self.locality.store(flight.target, flight.request.prefix_blocks)
 
     def finished(self, request_id: str, now: float, generated_tokens: int) -> None:
         """Record a whole answer."""
@@ -221,6 +217,7 @@
         entry = self._entries[flight.target]
         if kind is FailureKind.REFUSED:
             entry.health.record_refusal(now)
+            self._pause_region(entry, now)
             return
         wrong = kind is FailureKind.WRONG_ANSWER
         if entry.health.record_failure(wrong) and self._may_eject(entry, now):
@@ -313,6 +310,20 @@
         entry.view = None
         return flight
 
+    def _pause_region(self, entry: _Entry, now: float) -> None:
+        """Pause the region's other targets too once two of them refuse."""
+        alike = [
+            other
+            for other in self._entries.values()
+            if other.region == entry.region and other is not entry
+        ]
+        if not any(now < other.health.paused_until for other in alike):
+            return
+        for other in alike:
+            if other.health.refusals == 0 and other.measured_at < now - SILENT_S:
+                other.health.record_refusal(now)
+                other.view = None
+
     def _may_eject(self, entry: _Entry, now: float) -> bool:
         alike = [
             other
