Read streams at intervals while a host is short of processor time

Change: while the process uses over half of a core, a stream is read every 10 to 40 ms, stepwise; the first token never waits. Ruled out: a fixed interval, which would delay tokens of an idle host.

--- a/src/lycheepath/host/node.py
+++ b/src/lycheepath/host/node.py
@@ -33,6 +33,7 @@
 from ..core.limits.admission import Limiter
 from ..core.membership.rendezvous import computed_readers
 from ..core.orders.planning import OrderIssuer
+from ..core.pacing import Pacer
 from ..core.quarantine.arbiter import Arbiter
 from ..core.quarantine.containment import Containment
 from ..core.retries.budget import HostBudget
@@ -118,6 +119,7 @@
     containment: Containment = field(default_factory=Containment)
     arbiter: Arbiter = field(default_factory=Arbiter)
     host_addresses: dict[str, str] = field(default_factory=dict)
+    pacer: Pacer = field(default_factory=Pacer)
     queue: TargetQueue = field(default_factory=TargetQueue)
     observed_runners: dict[str, ObservedState] = field(default_factory=dict)
     orders: OrderIssuer = field(init=False)
@@ -288,6 +290,7 @@
         metrics.watch_counters("actions", lambda: asdict(self.ledger.counts))
         metrics.watch_counters("membership", self._read_membership_counters)
         metrics.watch_gauge("in_flight", lambda: self.in_flight)
+        metrics.watch_gauge("pace_seconds", lambda: self.pacer.pace_s)
         metrics.watch_gauge("queued", lambda: len(self.queue))
         metrics.watch_gauge("claims", lambda: len(self.ledger))
         metrics.watch_gauge("ready", lambda: self.ready)
--- a/src/lycheepath/host/process.py
+++ b/src/lycheepath/host/process.py
@@ -4,6 +4,7 @@
 
 import signal
 import sys
+import time
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -34,6 +35,7 @@
 DRAIN_POLL_S = 0.05
 EXPIRY_S = 0.5
 QUEUE_S = 0.1
+PACE_S = 0.5
 
 
 def run_host(settings: Settings, may_reach: MayReach = reach_all) -> None:
@@ -53,6 +55,7 @@
         node.nursery = nursery
         await nursery.start(node.timers.run)
         node.timers.every("expiry", EXPIRY_S, partial(_expire, node))
+        node.timers.every("pace", PACE_S, _build_pace_timer(node))
         node.timers.every("queue", QUEUE_S, node.queue.serve)
         binds = await nursery.start(serve_http, node, shutdown.wait)
         _announce(node, binds)
@@ -102,6 +105,20 @@
             return
 
 
+def _build_pace_timer(node: Node) -> Callable[[float], None]:
+    """Return a timer's action that measures how busy the process is."""
+    used_s = time.process_time()
+    measured_at = node.now()
+
+    def adjust(now: float) -> None:
+        nonlocal used_s, measured_at
+        present_s = time.process_time()
+        node.pacer.adjust((present_s - used_s) / max(now - measured_at, PACE_S / 2))
+        used_s, measured_at = present_s, now
+
+    return adjust
+
+
 def _expire(node: Node, now: float) -> None:
     node.shelf.expire(now)
     node.ledger.expire(now)
