State what became of a copy only where it is certain; answer known claims

Cause: a refusal said by default that its copy was not run, also where a forwarded request had left for its owner and where a repeatable call was tried: a caller going on with a ticket could have run the action twice. And a duplicate with an expired ticket got unknown though its claim was remembered. Change: the default is unknown; refuse_copy says not run; the forwarding host passes on whether bytes left. A remembered claim is answered exactly for as long as it is remembered. Conclusion: the statement is now safe to act on.

--- a/src/lycheepath/core/actions/claims.py
+++ b/src/lycheepath/core/actions/claims.py
@@ -126,12 +126,23 @@
     reason: Reason
     retry_after_s: float = 0.0
     detail: str = ""
-    copy: Run = Run.NOT_RUN
+    copy: Run = Run.UNKNOWN
 
 
 Begun: TypeAlias = Permit | Replay | Refusal
 
 
+def refuse_copy(
+    status: int,
+    run: Run,
+    reason: Reason,
+    retry_after_s: float = 0.0,
+    detail: str = "",
+) -> Refusal:
+    """Refuse a request of which this copy certainly runs nothing."""
+    return Refusal(status, run, reason, retry_after_s, detail, Run.NOT_RUN)
+
+
 def fingerprint_request(method: str, target: str, body: bytes) -> bytes:
     """Digest what a request asks for; ``target`` is its path and query."""
     return digest_fields(FINGERPRINT_BYTES, method.encode(), target.encode(), body)
--- a/src/lycheepath/core/actions/ledger.py
+++ b/src/lycheepath/core/actions/ledger.py
@@ -33,6 +33,7 @@
     Refusal,
     Replay,
     Run,
+    refuse_copy,
 )
 from .handover import HandoverRecord
 
@@ -150,16 +151,19 @@
         Claim the right to run an action, or say what became of it.
 
         Returns a ``Permit`` to the first request of a claim, the recorded
-        answer to a duplicate, and otherwise a refusal at once.
+        answer to a duplicate, and otherwise a refusal at once. A duplicate is
+        answered for as long as its claim is remembered, also when its ticket
+        has expired or it waited too long to begin.
         """
         self.expire(now)
-        too_late = self._refuse_outdated(claim, terms, now)
-        if too_late is not None:
-            return too_late
-        expires_at = self._expiry(terms, now)
+        outdated = self._refuse_outdated(claim, terms, now)
         record = self._records.get(claim)
         if record is not None:
+            expires_at = record.expires_at if outdated else self._expiry(terms, now)
             return self._answer_duplicate(record, fingerprint, expires_at)
+        if outdated is not None:
+            return outdated
+        expires_at = self._expiry(terms, now)
         unavailable = self._refuse_unavailable(claim, now)
         if unavailable is not None:
             return unavailable
@@ -354,12 +358,14 @@
         self.expire(now)
         offset = self._predecessors.get(incarnation)
         if offset is None:
-            return Refusal(410, Run.UNKNOWN, Reason.TICKET_VOID, detail=_ASK_TICKET)
-        if expires_at + offset <= now:
-            return Refusal(410, Run.UNKNOWN, Reason.TICKET_EXPIRED, detail=_ASK_TICKET)
+            return refuse_copy(410, Run.UNKNOWN, Reason.TICKET_VOID, detail=_ASK_TICKET)
         record = self._records.get(claim)
+        if record is None and expires_at + offset <= now:
+            return refuse_copy(
+                410, Run.UNKNOWN, Reason.TICKET_EXPIRED, detail=_ASK_TICKET
+            )
         if record is None:
-            return Refusal(410, Run.NOT_RUN, Reason.TICKET_VOID, detail=_ASK_TICKET)
+            return refuse_copy(410, Run.NOT_RUN, Reason.TICKET_VOID, detail=_ASK_TICKET)
         answer = self._answer_duplicate(record, fingerprint, record.expires_at)
         if isinstance(answer, Permit):
             raise ActionInvariantError("a void ticket was about to run")
@@ -375,12 +381,14 @@
         self, claim: Claim, terms: Terms, now: float
     ) -> Refusal | None:
         if len(claim.key) > MAX_KEY_CHARS:
-            return Refusal(400, Run.UNKNOWN, Reason.KEY_TOO_LONG)
+            return refuse_copy(400, Run.UNKNOWN, Reason.KEY_TOO_LONG)
         if terms.ticket_expires_at is not None and now >= terms.ticket_expires_at:
-            return Refusal(410, Run.UNKNOWN, Reason.TICKET_EXPIRED, detail=_ASK_TICKET)
+            return refuse_copy(
+                410, Run.UNKNOWN, Reason.TICKET_EXPIRED, detail=_ASK_TICKET
+            )
         if now - terms.heard_at > self.limits.freshness_s:
             self.counts.refused_stale += 1
-            return Refusal(
+            return refuse_copy(
                 503,
                 Run.UNKNOWN,
                 Reason.VIEW_TOO_OLD,
@@ -394,14 +402,16 @@
     ) -> Begun:
         record.expires_at = max(record.expires_at, expires_at)
         if record.fingerprint != fingerprint:
-            return Refusal(
+            return refuse_copy(
                 422,
                 Run.NOT_RUN,
                 Reason.KEY_REUSED,
                 detail="the key belongs to another request; use a new key",
             )
         if record.state in _IN_FLIGHT:
-            return Refusal(409, Run.UNKNOWN, Reason.IN_PROGRESS, IN_PROGRESS_RETRY_S)
+            return refuse_copy(
+                409, Run.UNKNOWN, Reason.IN_PROGRESS, IN_PROGRESS_RETRY_S
+            )
         if record.state is State.CANCELLED:
             return _cancelled_refusal(record.reason)
         if record.state is State.LOST or record.answer is None:
@@ -411,7 +421,7 @@
 
     def _refuse_unavailable(self, claim: Claim, now: float) -> Refusal | None:
         if self._closed:
-            return Refusal(503, Run.UNKNOWN, Reason.DRAINING, IN_PROGRESS_RETRY_S)
+            return refuse_copy(503, Run.UNKNOWN, Reason.DRAINING, IN_PROGRESS_RETRY_S)
         full = (
             len(self._records) >= self.limits.max_claims
             or self._team_claims[claim.team] >= self.limits.max_team_claims
@@ -420,7 +430,7 @@
             return None
         self.counts.refused_full += 1
         retry_after_s = max(IN_PROGRESS_RETRY_S, self._next_expiry(now) - now)
-        return Refusal(503, Run.UNKNOWN, Reason.OVERLOADED, retry_after_s)
+        return refuse_copy(503, Run.UNKNOWN, Reason.OVERLOADED, retry_after_s)
 
     def _next_expiry(self, now: float) -> float:
         return self._expiries[0][0] if self._expiries else now
@@ -541,7 +551,7 @@
 
 
 def _cancelled_refusal(reason: Reason) -> Refusal:
-    return Refusal(
+    return refuse_copy(
         503,
         Run.NOT_RUN,
         reason,
@@ -559,7 +569,6 @@
         Run.UNKNOWN,
         Reason.ANSWER_LOST,
         detail="sent, but no whole answer came; it will not be sent again",
-        copy=Run.UNKNOWN,
     )
 
 
--- a/src/lycheepath/core/actions/ownership.py
+++ b/src/lycheepath/core/actions/ownership.py
@@ -15,7 +15,7 @@
 from typing import TYPE_CHECKING, TypeAlias
 
 from ..reasons import Absent, Reason
-from .claims import Claim, Refusal, Run
+from .claims import Claim, Refusal, Run, refuse_copy
 from .issuance import issuer_for, map_host_regions
 from .tickets import verify_ticket
 
@@ -89,7 +89,7 @@
         return _locate_by_ticket(request, me, environment, keys)
     if request.key:
         return _locate_by_key(request, me, environment)
-    return Refusal(
+    return refuse_copy(
         428,
         Run.NOT_RUN,
         Reason.TICKET_NEEDED,
@@ -117,7 +117,7 @@
 
 def refuse_unvouched(absent: Absent) -> Refusal:
     """Turn a refusal of ``Vouching.check`` into an answer."""
-    return Refusal(
+    return refuse_copy(
         503,
         Run.UNKNOWN,
         absent.reason,
@@ -135,9 +135,9 @@
 ) -> Located:
     ticket = verify_ticket(request.ticket, keys, request.team, request.service)
     if isinstance(ticket, Absent):
-        return Refusal(400, Run.UNKNOWN, ticket.reason, detail=ticket.detail)
+        return refuse_copy(400, Run.UNKNOWN, ticket.reason, detail=ticket.detail)
     if request.key:
-        return Refusal(
+        return refuse_copy(
             422,
             Run.UNKNOWN,
             Reason.KEY_REUSED,
@@ -175,7 +175,7 @@
     request: ActionRequest, host: str, claim: Claim, environment: Environment
 ) -> Located:
     if request.forwarded:
-        return Refusal(
+        return refuse_copy(
             503, Run.UNKNOWN, Reason.ALREADY_FORWARDED, OWNER_RETRY_S, "ask again"
         )
     if map_host_regions(environment).get(host) != request.region:
--- a/src/lycheepath/host/actions.py
+++ b/src/lycheepath/host/actions.py
@@ -273,7 +273,7 @@
 def _refuse(absent: Absent, run: Run) -> Refusal:
     status = 404 if absent.reason is Reason.NO_SUCH_SERVICE else 503
     retry_after_s = absent.retry_after_s or RETRY_AFTER_S
-    return Refusal(status, run, absent.reason, retry_after_s, absent.detail)
+    return Refusal(status, run, absent.reason, retry_after_s, absent.detail, run)
 
 
 def _replay(replay: Replay) -> Ran:
--- a/tests/core/actions/test_ledger.py
+++ b/tests/core/actions/test_ledger.py
@@ -98,6 +98,9 @@
     ticket = replace(TERMS, heard_at=5.0, ticket_expires_at=5.0)
     expired = ledger.begin(CLAIM, b"print", ticket, 5.0)
     assert_refused(expired, Run.UNKNOWN, Reason.TICKET_EXPIRED)
+    ledger.fail(take_permit(ledger), Reason.NO_TARGET)
+    known = ledger.begin(CLAIM, b"print", ticket, 5.0)
+    assert_refused(known, Run.NOT_RUN, Reason.NO_TARGET)
 
 
 def test_full_ledger_refuses_rather_than_forgets() -> None:
