--- a/traces/report.py
+++ b/traces/report.py
@@ -1,14 +1,15 @@
 """
 Prints the tables of ``docs/POLICY.md``.
 
-``python -m traces.report [DEPLOYMENT] [SCENARIO] [POLICY,POLICY]``. Each figure is the mean
-of replays with the seeds ``SEEDS``.
+``python -m traces.report [DEPLOYMENT] [SCENARIO] [POLICY,POLICY] [SEED,SEED]``
+Each figure is the mean of replays with the seeds, by default ``SEEDS``.
 """
 
 from __future__ import annotations
 
 import sys
 from time import perf_counter
+from typing import TYPE_CHECKING
 
 from .deployments import DEPLOYMENTS
 from .figures import average, compute_figures, format_table
@@ -17,28 +18,34 @@
 from .replay import Replay
 from .trace import read_trace
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
 SEEDS = (1, 2, 3)
 
 
 def main(arguments: list[str]) -> None:
     """Replay the recorded traces and print a table for each."""
-    wanted = [*arguments, "", "", ""][:3]
+    wanted = [*arguments, "", "", "", ""][:4]
     policies = wanted[2].split(",") if wanted[2] else list(POLICIES)
+    seeds = [int(seed) for seed in wanted[3].split(",") if seed] or SEEDS
     for deployment in DEPLOYMENTS:
         for scenario in SCENARIOS:
             if wanted[0] not in ("", deployment) or wanted[1] not in ("", scenario):
                 continue
             print(f"\n### {deployment}, {scenario}\n")
-            print(_replay(deployment, scenario, policies))
+            print(_replay(deployment, scenario, policies, seeds))
 
 
-def _replay(deployment: str, scenario: str, policies: list[str]) -> str:
+def _replay(
+    deployment: str, scenario: str, policies: list[str], seeds: Sequence[int]
+) -> str:
     trace = read_trace(RECORDED / f"{deployment}-{scenario}.csv.gz")
     rows = []
     for policy in policies:
         started = perf_counter()
         samples = []
-        for seed in SEEDS:
+        for seed in seeds:
             replay = Replay(trace, policy, seed)
             replay.run()
             samples.append(compute_figures(replay))
