Bound what a peer with the key can say

Cause: a hostile-peer test (random messages with extreme counters, signed) crashed the host: a refutation of 2**32 - 1 about it has no successor on the wire; a host name as address would be looked up on the loop; a port beyond 65,535 raises OverflowError. Ruled out: catching every exception around the core (it would hide broken invariants). Change: incarnations beyond 2**63 and refutations beyond 2**31 are refused and counted; addresses have to be IP numbers with a port when decoded.

--- a/src/lycheepath/adapters/peers/codec.py
+++ b/src/lycheepath/adapters/peers/codec.py
@@ -9,7 +9,9 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from functools import lru_cache
 from importlib import resources
+from ipaddress import ip_address
 from typing import Any
 
 import capnp
@@ -25,6 +27,8 @@
 MAX_ITEMS = 128
 MAX_NAMES = 64
 MAX_TEXT = 128
+MAX_ADDRESSES = 4096
+MAX_PORT = 65_535
 STATES = tuple(State)
 STATE_NUMBERS = {state: state.value for state in State}
 KINDS = {kind.value: kind for kind in Kind}
@@ -178,7 +182,7 @@
 
 
 def _read_member(reader: Any, region: str) -> Member:
-    peers_address = _text(reader.peersAddress)
+    peers_address = _address(reader.peersAddress)
     return Member(
         id=_name(reader.id),
         incarnation=reader.incarnation,
@@ -186,7 +190,9 @@
         state=STATES[reader.state],
         leaving=reader.leaving,
         peers_address=peers_address,
-        callers_address=_lengthen_address(_text(reader.callersAddress), peers_address),
+        callers_address=_address(
+            _lengthen_address(reader.callersAddress, peers_address)
+        ),
         zone=_text(reader.zone),
         region=_text(reader.region) or (region if peers_address else ""),
         accuser=_text(reader.accuser),
@@ -218,7 +224,7 @@
         alive=reader.alive,
         down=tuple(_text(name) for name in _items(reader.down, MAX_NAMES)),
         leaving=tuple(_text(name) for name in _items(reader.leaving, MAX_NAMES)),
-        contacts=tuple(_text(name) for name in _items(reader.contacts, MAX_NAMES)),
+        contacts=tuple(_address(name) for name in _items(reader.contacts, MAX_NAMES)),
         age_ms=reader.ageMs,
     )
 
@@ -235,6 +241,18 @@
     return text
 
 
+@lru_cache(MAX_ADDRESSES)
+def _address(text: str) -> str:
+    """Return ``text`` if it is empty or an IP number with a port."""
+    if not text:
+        return text
+    ip, _, port = _text(text).rpartition(":")
+    if not port.isdecimal() or int(port) > MAX_PORT:
+        raise DecodeError("address without a port")
+    ip_address(ip.strip("[]"))
+    return text
+
+
 def _name(text: str) -> str:
     if not text:
         raise DecodeError("name missing")
--- a/src/lycheepath/adapters/peers/socket.py
+++ b/src/lycheepath/adapters/peers/socket.py
@@ -128,7 +128,7 @@
         self.counters["sent_bytes"] += len(datagram)
         try:
             self._socket.sendto(datagram, split_address(action.address))
-        except (OSError, ValueError):
+        except (OSError, ValueError, OverflowError):
             self.counters["send_errors"] += 1
 
 
--- a/src/lycheepath/core/membership/reception.py
+++ b/src/lycheepath/core/membership/reception.py
@@ -26,6 +26,8 @@
     from .model import Member
     from .state import NodeState
 
+MAX_INCARNATION = 2**63
+MAX_REFUTATION = 2**31
 CHALLENGE_ECHO_SPAN = 100_000
 
 
@@ -148,6 +150,9 @@
 def _learn_member(
     state: NodeState, message: Message, member: Member, now: float
 ) -> None:
+    if member.incarnation > MAX_INCARNATION or member.refutation > MAX_REFUTATION:
+        state.counters["dropped_implausible"] += 1
+        return
     if member.id == state.own.id:
         hear_about_self(state, member, now)
         return
