Keep the connection to an engine after a whole answer; load certificates once

Cause: a profile of short answers showed a connect and a close for each chat (338 connects for 331 requests): the host left the stream at the last token, before the end of the body, so that its connection could not be kept, and an engine could take the close for a hang-up. A profile of the start showed the certificate authorities loaded four times, once for each client. Ruled out: the pool's bound (64 kept) and the engines closing first. Change: after the last token the rest of the body is read, for 0.1 s at most; one set of authorities serves all clients.

--- a/src/lycheepath/adapters/links.py
+++ b/src/lycheepath/adapters/links.py
@@ -8,12 +8,14 @@
 
 from __future__ import annotations
 
+from functools import cache
 from typing import TYPE_CHECKING
 
 import httpx
 import trio
 
 if TYPE_CHECKING:
+    import ssl
     from collections.abc import Callable
 
     MayReach = Callable[[str], bool]
@@ -32,12 +34,18 @@
 ) -> httpx.AsyncBaseTransport:
     """Return a transport without a bound on connections, keeping ``most_kept``."""
     limits = httpx.Limits(max_connections=None, max_keepalive_connections=most_kept)
-    transport = httpx.AsyncHTTPTransport(limits=limits)
+    transport = httpx.AsyncHTTPTransport(verify=_load_authorities(), limits=limits)
     if may_reach is reach_all:
         return transport
     return _CutTransport(transport, may_reach)
 
 
+@cache
+def _load_authorities() -> ssl.SSLContext:
+    """Load the certificate authorities once for all clients of the process."""
+    return httpx.create_ssl_context(trust_env=False)
+
+
 class _CutTransport(httpx.AsyncBaseTransport):
     def __init__(
         self, transport: httpx.AsyncBaseTransport, may_reach: MayReach
--- a/src/lycheepath/adapters/targets/engine.py
+++ b/src/lycheepath/adapters/targets/engine.py
@@ -8,22 +8,24 @@
 
 from __future__ import annotations
 
-from contextlib import asynccontextmanager
+from contextlib import aclosing, asynccontextmanager
 from typing import TYPE_CHECKING, Any
 
 import httpx
 import orjson
+import trio
 
 from ...ports.targets import EngineRequest, TargetFailureError
 from ..links import build_transport, reach_all
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncGenerator, AsyncIterator
 
     from ..links import MayReach
 
 CONNECT_TIMEOUT_S = 1.0
 STALL_TIMEOUT_S = 10.0
+REST_LIMIT_S = 0.1
 LARGEST_EVENT_BYTES = 1_000_000
 
 
@@ -44,8 +46,9 @@
         """
         Open a stream and yield an iterator over lists of event payloads.
 
-        Raises ``TargetFailureError``. Leaving the context closes the
-        connection, which cancels the work at the engine.
+        Raises ``TargetFailureError``. Leaving the context by an exception closes
+        the connection, which cancels the work at the engine; leaving it after
+        the last token reads to the end, so that the connection is kept.
         """
         url = f"http://{address}/v1/chat/completions"
         content = orjson.dumps(_engine_body(request))
@@ -63,7 +66,9 @@
                         sent=True,
                         status=answer.status_code,
                     )
-                yield _read_events(answer)
+                async with aclosing(_read_events(answer)) as events:
+                    yield events
+                    await _read_rest(events)
         except (httpx.ConnectError, httpx.ConnectTimeout) as error:
             raise TargetFailureError(repr(error), sent=False) from error
         except httpx.HTTPError as error:
@@ -110,7 +115,13 @@
     return body
 
 
-async def _read_events(answer: httpx.Response) -> AsyncIterator[list[bytes]]:
+async def _read_rest(events: AsyncIterator[list[bytes]]) -> None:
+    with trio.move_on_after(REST_LIMIT_S):
+        async for _ in events:
+            pass
+
+
+async def _read_events(answer: httpx.Response) -> AsyncGenerator[list[bytes], None]:
     pending = b""
     async for piece in answer.aiter_raw():
         pending += piece
