--- a/src/lycheepath/host/loads.py
+++ b/src/lycheepath/host/loads.py
@@ -56,7 +56,12 @@
     node: Node, target: Target, limiter: trio.CapacityLimiter
 ) -> None:
     async with limiter:
-        answer = await node.engines.read_load(target.address, POLL_TIMEOUT_S)
+        await refresh_target(node, target)
+
+
+async def refresh_target(node: Node, target: Target) -> None:
+    """Read one target's report now, and share it."""
+    answer = await node.engines.read_load(target.address, POLL_TIMEOUT_S)
     if answer is None:
         node.metrics.count("load_polls_failed_total")
         return
