Poll by cells, let routing use the cell's targets, wake less at rest

Change: the polling plan of the cell is used and kept until hosts or document change; routing prefers the cell's targets; the queue's timer runs only while requests wait; expiry and pace are looked at once a second. Ruled out: leaving the subset as it was, since nobody would report the loads of most of it.

--- a/src/lycheepath/core/routing/subset.py
+++ b/src/lycheepath/core/routing/subset.py
@@ -13,6 +13,7 @@
 
 from ..environment.model import TargetKind
 from ..hosts.rendezvous import rank
+from ..membership.rendezvous import cell_of_host, cell_of_target
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
@@ -22,6 +23,7 @@
     from .targets import TargetView
 
 HOME_TARGETS = 30
+LEAST_HOME_TARGETS = 8
 AWAY_TARGETS = 10
 SCORED_TARGETS = 12
 WARM_TARGETS = 6
@@ -32,10 +34,12 @@
     """
     Return the targets that a host uses while there is no pressure.
 
-    They are up to ``HOME_TARGETS`` of each model in its own region, and up to
-    ``AWAY_TARGETS`` of each model elsewhere.
+    For each model they are up to ``HOME_TARGETS`` of the host's cell, whose
+    loads its hosts tell each other, some more of its region where the cell has
+    fewer than ``LEAST_HOME_TARGETS``, and up to ``AWAY_TARGETS`` elsewhere.
     """
     regions = {zone.id: zone.region for zone in environment.zones}
+    hosts = sum(regions[other.zone] == region for other in environment.hosts)
     home: dict[str, list[str]] = {}
     away: dict[str, list[str]] = {}
     for target in environment.targets:
@@ -45,12 +49,21 @@
                 side.setdefault(model, []).append(target.id)
     chosen: set[str] = set()
     for targets in home.values():
-        chosen.update(rank(host, targets)[:HOME_TARGETS])
+        chosen.update(_choose_home(targets, host, hosts))
     for targets in away.values():
         chosen.update(rank(host, targets)[:AWAY_TARGETS])
     return frozenset(chosen)
 
 
+def _choose_home(targets: list[str], host: str, hosts: int) -> list[str]:
+    ranked = rank(host, targets)
+    cell = cell_of_host(host, hosts)
+    near = [target for target in ranked if cell_of_target(target, hosts) == cell]
+    missing = max(0, LEAST_HOME_TARGETS - len(near))
+    others = [target for target in ranked if target not in near]
+    return [*near[:HOME_TARGETS], *others[:missing]]
+
+
 def sample_candidates(
     views: Sequence[TargetView],
     cached: Mapping[str, int],
--- a/src/lycheepath/host/loads.py
+++ b/src/lycheepath/host/loads.py
@@ -14,7 +14,6 @@
 
 from ..core.environment.model import Role, TargetKind
 from ..core.gossip.news import TargetLoad, pack_target_leaving, pack_target_load
-from ..core.membership.rendezvous import computed_pollers
 from ..core.orders.desired import ObservedState
 from ..core.routing.reports import LoadReport, ModelState
 
@@ -23,6 +22,8 @@
     from .node import Node
 
 POLL_INTERVAL_S = 1.0
+POLL_INTERVAL_OF_MANY_S = 2.0
+FEW_POLLS = 4
 POLL_TIMEOUT_S = 0.8
 MOST_POLLS_AT_ONCE = 16
 MODEL_STATES = {state.value: state for state in ModelState}
@@ -33,23 +34,18 @@
     limiter = trio.CapacityLimiter(MOST_POLLS_AT_ONCE)
     async with trio.open_nursery() as nursery:
         while True:
-            for target in _find_share(node):
+            share = _find_share(node)
+            for target in share:
                 nursery.start_soon(_poll_target, node, target, limiter)
-            await trio.sleep(POLL_INTERVAL_S * (0.9 + 0.2 * node.random.random()))
+            few = len(share) <= FEW_POLLS
+            interval_s = POLL_INTERVAL_S if few else POLL_INTERVAL_OF_MANY_S
+            await trio.sleep(interval_s * (0.9 + 0.2 * node.random.random()))
 
 
 def _find_share(node: Node) -> list[Target]:
-    environment = node.environment
-    if environment is None:
-        return []
-    hosts = node.live_hosts_here()
-    watched = frozenset(node.orders.list_watched())
-    return [
-        target
-        for target in environment.targets
-        if target.id in watched
-        or node.settings.host in computed_pollers(target.id, hosts)
-    ]
+    """Return the targets to poll: this host's share, and those it orders."""
+    polled = dict.fromkeys((*node.plan_polls().polled, *node.orders.list_watched()))
+    return [node.targets[target] for target in polled if target in node.targets]
 
 
 async def _poll_target(
@@ -102,4 +98,6 @@
     )
     node.queue.serve(now)
     load = TargetLoad(target.id, report.running, report.queued, kv_free_tokens, 0)
-    node.publish(pack_target_load(load, node.next_stamp()), node.live_hosts_here())
+    node.publish(
+        pack_target_load(load, node.next_stamp()), node.plan_polls().recipients
+    )
--- a/src/lycheepath/host/node.py
+++ b/src/lycheepath/host/node.py
@@ -31,6 +31,7 @@
 from ..core.gossip.news import hash_name
 from ..core.hosts.selection import MemberState
 from ..core.limits.admission import Limiter
+from ..core.membership.polling import PollingPlan, plan_polling
 from ..core.membership.rendezvous import computed_readers
 from ..core.orders.planning import OrderIssuer
 from ..core.pacing import Pacer
@@ -62,6 +63,7 @@
 
 INCARNATION_BITS = 63
 STAMP_BITS = 16
+EMPTY_PLAN = PollingPlan((), (), ())
 
 
 def draw_incarnation() -> int:
@@ -96,6 +98,8 @@
     listed_states: dict[str, MemberState] = field(default_factory=dict)
     listed_leaving_targets: frozenset[str] = frozenset()
     leaving_targets: set[str] = field(default_factory=set)
+    polling: PollingPlan = EMPTY_PLAN
+    polling_key: tuple[int, tuple[str, ...]] = (-1, ())
     target_by_key: dict[int, str] = field(default_factory=dict)
     zone_hosts: tuple[PublishedHost, ...] = ()
     region_hosts: tuple[str, ...] = ()
@@ -120,7 +124,7 @@
     arbiter: Arbiter = field(default_factory=Arbiter)
     host_addresses: dict[str, str] = field(default_factory=dict)
     pacer: Pacer = field(default_factory=Pacer)
-    queue: TargetQueue = field(default_factory=TargetQueue)
+    queue: TargetQueue = field(init=False)
     observed_runners: dict[str, ObservedState] = field(default_factory=dict)
     orders: OrderIssuer = field(init=False)
     ledger: ActionLedger = field(init=False)
@@ -135,6 +139,7 @@
     def __post_init__(self) -> None:
         self.timers = TrioTimers(self.random)
         self.timers.on_pause(self._note_pause)
+        self.queue = TargetQueue(self.timers)
         self.watch_counters()
         self.router = Router(self.settings.host, self.settings.region, self.random)
         self.limiter = Limiter(self.settings.host)
@@ -206,6 +211,22 @@
         self.record(f"region {region}", "request", *states)
         self.limiter.update_members(self.member_states())
 
+    def plan_polls(self) -> PollingPlan:
+        """Return this host's share of the polling, computed when it changes."""
+        environment = self.environment
+        if environment is None:
+            return EMPTY_PLAN
+        live = self.live_hosts_here()
+        key = (environment.revision, live)
+        if key != self.polling_key:
+            here = self.settings.region
+            home = [t.id for t in environment.targets if self.region_of(t) == here]
+            away = [t.id for t in environment.targets if self.region_of(t) != here]
+            hosts = self.region_hosts
+            self.polling = plan_polling(self.settings.host, hosts, live, home, away)
+            self.polling_key = key
+        return self.polling
+
     def is_reader(self) -> bool:
         """Whether this host is one that watches the platform for its zone."""
         live = frozenset(self.live_hosts_here())
--- a/src/lycheepath/host/process.py
+++ b/src/lycheepath/host/process.py
@@ -33,9 +33,8 @@
     from .settings import Settings
 
 DRAIN_POLL_S = 0.05
-EXPIRY_S = 0.5
-QUEUE_S = 0.1
-PACE_S = 0.5
+EXPIRY_S = 1.0
+PACE_S = 1.0
 
 
 def run_host(settings: Settings, may_reach: MayReach = reach_all) -> None:
@@ -56,7 +55,6 @@
         await nursery.start(node.timers.run)
         node.timers.every("expiry", EXPIRY_S, partial(_expire, node))
         node.timers.every("pace", PACE_S, _build_pace_timer(node))
-        node.timers.every("queue", QUEUE_S, node.queue.serve)
         binds = await nursery.start(serve_http, node, shutdown.wait)
         _announce(node, binds)
         nursery.start_soon(follow_platform, node)
--- a/src/lycheepath/host/queueing.py
+++ b/src/lycheepath/host/queueing.py
@@ -19,6 +19,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from ..ports.timers import Timers
+
+PASS_INTERVAL_S = 0.1
+
 
 @dataclass(slots=True)
 class _Pending:
@@ -30,7 +34,9 @@
 class TargetQueue:
     """The requests of one host that wait for a target."""
 
-    def __init__(self) -> None:
+    def __init__(self, timers: Timers) -> None:
+        self._timers = timers
+        self._armed = False
         self._queue = FairQueue()
         self._pending: dict[str, _Pending] = {}
 
@@ -54,6 +60,7 @@
             return refusal
         pending = _Pending(take)
         self._pending[waiting.id] = pending
+        self._arm()
         try:
             await pending.decided.wait()
         except trio.Cancelled:
@@ -83,6 +90,18 @@
             self._queue.confirm(waiting, now)
             self._decide(waiting, outcome)
 
+    def _arm(self) -> None:
+        """Have the queue served soon, as long as requests wait in it."""
+        if not self._armed:
+            self._armed = True
+            self._timers.once("queue", PASS_INTERVAL_S, self._serve_again)
+
+    def _serve_again(self, now: float) -> None:
+        self._armed = False
+        self.serve(now)
+        if len(self._queue):
+            self._arm()
+
     def _decide(self, waiting: Waiting, outcome: Choice | Absent) -> None:
         pending = self._pending[waiting.id]
         pending.outcome = outcome
