--- a/tests/promises/test_leaving.py
+++ b/tests/promises/test_leaving.py
@@ -112,7 +112,7 @@
 
 async def hold_open(fleet: Fleet, address: str) -> None:
     """Keep a long answer open."""
-    await fleet.caller().ask(address, build_messages("hold"), max_tokens=100)
+    await fleet.caller().ask(address, build_messages("hold"), max_tokens=200)
 
 
 async def find_ids(fleet: Fleet, host: str) -> set[str]:
