Split records and refusals from the ledger

Change: what is remembered of a claim and the refusals have their own modules; no behaviour changes. Conclusion: the ledger is left with the claims' states alone.

--- a/src/lycheepath/core/actions/ledger.py
+++ b/src/lycheepath/core/actions/ledger.py
@@ -19,7 +19,6 @@
 
 from collections import Counter
 from dataclasses import dataclass, field
-from enum import Enum
 from heapq import heappop, heappush
 from typing import TYPE_CHECKING
 
@@ -35,32 +34,27 @@
     Run,
     refuse_copy,
 )
-from .handover import HandoverRecord
+from .records import (
+    IN_FLIGHT,
+    Record,
+    State,
+    export_record,
+    import_record,
+    merge_record,
+)
+from .refusals import refuse_cancelled, refuse_lost, refuse_spent
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from .claims import Begun, Claim, Terms
-    from .handover import Handover
+    from .handover import Handover, HandoverRecord
 
 IN_PROGRESS_RETRY_S = 1.0
 
 _ASK_TICKET = "ask for a new ticket with POST /v1/tickets"
 
 
-class State(Enum):
-    """How far a claim has come."""
-
-    PERMITTED = "permitted"
-    SENT = "sent"
-    DONE = "done"
-    LOST = "lost"
-    CANCELLED = "cancelled"
-
-
-_IN_FLIGHT = (State.PERMITTED, State.SENT)
-
-
 @dataclass(frozen=True, slots=True)
 class LedgerLimits:
     """
@@ -83,16 +77,6 @@
     answers_bytes: int = 16_777_216
 
 
-@dataclass(slots=True)
-class _Record:
-    state: State
-    fingerprint: bytes
-    expires_at: float
-    serial: int = 0
-    reason: Reason = Reason.IN_PROGRESS
-    answer: RecordedAnswer | None = None
-
-
 @dataclass(slots=True)
 class LedgerCounts:
     """Counters for the metrics page; each only grows."""
@@ -120,7 +104,7 @@
 
     limits: LedgerLimits = field(default_factory=LedgerLimits)
     counts: LedgerCounts = field(default_factory=LedgerCounts)
-    _records: dict[Claim, _Record] = field(default_factory=dict)
+    _records: dict[Claim, Record] = field(default_factory=dict)
     _expiries: list[tuple[float, int, Claim]] = field(default_factory=list)
     _with_bodies: dict[Claim, int] = field(default_factory=dict)
     _team_claims: Counter[str] = field(default_factory=Counter)
@@ -142,7 +126,7 @@
     @property
     def in_flight(self) -> int:
         """How many claims hold a permit or wait for a target's answer."""
-        return sum(record.state in _IN_FLIGHT for record in self._records.values())
+        return sum(record.state in IN_FLIGHT for record in self._records.values())
 
     def begin(
         self, claim: Claim, fingerprint: bytes, terms: Terms, now: float
@@ -167,7 +151,7 @@
         unavailable = self._refuse_unavailable(claim, now)
         if unavailable is not None:
             return unavailable
-        record = _Record(State.PERMITTED, fingerprint, expires_at)
+        record = Record(State.PERMITTED, fingerprint, expires_at)
         self._store(claim, record)
         self.counts.begun += 1
         return self._permit(claim, record, terms.deadline, terms.revision, now)
@@ -184,7 +168,7 @@
         """
         record = self._held(permit)
         if record is None:
-            return _spent_refusal()
+            return refuse_spent()
         if self._closed or now > permit.deadline:
             return self._cancel(record, Reason.DEADLINE)
         return self._permit(permit.claim, record, permit.deadline, revision, now)
@@ -202,7 +186,7 @@
         """
         record = self._held(permit)
         if record is None:
-            return _spent_refusal()
+            return refuse_spent()
         reason = self._find_send_obstacle(permit, now, revision)
         if reason is not None:
             return self._cancel(record, reason)
@@ -230,15 +214,15 @@
         """
         record = self._records.get(permit.claim)
         if record is None or record.serial != permit.serial:
-            return _lost_refusal()
+            return refuse_lost()
         if record.state is State.PERMITTED:
             return self._cancel(record, reason)
         if record.state is State.CANCELLED:
-            return _cancelled_refusal(record.reason)
+            return refuse_cancelled(record.reason)
         if record.state is State.SENT:
             record.state = State.LOST
             self.counts.lost += 1
-        return _lost_refusal()
+        return refuse_lost()
 
     def expire(self, now: float) -> int:
         """Forget the claims that no copy can reach any more; return how many."""
@@ -277,8 +261,7 @@
             raise ActionInvariantError("a ledger was exported to a second holder")
         self._exported_to = holder
         return tuple(
-            _export_record(claim, record, now)
-            for claim, record in self._records.items()
+            export_record(claim, record, now) for claim, record in self._records.items()
         )
 
     def export_moved(
@@ -300,7 +283,7 @@
         if any(self._records[claim].state is State.SENT for claim in claims):
             return Absent(Reason.IN_PROGRESS, IN_PROGRESS_RETRY_S)
         return tuple(
-            _export_record(claim, self._records[claim], now) for claim in claims
+            export_record(claim, self._records[claim], now) for claim in claims
         )
 
     def holder_refused(self, holder: str) -> None:
@@ -333,9 +316,9 @@
         for entry in records:
             record = self._records.get(entry.claim)
             if record is not None:
-                _merge_record(record, entry, now)
+                merge_record(record, entry, now)
                 continue
-            imported = _import_record(entry, now)
+            imported = import_record(entry, now)
             self._store(entry.claim, imported)
             if entry.answer is not None:
                 self._keep_answer(entry.claim, imported, entry.answer)
@@ -398,7 +381,7 @@
         return None
 
     def _answer_duplicate(
-        self, record: _Record, fingerprint: bytes, expires_at: float
+        self, record: Record, fingerprint: bytes, expires_at: float
     ) -> Begun:
         record.expires_at = max(record.expires_at, expires_at)
         if record.fingerprint != fingerprint:
@@ -408,14 +391,14 @@
                 Reason.KEY_REUSED,
                 detail="the key belongs to another request; use a new key",
             )
-        if record.state in _IN_FLIGHT:
+        if record.state in IN_FLIGHT:
             return refuse_copy(
                 409, Run.UNKNOWN, Reason.IN_PROGRESS, IN_PROGRESS_RETRY_S
             )
         if record.state is State.CANCELLED:
-            return _cancelled_refusal(record.reason)
+            return refuse_cancelled(record.reason)
         if record.state is State.LOST or record.answer is None:
-            return _lost_refusal()
+            return refuse_lost()
         self.counts.replayed += 1
         return Replay(record.answer)
 
@@ -435,7 +418,7 @@
     def _next_expiry(self, now: float) -> float:
         return self._expiries[0][0] if self._expiries else now
 
-    def _store(self, claim: Claim, record: _Record) -> None:
+    def _store(self, claim: Claim, record: Record) -> None:
         self._records[claim] = record
         self._team_claims[claim.team] += 1
         self._schedule_expiry(claim, record.expires_at)
@@ -447,7 +430,7 @@
     def _permit(
         self,
         claim: Claim,
-        record: _Record,
+        record: Record,
         deadline: float,
         revision: int,
         now: float,
@@ -462,7 +445,7 @@
             revision=revision,
         )
 
-    def _held(self, permit: Permit) -> _Record | None:
+    def _held(self, permit: Permit) -> Record | None:
         """Find the record of an unspent permit; ``None`` if it was cancelled."""
         record = self._records.get(permit.claim)
         if record is None:
@@ -475,7 +458,7 @@
             raise ActionInvariantError("a permit was used after its claim was sent")
         return record
 
-    def _sent(self, permit: Permit) -> _Record | None:
+    def _sent(self, permit: Permit) -> Record | None:
         """Find the record of a sent claim; ``None`` if it ended already."""
         record = self._records.get(permit.claim)
         if record is None or record.serial != permit.serial:
@@ -495,20 +478,20 @@
             return Reason.VIEW_TOO_OLD
         return None
 
-    def _cancel(self, record: _Record, reason: Reason) -> Refusal:
+    def _cancel(self, record: Record, reason: Reason) -> Refusal:
         if record.state is not State.PERMITTED:
             raise ActionInvariantError('"not run" was about to be said of a sent claim')
         record.state = State.CANCELLED
         record.reason = reason
         self.counts.cancelled += 1
-        return _cancelled_refusal(reason)
+        return refuse_cancelled(reason)
 
     def _keep_answer(
-        self, claim: Claim, record: _Record, answer: RecordedAnswer
+        self, claim: Claim, record: Record, answer: RecordedAnswer
     ) -> None:
         size = len(answer.body or b"")
         if size > self.limits.answer_bytes:
-            answer = _without_body(answer)
+            answer = _drop_body(answer)
             size = 0
             self.counts.bodies_dropped += 1
         record.answer = answer
@@ -524,7 +507,7 @@
         self._release_body(claim)
         record = self._records[claim]
         if record.answer is not None:
-            record.answer = _without_body(record.answer)
+            record.answer = _drop_body(record.answer)
         self.counts.bodies_dropped += 1
 
     def _release_body(self, claim: Claim) -> None:
@@ -546,61 +529,5 @@
         return True
 
 
-def _without_body(answer: RecordedAnswer) -> RecordedAnswer:
+def _drop_body(answer: RecordedAnswer) -> RecordedAnswer:
     return RecordedAnswer(answer.status, answer.content_type, None)
-
-
-def _cancelled_refusal(reason: Reason) -> Refusal:
-    return refuse_copy(
-        503,
-        Run.NOT_RUN,
-        reason,
-        detail="cancelled before it was sent; use a new key or ticket",
-    )
-
-
-def _spent_refusal() -> Refusal:
-    return _cancelled_refusal(Reason.PERMIT_TOO_OLD)
-
-
-def _lost_refusal() -> Refusal:
-    return Refusal(
-        502,
-        Run.UNKNOWN,
-        Reason.ANSWER_LOST,
-        detail="sent, but no whole answer came; it will not be sent again",
-    )
-
-
-def _export_record(claim: Claim, record: _Record, now: float) -> HandoverRecord:
-    state = record.state
-    reason = record.reason
-    if state is State.PERMITTED:
-        state, reason = State.CANCELLED, Reason.DRAINING
-        record.state, record.reason = state, reason
-    if state is State.SENT:
-        state, reason = State.LOST, Reason.ANSWER_LOST
-    return HandoverRecord(
-        claim=claim,
-        state=state.value,
-        fingerprint=record.fingerprint,
-        remaining_s=record.expires_at - now,
-        reason=reason,
-        answer=record.answer,
-    )
-
-
-def _merge_record(record: _Record, entry: HandoverRecord, now: float) -> None:
-    ran = State(entry.state) in (State.SENT, State.DONE, State.LOST)
-    if record.state is State.CANCELLED and ran:
-        raise ActionInvariantError('a claim called "not run" here ran elsewhere')
-    record.expires_at = max(record.expires_at, now + entry.remaining_s)
-
-
-def _import_record(entry: HandoverRecord, now: float) -> _Record:
-    return _Record(
-        state=State(entry.state),
-        fingerprint=entry.fingerprint,
-        expires_at=now + entry.remaining_s,
-        reason=entry.reason,
-    )
