--- a/bench/setting.py
+++ b/bench/setting.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
-from standins.fleet import Fleet, open_fleet
+from standins.fleet import HOST_MODULE, Fleet, open_fleet
 from standins.processes import Process, launch_process
 
 if TYPE_CHECKING:
@@ -21,10 +21,13 @@
 
 
 @asynccontextmanager
-async def open_setting(engines: int, **options: Any) -> AsyncIterator[Fleet]:
+async def open_setting(
+    engines: int, host_module: str = HOST_MODULE, **options: Any
+) -> AsyncIterator[Fleet]:
     """Provide a fleet of one ready host and some engines."""
     with tempfile.TemporaryDirectory() as directory:
         async with open_fleet(Path(directory)) as fleet:
+            fleet.host_module = host_module
             await fleet.start_platform()
             for number in range(engines):
                 await fleet.start_engine(
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -60,6 +60,7 @@
     from collections.abc import AsyncIterator, Iterable, Sequence
     from pathlib import Path
 
+HOST_MODULE = "lycheepath"
 ENVIRONMENT = "demo"
 TEAM = "bridal"
 PEER_KEY = {"id": "k1", "secret": "11" * 32}
@@ -77,6 +78,7 @@
     targets: dict[str, Target] = field(default_factory=dict)
     keys: dict[tuple[str, str], str] = field(default_factory=dict)
     settings: dict[str, Any] = field(default_factory=dict)
+    host_module: str = HOST_MODULE
     revision: int = 0
     published: dict[str, Any] = field(default_factory=dict)
 
@@ -178,7 +180,7 @@
         """Start a host without waiting; also starts a killed one again."""
         path = self.directory / f"{name}.json"
         path.write_text(json.dumps(self.build_settings(name, **settings), indent=2))
-        arguments = ["-m", "lycheepath", "serve", "--settings", str(path)]
+        arguments = ["-m", self.host_module, "serve", "--settings", str(path)]
         process = launch_process(name, arguments, self.directory)
         process.port = int(self.hosts[name].callers_address.rsplit(":", 1)[1])
         self.processes[name] = process
