Let hosts that are no reader read the platform more often in small fleets

Cause: two computed hosts of a zone watch the platform. Where both are cut off from it and the third is not, the third read it only once a minute, so a new revision was not in force within 5 s. Change: the wait of a host that is no reader follows the number of hosts, from 1 s up to 60 s, so that all hosts read each value at most about 40 times a second (2,200 hosts: 55 s). Conclusion: one cause is gone, a second is left and is not mended here: the revision sometimes does not cross between regions in time. A large zone whose readers are all cut off still waits up to a minute; readers that can't reach the platform should say so to peers.

--- a/src/lycheepath/host/configuration.py
+++ b/src/lycheepath/host/configuration.py
@@ -35,7 +35,9 @@
 
 FIRST_RETRY_S = 0.2
 LONGEST_RETRY_S = 5.0
-FALLBACK_READ_S = 60.0
+LONGEST_FALLBACK_S = 60.0
+SHORTEST_FALLBACK_S = 1.0
+FALLBACK_READS_PER_S = 40.0
 ROLE_CHECK_S = 1.0
 START_SPREAD_S = 1.2
 SEEDS_ASKED = 4
@@ -141,11 +143,23 @@
         if node.settings.seeds:
             await trio.sleep(START_SPREAD_S * node.random.random())
         return
-    wait_until = node.now() + FALLBACK_READ_S * (0.5 + node.random.random())
+    wait_until = node.now() + _find_fallback_s(node) * (0.5 + node.random.random())
     while not node.is_reader() and node.now() < wait_until:
         await trio.sleep(ROLE_CHECK_S)
 
 
+def _find_fallback_s(node: Node) -> float:
+    """
+    Return how long a host that is no reader leaves the platform alone.
+
+    The readers of its zone may be cut off from the platform while it is not.
+    All hosts together read each value ``FALLBACK_READS_PER_S`` times a second.
+    """
+    hosts = 1 if node.environment is None else len(node.environment.hosts)
+    wait_s = max(SHORTEST_FALLBACK_S, hosts / FALLBACK_READS_PER_S)
+    return min(wait_s, LONGEST_FALLBACK_S)
+
+
 async def _ask_seeds(node: Node) -> None:
     seeds = list(node.settings.seeds)
     chosen = node.random.sample(seeds, min(SEEDS_ASKED, len(seeds)))
