Let a cheap newcomer take a much dearer teammate's place in a full queue

Cause: a full queue refused whoever came last, whatever it cost, so that under overload runners spent their time on cold prompts.

Change: a newcomer evicts the dearest request of its own team and priority where that costs over 1.25 times as much; the evicted one is answered at the next pass. Fairness between teams is untouched.

The test fails without the eviction.

--- a/src/lycheepath/core/limits/queue.py
+++ b/src/lycheepath/core/limits/queue.py
@@ -8,7 +8,9 @@
 whose deadline has passed is handed back instead of served. While a team's
 oldest request has waited longer than ``CHEAPEST_AFTER_S``, its cheapest one
 goes first: with a cost that counts only what no cache holds, conversations
-that are under way are finished and the runners' caches keep their worth.
+that are under way are finished and the runners' caches keep their worth. For
+the same reason a newcomer to a full queue takes the place of a much dearer
+request of its own team.
 """
 
 from __future__ import annotations
@@ -25,6 +27,7 @@
 MAX_WAIT_S = 1.0
 CHEAPEST_AFTER_S = 0.5
 RATE_WINDOW_S = 0.5
+EVICTION_FACTOR = 1.25
 MIN_RETRY_AFTER_S = 0.5
 PRIORITIES = 10
 DEFAULT_WEIGHT = 1.0
@@ -55,35 +58,32 @@
         self._weights = weights or {}
         self._lines: tuple[dict[str, _Line], ...] = tuple({} for _ in range(PRIORITIES))
         self._virtual_time = 0.0
+        self._evicted: list[Waiting] = []
         self._queued_tokens = [0.0] * PRIORITIES
         self._tokens_per_s = 0.0
         self._served_tokens = 0.0
         self._rate_since = float("-inf")
 
     def __len__(self) -> int:
-        return sum(
-            len(line.requests) for lines in self._lines for line in lines.values()
-        )
+        """Return how many requests wait, or were evicted and need an answer."""
+        lines = (line for lines in self._lines for line in lines.values())
+        return sum(len(line.requests) for line in lines) + len(self._evicted)
 
     def push(self, waiting: Waiting, now: float) -> Waiting | Absent:
         """Queue a request, or refuse it at once with when to come back."""
         wait = self.estimate_wait(waiting.team, waiting.priority)
         if wait > MAX_WAIT_S or now + wait > waiting.deadline:
+            if self._evict_dearer(waiting):
+                return self._append(waiting)
             after = max(MIN_RETRY_AFTER_S, wait - MAX_WAIT_S)
             return Absent(Reason.OVERLOADED, after, "the queue is full")
-        lines = self._lines[waiting.priority]
-        line = lines.setdefault(waiting.team, _Line())
-        if not line.requests:
-            line.finish_tag = max(line.finish_tag, self._virtual_time)
-        line.requests.append(waiting)
-        self._queued_tokens[waiting.priority] += waiting.cost_tokens
-        return waiting
+        return self._append(waiting)
 
     def pop(self, now: float) -> tuple[Waiting | None, tuple[Waiting, ...]]:
         """
-        Return the next request and those that expired in the queue.
+        Return the next request and those that expired or were evicted.
 
-        Expired requests get their final answer from the host at once. The
+        These get their final answer from the host at once. The
         next one must be given to ``confirm`` or to ``put_back``.
         """
         expired = self._drop_expired(now)
@@ -138,6 +138,28 @@
         ahead = urgent + min(others, own * competing) + own
         return ahead / self._tokens_per_s
 
+    def _append(self, waiting: Waiting) -> Waiting:
+        lines = self._lines[waiting.priority]
+        line = lines.setdefault(waiting.team, _Line())
+        if not line.requests:
+            line.finish_tag = max(line.finish_tag, self._virtual_time)
+        line.requests.append(waiting)
+        self._queued_tokens[waiting.priority] += waiting.cost_tokens
+        return waiting
+
+    def _evict_dearer(self, waiting: Waiting) -> bool:
+        """Make room for a newcomer that is much cheaper than a teammate."""
+        line = self._lines[waiting.priority].get(waiting.team)
+        if line is None or not line.requests:
+            return False
+        dearest = max(line.requests, key=lambda item: item.cost_tokens)
+        if dearest.cost_tokens <= EVICTION_FACTOR * waiting.cost_tokens:
+            return False
+        line.requests.remove(dearest)
+        self._queued_tokens[waiting.priority] -= dearest.cost_tokens
+        self._evicted.append(dearest)
+        return True
+
     def _pop_line(self, lines: dict[str, _Line], now: float) -> Waiting | None:
         busy = [
             (line.finish_tag, team) for team, line in lines.items() if line.requests
@@ -158,7 +180,7 @@
         return waiting
 
     def _drop_expired(self, now: float) -> tuple[Waiting, ...]:
-        expired: list[Waiting] = []
+        expired, self._evicted = self._evicted, []
         for priority, lines in enumerate(self._lines):
             for team in list(lines):
                 line = lines[team]
--- a/tests/core/limits/test_queue.py
+++ b/tests/core/limits/test_queue.py
@@ -69,6 +69,22 @@
     assert refusal.retry_after_s > 0.0
 
 
+def test_a_cheap_newcomer_takes_a_dearer_teammates_place() -> None:
+    queue = FairQueue()
+    now = 0.0
+    while queue.push(build_waiting(f"dear-{now}", "a", 1000.0, at=now), now):
+        now += 0.02
+        if round(now / 0.02) % 10 == 0:
+            serve(queue, now)
+    queued = len(queue)
+    assert not queue.push(build_waiting("as-dear", "a", 900.0, at=now), now)
+    assert queue.push(build_waiting("cheap", "a", 100.0, at=now), now)
+    assert len(queue) == queued + 1
+    _, refused = queue.pop(now)
+    assert len(refused) == 1
+    assert refused[0].cost_tokens == 1000.0
+
+
 def test_put_back_keeps_place_and_age() -> None:
     queue = FairQueue()
     queue.push(build_waiting("first", "a"), 0.0)
