Revert reading streams at intervals while a host is short of processor time

Cause of the revert: the change waited for a measurement. A read of httpx gives one HTTP chunk, not all that has arrived, so that a pause of 40 ms between two reads limits a stream to 25 tokens a second and saves nothing: answers that the engines had ended (46 running) lay in the host (103 in flight). Ruled out: the queue (0 queued), one runner taking all (10, 13, 6 and 10 running), the engines' time (12 to 18% of a core each). Conclusion: joining tokens needs a reader that takes all that has arrived; not before a buffer stands between reading and writing. 44 tests of answers, adapters and stand-ins passed.

--- a/src/lycheepath/host/chat.py
+++ b/src/lycheepath/host/chat.py
@@ -342,8 +342,6 @@
                 return
             if node.now() > answer.routed.deadline:
                 raise answer.fail(Absent(Reason.DEADLINE, RETRY_AFTER_S))
-            if node.pacer.pace_s:
-                await trio.sleep(node.pacer.pace_s)
     raise TargetFailureError("the answer stopped before its end", sent=True)
 
 
--- a/src/lycheepath/host/node.py
+++ b/src/lycheepath/host/node.py
@@ -34,7 +34,6 @@
 from ..core.membership.polling import PollingPlan, plan_polling
 from ..core.membership.rendezvous import computed_readers
 from ..core.orders.planning import OrderIssuer
-from ..core.pacing import Pacer
 from ..core.quarantine.arbiter import Arbiter
 from ..core.quarantine.containment import Containment
 from ..core.retries.budget import HostBudget
@@ -123,7 +122,6 @@
     containment: Containment = field(default_factory=Containment)
     arbiter: Arbiter = field(default_factory=Arbiter)
     host_addresses: dict[str, str] = field(default_factory=dict)
-    pacer: Pacer = field(default_factory=Pacer)
     queue: TargetQueue = field(init=False)
     observed_runners: dict[str, ObservedState] = field(default_factory=dict)
     orders: OrderIssuer = field(init=False)
@@ -311,7 +309,6 @@
         metrics.watch_counters("actions", lambda: asdict(self.ledger.counts))
         metrics.watch_counters("membership", self._read_membership_counters)
         metrics.watch_gauge("in_flight", lambda: self.in_flight)
-        metrics.watch_gauge("pace_seconds", lambda: self.pacer.pace_s)
         metrics.watch_gauge("queued", lambda: len(self.queue))
         metrics.watch_gauge("claims", lambda: len(self.ledger))
         metrics.watch_gauge("ready", lambda: self.ready)
--- a/src/lycheepath/host/process.py
+++ b/src/lycheepath/host/process.py
@@ -4,7 +4,6 @@
 
 import signal
 import sys
-import time
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -34,7 +33,6 @@
 
 DRAIN_POLL_S = 0.05
 EXPIRY_S = 1.0
-PACE_S = 1.0
 
 
 def run_host(settings: Settings, may_reach: MayReach = reach_all) -> None:
@@ -54,7 +52,6 @@
         node.nursery = nursery
         await nursery.start(node.timers.run)
         node.timers.every("expiry", EXPIRY_S, partial(_expire, node))
-        node.timers.every("pace", PACE_S, _build_pace_timer(node))
         binds = await nursery.start(serve_http, node, shutdown.wait)
         _announce(node, binds)
         nursery.start_soon(follow_platform, node)
@@ -103,20 +100,6 @@
             return
 
 
-def _build_pace_timer(node: Node) -> Callable[[float], None]:
-    """Return a timer's action that measures how busy the process is."""
-    used_s = time.process_time()
-    measured_at = node.now()
-
-    def adjust(now: float) -> None:
-        nonlocal used_s, measured_at
-        present_s = time.process_time()
-        node.pacer.adjust((present_s - used_s) / max(now - measured_at, PACE_S / 2))
-        used_s, measured_at = present_s, now
-
-    return adjust
-
-
 def _expire(node: Node, now: float) -> None:
     node.shelf.expire(now)
     node.ledger.expire(now)
