Count resumed answers in the demonstration by request, not by attempt

Cause: a host now numbers its attempts at an engine, so that no resumed request was found again among the callers' (0 in a run in which the engines resumed). Change: the number of the attempt is cut off before the comparison.

--- a/demo/run.py
+++ b/demo/run.py
@@ -139,11 +139,14 @@
 
 
 async def _list_resumed(fleet: Fleet) -> frozenset[str]:
+    """Return the requests that engines resumed; a host numbers its attempts."""
     resumed: set[str] = set()
     for name, target in fleet.targets.items():
         if target.models and fleet.processes[name].running:
             seen = (await fleet.read(name, "/control/seen"))["seen"]
-            resumed.update(entry["id"] for entry in seen if entry["resumed_at"])
+            resumed.update(
+                entry["id"].rpartition("-")[0] for entry in seen if entry["resumed_at"]
+            )
     return frozenset(resumed)
 
 
