--- a/src/lycheepath/host/handover.py
+++ b/src/lycheepath/host/handover.py
@@ -30,6 +30,8 @@
 ASK_INTERVAL_S = 0.25
 RELEASE_RENEWAL_S = 5.0
 CLOSING_POLL_S = 0.05
+CLOSING_S = 1.0
+RELEASE_ASKED_TIMES = 4
 
 
 async def hand_over_claims(node: Node) -> None:
@@ -39,8 +41,9 @@
         return
     clocks = await _read_holder_clocks(node, environment)
     node.ledger.close()
-    while node.ledger.in_flight:
-        await trio.sleep(CLOSING_POLL_S)
+    with trio.move_on_after(CLOSING_S):
+        while node.ledger.in_flight:
+            await trio.sleep(CLOSING_POLL_S)
     for holder, clock in clocks:
         records = node.ledger.export_records(holder.id, node.now())
         if await _offer(node, environment, holder, clock, records):
@@ -49,23 +52,45 @@
 
 
 async def claim_predecessor(node: Node) -> None:
-    """Ask the likely holders for the claims of this host's last process."""
+    """
+    Ask the likely holders for the claims of this host's last process.
+
+    A holder that does not answer is asked again: it releases the same to the
+    same process.
+    """
     environment = node.environment
     assert environment is not None
-    for holder in _find_holders(node, environment):
-        question = {"host": node.settings.host, "incarnation": node.owner.incarnation}
-        answer = await node.peers.ask(
-            holder.callers_address, "/peer/handover/release", question
-        )
-        if isinstance(answer, PeerUnreachable) or not answer.get("handover"):
-            continue
-        handover = decode_handover(answer["handover"])
-        revision = environment.revision
-        if node.vouching.accept_handover(handover, revision, node.now()):
-            node.ledger.import_handover(handover, node.now())
-            count = len(handover.records)
-            node.record("handover", holder.id, handover.incarnation, f"{count} claims")
-        return
+    silent = _find_holders(node, environment)
+    for _ in range(RELEASE_ASKED_TIMES):
+        remaining = []
+        for holder in silent:
+            answer = await _ask_holder(node, holder)
+            if isinstance(answer, PeerUnreachable):
+                remaining.append(holder)
+            elif answer.get("handover"):
+                _take_over(node, environment, holder, answer["handover"])
+                return
+        if not remaining:
+            return
+        silent = remaining
+        await trio.sleep(ASK_INTERVAL_S)
+
+
+async def _ask_holder(node: Node, holder: Host) -> dict[str, Any] | PeerUnreachable:
+    question = {"host": node.settings.host, "incarnation": node.owner.incarnation}
+    address = holder.callers_address
+    return await node.peers.ask(address, "/peer/handover/release", question)
+
+
+def _take_over(
+    node: Node, environment: Environment, holder: Host, value: dict[str, Any]
+) -> None:
+    handover = decode_handover(value)
+    now = node.now()
+    if node.vouching.accept_handover(handover, environment.revision, now):
+        node.ledger.import_handover(handover, now)
+        count = len(handover.records)
+        node.record("handover", holder.id, handover.incarnation, f"{count} claims")
 
 
 async def establish_vouching(node: Node) -> None:
--- a/src/lycheepath/host/members.py
+++ b/src/lycheepath/host/members.py
@@ -112,6 +112,6 @@
         node.queue.serve(node.now())
     elif news.kind is NewsKind.QUARANTINE:
         ttl_s = max(0.0, news.ttl_s - news.age_ms / 1000)
-        hear_conviction(node, read_quarantine(news), ttl_s, news.stamp)
+        hear_conviction(node, read_quarantine(news), ttl_s)
     elif news.kind is NewsKind.TARGET_LEAVING and target is not None:
         node.set_target_leaving(target, bool(news.word), f"peer {held.source}")
--- a/src/lycheepath/host/process.py
+++ b/src/lycheepath/host/process.py
@@ -34,6 +34,7 @@
 
 DRAIN_POLL_S = 0.05
 EXPIRY_S = 1.0
+HANDOVER_S = 2.0
 PACE_S = 1.0
 
 
@@ -122,17 +123,29 @@
     node.ledger.expire(now)
 
 
+async def _end_claims(node: Node) -> None:
+    """
+    Run no action from now on, and hand the claims over.
+
+    A process that was superseded keeps them: its successor has run already.
+    """
+    if node.superseded.is_set():
+        node.ledger.close()
+        return
+    await hand_over_claims(node)
+
+
 async def _drain(node: Node) -> None:
     """Let requests in flight end, for at most the drain time."""
     node.draining = True
     node.record("drain", "signal", "serving", "draining")
     if node.membership is not None and node.runner is not None:
         node.runner.act(node.membership.set_leaving(node.now()))
-    with trio.move_on_after(node.settings.drain_s):
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(hand_over_claims, node)
-            while node.in_flight:
-                await trio.sleep(DRAIN_POLL_S)
+    with trio.move_on_after(max(0.0, node.settings.drain_s - HANDOVER_S)):
+        while node.in_flight:
+            await trio.sleep(DRAIN_POLL_S)
+    with trio.move_on_after(HANDOVER_S):
+        await _end_claims(node)
     if node.membership is not None and node.runner is not None:
         node.runner.act(node.membership.leave(node.now()))
     node.record("drain", "signal", "draining", f"{node.in_flight} in flight")
--- a/src/lycheepath/host/quarantine.py
+++ b/src/lycheepath/host/quarantine.py
@@ -119,9 +119,9 @@
     return {}
 
 
-def hear_conviction(node: Node, fingerprint: bytes, ttl_s: float, stamp: int) -> None:
+def hear_conviction(node: Node, fingerprint: bytes, ttl_s: float) -> None:
     """Put a verdict in force that came as news, without its evidence."""
-    deaths = frozenset({Death("news", str(stamp))})
+    deaths = frozenset({Death("news", fingerprint.hex())})
     _apply(node, Conviction(fingerprint, EVERYWHERE, ttl_s, deaths), "news")
 
 
