Keep a probe or a sample from closing a region

Cause: found while reading. A target on probation took one request until that had finished, so a probe that streams for a minute closed the only runner of a region; and where a decision sampled only paused targets, it used one of them though healthy ones were left.

Ruled out: more probes at once; the length of one stream would still decide.

Change: the first token ends a pause after refused connections; targets with a probe in flight are last resorts; last resorts are used only after all targets were looked at.

Each of the two tests was seen failing without its part.

--- a/src/lycheepath/core/routing/choice.py
+++ b/src/lycheepath/core/routing/choice.py
@@ -31,7 +31,8 @@
 EXPLAINED_CANDIDATES = 8
 PAUSED = "paused after refused connections"
 UNPROVEN = "on probation, which a retry does not probe"
-LAST_RESORTS = (PAUSED, UNPROVEN)
+PROBED = "on probation with a probe in flight"
+LAST_RESORTS = (PAUSED, UNPROVEN, PROBED)
 DEFAULT_SERVICE_S = 2.0
 HALF_LOADED_SHARE = 0.5
 FAILURE_COST_S = 4.0
@@ -49,8 +50,7 @@
     """
     One candidate as the choice saw it; all times in seconds.
 
-    A named tuple, since one is built for each candidate of each request and
-    builds in a third of a frozen dataclass's time.
+    A named tuple, since one is built for each candidate of each request.
 
     ``score_s`` is what was compared, lowest first. ``wait_s`` is the part of
     the time to the first token that other requests cause, ``load`` the
@@ -115,9 +115,9 @@
     """
     preferred = [view for view in views if view.id in facts.subset]
     sample = sample_candidates(preferred, cached, request.home_region, random)
-    scored = _score_all(request, sample, cached, facts, now, excluded)
-    if not scored.in_time and len(sample) < len(views):
-        scored = _score_all(request, views, cached, facts, now, excluded)
+    scored = _score_all(request, sample, cached, facts, now, excluded, False)
+    if not scored.in_time and (scored.rejected or len(sample) < len(views)):
+        scored = _score_all(request, views, cached, facts, now, excluded, True)
     if not scored.scores:
         return _explain_absence(request, views)
     if not scored.accepting:
@@ -230,7 +230,8 @@
     now: float,
     excluded: frozenset[str],
     rejected: dict[str, str],
-) -> list[TargetView]:
+) -> tuple[list[TargetView], list[TargetView]]:
+    """Return the candidates and the last resorts; note why others are neither."""
     candidates = []
     last_resorts = []
     for view in views:
@@ -242,7 +243,7 @@
             last_resorts.append(view)
         if len(rejected) < EXPLAINED_CANDIDATES:
             rejected[view.id] = reason
-    return candidates or last_resorts
+    return candidates, last_resorts
 
 
 def _reject(
@@ -263,7 +264,7 @@
     if view.on_probation and excluded:
         return UNPROVEN
     if view.on_probation and view.in_flight >= PROBES_AT_ONCE:
-        return "on probation with a probe in flight"
+        return PROBED
     return None
 
 
@@ -287,10 +288,17 @@
     facts: Facts,
     now: float,
     excluded: frozenset[str],
+    with_last_resorts: bool,
 ) -> _Scored:
-    """Return the scores of the targets that may serve the request."""
+    """
+    Return the scores of the targets that may serve the request.
+
+    Last resorts are scored only where there is no other candidate at all.
+    """
     rejected: dict[str, str] = {}
-    candidates = _find_candidates(request, views, now, excluded, rejected)
+    candidates, last_resorts = _find_candidates(request, views, now, excluded, rejected)
+    if with_last_resorts and not candidates:
+        candidates = last_resorts
     score = make_scorer(request, facts, now)
     scores = [score(view, cached.get(view.id, 0)) for view in candidates]
     scores.sort(key=attrgetter("score_s"))
--- a/src/lycheepath/core/routing/health.py
+++ b/src/lycheepath/core/routing/health.py
@@ -43,9 +43,8 @@
 
     def record_success(self) -> None:
         """Count a whole answer; it ends the probation of an ejected target."""
+        self.record_contact()
         self.consecutive = 0
-        self.refusals = 0
-        self.paused_until = 0.0
         self.observations += 1
         self.failure_ratio *= FAILURE_MEMORY
         if self.on_probation:
@@ -66,6 +65,11 @@
         self.refused_at = now
         self.paused_until = now + pause_s
 
+    def record_contact(self) -> None:
+        """End what refused connections began: the target has answered."""
+        self.refusals = 0
+        self.paused_until = 0.0
+
     def record_report(self, measured_at: float) -> None:
         """End the pause of a target that has reported since it refused."""
         if measured_at > self.refused_at:
--- a/src/lycheepath/core/routing/targets.py
+++ b/src/lycheepath/core/routing/targets.py
@@ -180,6 +180,7 @@
             return
         flight.first_token_at = now
         entry = self._entries[flight.target]
+        entry.health.record_contact()
         observed = (now - flight.started_at) / flight.estimate_s
         observed = min(max(observed, SLOWNESS_FLOOR), SLOWNESS_CEILING)
         entry.slowness += SLOWNESS_STEP * (observed - entry.slowness)
--- a/tests/core/routing/test_book.py
+++ b/tests/core/routing/test_book.py
@@ -61,6 +61,36 @@
     assert run(router, "back", 3.0).startswith("region-0")
 
 
+def test_a_probe_that_streams_does_not_close_the_only_target() -> None:
+    router = Router("host-region-0", "region-0", Random(2))
+    router.apply(build_environment(1, 1))
+    run(router, "refused", 0.0)
+    router.book.failed("refused", FailureKind.REFUSED, 0.0)
+    run(router, "last resort while paused", 0.1)
+    run(router, "probe", 1.0)
+    run(router, "beside the probe", 1.1)
+    router.book.first_token("probe", 1.2)
+    view = router.book.views()[0]
+    assert not view.on_probation
+
+
+def test_paused_targets_are_no_candidates_while_any_other_is_left() -> None:
+    """With more targets than a decision samples."""
+    router = Router("host-region-0", "region-0", Random(2))
+    router.apply(build_environment(1, 40))
+    healthy = "region-0-runner-7"
+    for number in range(40):
+        router.book.load_report(f"region-0-runner-{number}", LoadReport(0), 0.0)
+    for number in range(39):
+        request = build_request(f"r{number}", deadline=90.0)
+        choice = router.choose(request, 0.0, frozenset({healthy}))
+        assert isinstance(choice, Choice)
+        router.start(request, choice, 0.0)
+        router.book.failed(request.id, FailureKind.REFUSED, 0.0)
+    for number in range(4):
+        assert run(router, f"h{number}", 0.1) == healthy
+
+
 def test_wrong_answers_eject_at_once_and_one_probe_returns(router: Router) -> None:
     target = run(router, "wrong", 0.0)
     router.book.failed("wrong", FailureKind.WRONG_ANSWER, 0.0)
