Let a cut be seen before the tests go on

Change: cutting links returns after 0.3 s, with exchanges under way ended. Ruled out: an open watch that survives, since the transport ends it. Conclusion: the fault was the test's.

--- a/tests/promises/links.py
+++ b/tests/promises/links.py
@@ -15,6 +15,8 @@
 
     from standins.fleet import Fleet
 
+CUT_SEEN_S = 0.3
+
 
 @dataclass
 class Links:
@@ -43,14 +45,19 @@
         self.fleet.processes[name] = process
         return process
 
-    def cut(self, hosts: Iterable[str], others: Iterable[str]) -> None:
-        """Cut the links of hosts to others, both ways between hosts."""
+    async def cut(self, hosts: Iterable[str], others: Iterable[str]) -> None:
+        """
+        Cut the links of hosts to others, both ways between hosts.
+
+        Returns when the processes have seen it, exchanges under way included.
+        """
         others = tuple(others)
         for host in hosts:
             for other in others:
                 self.cut_one_way(host, other)
                 if other in self.fleet.hosts:
                     self.cut_one_way(other, host)
+        await trio.sleep(CUT_SEEN_S)
 
     def cut_one_way(self, host: str, other: str) -> None:
         """Let nothing that a host sends reach another process."""
--- a/tests/promises/test_configuration.py
+++ b/tests/promises/test_configuration.py
@@ -77,7 +77,7 @@
     fleet: Fleet,
 ) -> None:
     links = await start_two_regions(fleet)
-    links.cut(HOSTS[1:], ["platform"])
+    await links.cut(HOSTS[1:], ["platform"])
     await fleet.publish_environment()
     await wait_in_force(fleet, fleet.revision)
 
@@ -172,7 +172,7 @@
 ) -> None:
     links = await start_two_regions(fleet)
     accra, kumasi = HOSTS[:3], HOSTS[3:]
-    links.cut(accra, [*kumasi, "platform"])
+    await links.cut(accra, [*kumasi, "platform"])
     await fleet.publish_environment()
     await wait_in_force(fleet, fleet.revision, kumasi)
     assert await read_revisions(fleet, accra) == [fleet.revision - 1] * 3
--- a/tests/promises/test_fault_pairs.py
+++ b/tests/promises/test_fault_pairs.py
@@ -149,8 +149,8 @@
 
 async def cut_regions(script: Script) -> None:
     away = [n for n in script.fleet.targets if "kumasi" in n]
-    script.links.cut(HOSTS[:2], [*HOSTS[2:], *away])
-    script.links.cut(HOSTS[2:], ["platform"])
+    await script.links.cut(HOSTS[:2], [*HOSTS[2:], *away])
+    await script.links.cut(HOSTS[2:], ["platform"])
     await trio.sleep(FAULT_S)
     script.links.heal()
 
--- a/tests/promises/test_regions.py
+++ b/tests/promises/test_regions.py
@@ -147,8 +147,8 @@
 ) -> None:
     links = await start_regions(fleet)
     kumasi = ("kumasi-1", "kumasi-2")
-    links.cut(kumasi, ["accra-1", "accra-2", "platform"])
-    links.cut(kumasi, ["runner-accra-1", "runner-accra-2", "lodge-accra"])
+    await links.cut(kumasi, ["accra-1", "accra-2", "platform"])
+    await links.cut(kumasi, ["runner-accra-1", "runner-accra-2", "lodge-accra"])
     await fleet.processes["kumasi-2"].kill()
     await links.start_hosts("kumasi-2")
     for host in kumasi:
