Fetch a value from a host of another region that told of it

Cause: where the platform is cut off from a region, its hosts heard of a new revision from contacts of another region and asked an empty address for its content (6 failed fetches at each, none in force after 5 s), since addresses were looked up among the own region's hosts only. Change: published hosts of other regions are looked up as well. Ruled out: silent contacts (9 summaries arrived) and the rare fallback read. Conclusion: mended.

--- a/src/lycheepath/core/membership/state.py
+++ b/src/lycheepath/core/membership/state.py
@@ -191,5 +191,5 @@
         member = self.table.get(member_id)
         if member is not None and member.callers_address:
             return member.callers_address
-        published = self.published.get(member_id)
+        published = self.published.get(member_id) or self.regions.host(member_id)
         return published.callers_address if published else ""
