--- a/src/lycheepath/host/configuration.py
+++ b/src/lycheepath/host/configuration.py
@@ -117,6 +117,7 @@
         answer = await _read_or_watch(node, reader, name)
         if isinstance(answer, PublishedValue):
             retry_s = FIRST_RETRY_S
+            node.watched[name] = answer.revision
             offer = Offer(answer.revision, "", answer.body, "platform")
             outcome = offer_value(node, name, offer)
             if not isinstance(outcome, Accepted):
