Estimate a prompt's tokens in one place

Cause: the reader of chats and the router each divided characters by four. Change: the reader calls the router's function. Ruled out: nothing else reads it. Conclusion: behaviour is the same.

--- a/src/lycheepath/core/chat.py
+++ b/src/lycheepath/core/chat.py
@@ -10,11 +10,12 @@
 from dataclasses import dataclass
 from typing import Any
 
+from .routing.request import estimate_tokens
+
 MOST_MESSAGES = 2000
 MOST_TOKENS = 1_000_000
 DEFAULT_MAX_TOKENS = 256
 RESERVED_FIELDS = ("priority", "resume")
-CHARACTERS_PER_TOKEN = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,8 +41,7 @@
 
     def prompt_tokens(self) -> int:
         """Return an estimate of the prompt's length in tokens."""
-        characters = sum(len(str(m.get("content", ""))) for m in self.messages)
-        return max(1, characters // CHARACTERS_PER_TOKEN)
+        return estimate_tokens(self.messages)
 
 
 def read_chat_request(value: Any) -> ChatRequest | Malformed:
