Choose keys of the host that is restarted in the tests of actions

Cause: with the wait of a fresh process taken out, the test of a killed issuer still passed: none of its keys was issued by the host it killed (key-0 to key-8 belong to the two others), nor any in the test of a graceful restart. Change: both tests restart the host that issues at least half of the keys, and check that it does. Ruled out: the time that the fresh process had (a longer window alone changed nothing). Conclusion: the old tests proved nothing of a restart.

--- a/tests/promises/test_actions.py
+++ b/tests/promises/test_actions.py
@@ -8,13 +8,16 @@
 
 import trio
 
+from lycheepath.core.actions.issuance import rank_hosts
 from standins.caller import Kind
+from standins.fleet import TEAM
 
 if TYPE_CHECKING:
     from standins.caller import Outcome
     from standins.fleet import Fleet
 
 SERVICE = "booking"
+ISSUER = "host-3"
 OPERATOR_KEY = "operators"
 WINDOW_S = 4.0
 LONG_WINDOW_S = 25.0
@@ -71,6 +74,16 @@
     )
 
 
+def choose_keys(fleet: Fleet) -> list[str]:
+    """Return keys of which ``ISSUER`` issues at least half."""
+    keys = [f"key-{number}" for number in range(6)]
+    owned = [
+        key for key in keys if rank_hosts(fleet.hosts, TEAM, SERVICE, key)[0] == ISSUER
+    ]
+    assert len(owned) >= len(keys) // 2
+    return keys
+
+
 async def take_ticket(fleet: Fleet, host: str) -> str:
     """Return a ticket that a host issued."""
     caller = fleet.caller()
@@ -119,15 +132,15 @@
     fleet: Fleet,
 ) -> None:
     await start_booking_fleet(fleet, LONG_WINDOW_S)
-    keys = [f"key-{number}" for number in range(6)]
+    keys = choose_keys(fleet)
     for key in keys:
         assert (await book(fleet, "host-1", key)).kind is Kind.WHOLE
-    await fleet.processes["host-2"].kill()
+    await fleet.processes[ISSUER].kill()
     for key in keys:
-        assert (await book(fleet, "host-3", key)).kind in (Kind.WHOLE, Kind.UNKNOWN)
-    await fleet.start_host("host-2")
+        assert (await book(fleet, "host-2", key)).kind in (Kind.WHOLE, Kind.UNKNOWN)
+    await fleet.start_host(ISSUER)
     with trio.fail_after(VOUCHING_LIMIT_S):
-        while not (await read_status(fleet, "host-2"))["vouches_for_keys"]:
+        while not (await read_status(fleet, ISSUER))["vouches_for_keys"]:
             await trio.sleep(0.05)
     for key in keys:
         for host in fleet.hosts:
@@ -138,14 +151,14 @@
 
 async def test_key_is_answered_after_a_graceful_restart(fleet: Fleet) -> None:
     await start_booking_fleet(fleet, LONG_WINDOW_S)
-    keys = [f"key-{number}" for number in range(9)]
+    keys = choose_keys(fleet)
     for key in keys:
         assert (await book(fleet, "host-1", key)).kind is Kind.WHOLE
-    fleet.processes["host-2"].terminate()
-    assert await fleet.processes["host-2"].wait(15.0) == 0
-    await fleet.start_host("host-2")
+    fleet.processes[ISSUER].terminate()
+    assert await fleet.processes[ISSUER].wait(15.0) == 0
+    await fleet.start_host(ISSUER)
     await wait_until_vouching(fleet)
-    outcomes = [await book(fleet, "host-3", key) for key in keys]
+    outcomes = [await book(fleet, "host-2", key) for key in keys]
     assert [outcome.kind for outcome in outcomes] == [Kind.WHOLE] * len(keys)
     executions = await fleet.count_executions()
     assert [executions[key] for key in keys] == [1] * len(keys)
