Start a host once when two faults hit the same one

Change: a fault starts a host only if it does not run. Ruled out: drawing other hosts, since two faults at one host are wanted.

--- a/tests/promises/test_fault_pairs.py
+++ b/tests/promises/test_fault_pairs.py
@@ -90,6 +90,11 @@
             )
             await trio.sleep(self.random.random() * 0.3)
 
+    def relaunch(self, host: str) -> None:
+        """Start a host again, unless the other fault has done so already."""
+        if not self.fleet.processes[host].running:
+            self.links.launch(host)
+
     async def load(self, until: float) -> None:
         """Send chats and actions until a time."""
         number = 0
@@ -105,14 +110,14 @@
     name = script.random.choice(HOSTS)
     await script.fleet.processes[name].kill()
     await trio.sleep(1.0)
-    script.links.launch(name)
+    script.relaunch(name)
 
 
 async def restart_host(script: Script) -> None:
     name = script.random.choice(HOSTS)
     script.fleet.processes[name].terminate()
     await script.fleet.processes[name].wait(15.0)
-    script.links.launch(name)
+    script.relaunch(name)
 
 
 async def pause_host(script: Script) -> None:
