--- /dev/null
+++ b/src/lycheepath/adapters/http1/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1 over trio streams with h11, for callers, targets and peers alike."""
--- /dev/null
+++ b/src/lycheepath/adapters/http1/downstream.py
@@ -0,0 +1,266 @@
+"""
+One connection from a caller, served one request at a time.
+
+A task reads the connection while requests are served, so that a caller who
+leaves is noticed at once; what it sends ahead is kept up to a bound.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import h11
+import trio
+
+from .sockets import abort
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Sequence
+
+    Headers = Sequence[tuple[bytes, bytes]]
+
+RECEIVE_BYTES = 65_536
+# Bytes that are read from a caller before they are needed.
+READ_AHEAD_BYTES = 65_536
+# For the answer to a request that can't be read, to reach the caller.
+LAST_ANSWER_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class ReceivedRequest:
+    """A whole request as a caller sent it."""
+
+    method: bytes
+    target: bytes
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+    received_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class ReadLimits:
+    """What a caller may send, in bytes and seconds."""
+
+    head_bytes: int
+    body_bytes: int
+    head_s: float
+    idle_s: float
+
+
+class CallerGoneError(Exception):
+    """The caller can't be answered any more."""
+
+
+class BadRequestError(Exception):
+    """The request can't be served as it was sent; ``status`` says why."""
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status = status
+
+
+class CallerConnection:
+    """A connection and the state of the request on it."""
+
+    def __init__(self, stream: trio.SocketStream, limits: ReadLimits) -> None:
+        self.stream = stream
+        self.limits = limits
+        self.closing = False
+        self.serving: trio.CancelScope | None = None
+        self.left = False
+        self.answering = False
+        self.requests = 0
+        self._h11 = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits.head_bytes
+        )
+        self._inbox: list[bytes] = []
+        self._unread = 0
+        self._arrived = trio.Event()
+        self._consumed = trio.Event()
+
+    async def run(self, serve: Callable[[ReceivedRequest], Awaitable[None]]) -> None:
+        """Serve the connection's requests, one after the other, to its end."""
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._receive)
+                while (request := await self._read_request()) is not None:
+                    self.requests += 1
+                    await self._serve(request, serve)
+                    if self.left or not self._start_next():
+                        break
+                nursery.cancel_scope.cancel()
+        finally:
+            abort(self.stream)
+
+    async def start_answer(self, status: int, headers: Headers) -> bytes:
+        """Begin an answer; return the bytes to send with the first data."""
+        self.answering = True
+        named = list(headers)
+        if self.closing:
+            named.append((b"connection", b"close"))
+        response = h11.Response(status_code=status, headers=named)
+        return self._h11.send(response) or b""
+
+    async def send_data(self, data: bytes, head: bytes = b"") -> None:
+        """Send bytes of the answer's body."""
+        body = self._h11.send(h11.Data(data=data)) if data else b""
+        await self._send(head + (body or b""))
+
+    async def end_answer(self, head: bytes = b"", data: bytes = b"") -> None:
+        """End the answer, with its last bytes."""
+        tail = head
+        if data:
+            tail += self._h11.send(h11.Data(data=data)) or b""
+        tail += self._h11.send(h11.EndOfMessage()) or b""
+        if tail:
+            await self._send(tail)
+
+    async def answer(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole answer."""
+        length = (b"content-length", str(len(body)).encode())
+        named = [h for h in headers if h[0] not in (b"content-length",)]
+        head = await self.start_answer(status, [*named, length])
+        await self.end_answer(head, body)
+
+    def break_off(self) -> None:
+        """End the connection so that the answer doesn't look complete."""
+        self.left = True
+        abort(self.stream)
+
+    async def _serve(
+        self,
+        request: ReceivedRequest,
+        serve: Callable[[ReceivedRequest], Awaitable[None]],
+    ) -> None:
+        with trio.CancelScope() as scope:
+            self.serving = scope
+            self.answering = False
+            if self.left:
+                scope.cancel()
+            try:
+                await serve(request)
+            except CallerGoneError:
+                self.left = True
+            finally:
+                self.serving = None
+
+    def _start_next(self) -> bool:
+        if self.closing:
+            return False
+        try:
+            self._h11.start_next_cycle()
+        except h11.LocalProtocolError:
+            return False
+        return True
+
+    async def _read_request(self) -> ReceivedRequest | None:
+        """Return the next request; None at the end of the connection."""
+        try:
+            return await self._read_events()
+        except BadRequestError as error:
+            with trio.move_on_after(LAST_ANSWER_S):
+                await self._refuse(error)
+            return None
+
+    async def _read_events(self) -> ReceivedRequest | None:
+        if not self._h11.trailing_data[0] and not self._inbox:
+            with trio.move_on_after(self.limits.idle_s):
+                await self._wait_for_bytes()
+        with trio.move_on_after(self.limits.head_s) as timer:
+            head = await self._next_event()
+        if timer.cancelled_caught:
+            if self._h11.their_state is h11.IDLE and not self._h11.trailing_data[0]:
+                return None
+            raise BadRequestError(408, "the head took too long")
+        if not isinstance(head, h11.Request):
+            return None
+        received_at = trio.current_time()
+        body = await self._read_body(head)
+        return ReceivedRequest(
+            head.method, head.target, tuple(head.headers), body, received_at
+        )
+
+    async def _read_body(self, head: h11.Request) -> bytes:
+        most = self.limits.body_bytes
+        fields = dict(head.headers)
+        if int(fields.get(b"content-length", b"0")) > most:
+            raise BadRequestError(413, f"the body is over {most} bytes")
+        if fields.get(b"expect", b"").lower() == b"100-continue":
+            interim = h11.InformationalResponse(status_code=100, headers=[])
+            await self._send(self._h11.send(interim) or b"")
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            with trio.move_on_after(self.limits.idle_s) as timer:
+                event = await self._next_event()
+            if timer.cancelled_caught:
+                raise BadRequestError(408, "the body took too long")
+            if isinstance(event, h11.EndOfMessage):
+                return b"".join(parts)
+            if not isinstance(event, h11.Data):
+                raise BadRequestError(400, "the body ended early")
+            parts.append(bytes(event.data))
+            size += len(event.data)
+            if size > most:
+                raise BadRequestError(413, f"the body is over {most} bytes")
+
+    async def _next_event(self) -> object:
+        while True:
+            try:
+                event = self._h11.next_event()
+            except h11.RemoteProtocolError as error:
+                status = error.error_status_hint
+                raise BadRequestError(status, str(error)) from error
+            if event is not h11.NEED_DATA:
+                return event
+            if not self._inbox:
+                if self.left:
+                    return h11.ConnectionClosed()
+                await self._wait_for_bytes()
+            if self._inbox:
+                data = self._inbox.pop(0)
+                self._unread -= len(data)
+                self._consumed.set()
+                self._h11.receive_data(data)
+
+    async def _wait_for_bytes(self) -> None:
+        if self._inbox or self.left:
+            return
+        self._arrived = trio.Event()
+        await self._arrived.wait()
+
+    async def _receive(self) -> None:
+        """Read the connection, ahead of need up to a bound, until it ends."""
+        while True:
+            try:
+                data = await self.stream.receive_some(RECEIVE_BYTES)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                data = b""
+            if not data:
+                self.left = True
+                if self.serving is not None:
+                    self.serving.cancel()
+                self._arrived.set()
+                return
+            self._inbox.append(data)
+            self._unread += len(data)
+            self._arrived.set()
+            while self._unread > READ_AHEAD_BYTES:
+                self._consumed = trio.Event()
+                await self._consumed.wait()
+
+    async def _refuse(self, error: BadRequestError) -> None:
+        if self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        self.closing = True
+        try:
+            await self.answer(error.status, [], f"{error}\n".encode())
+        except (CallerGoneError, h11.LocalProtocolError):
+            return
+
+    async def _send(self, data: bytes) -> None:
+        try:
+            await self.stream.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise CallerGoneError(str(error)) from error
--- /dev/null
+++ b/src/lycheepath/adapters/http1/upstream.py
@@ -0,0 +1,198 @@
+"""
+One connection to a target, a peer or the store, for one request at a time.
+
+``h11`` reads what comes back. An answer is asked for by id; one that belongs
+to an earlier request, which some targets send late, is read and dropped.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import h11
+import trio
+
+from .sockets import abort, is_quiet
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from ...gateway.settings import Address
+
+    Headers = Sequence[tuple[bytes, bytes]]
+
+RECEIVE_BYTES = 65_536
+# Larger bodies are sent beside the reading of the answer, which may come early.
+SENT_AT_ONCE_BYTES = 32_768
+# Answers to earlier requests that are skipped before a connection is given up.
+MOST_STALE_ANSWERS = 2
+
+
+class BrokenAnswerError(Exception):
+    """
+    A request was sent, or sent in part, and no whole answer came.
+
+    Whether it ran is not known.
+    """
+
+
+class Upstream:
+    """A connection and the state of the exchange on it."""
+
+    def __init__(self, stream: trio.SocketStream, address: Address) -> None:
+        self.stream = stream
+        self.address = address
+        self.exchanges = 0
+        self.idle_since = 0.0
+        self.idle_s: float | None = None
+        self._h11 = h11.Connection(h11.CLIENT)
+        self._request: h11.Request | None = None
+        self._sent = False
+
+    async def request(
+        self,
+        method: bytes,
+        target: bytes,
+        headers: Headers,
+        body: bytes,
+        request_id: bytes | None = None,
+    ) -> tuple[int, list[tuple[bytes, bytes]]]:
+        """
+        Send a request; return the status and headers of its answer.
+
+        ``request_id`` is the id that the answer is to repeat, if it is known
+        to. Raises BrokenAnswerError.
+        """
+        self.exchanges += 1
+        self._sent = False
+        self._request = h11.Request(method=method, target=target, headers=list(headers))
+        data = self._h11.send(self._request) or b""
+        if body:
+            data += self._h11.send(h11.Data(data=body)) or b""
+        data += self._h11.send(h11.EndOfMessage()) or b""
+        if len(data) <= SENT_AT_ONCE_BYTES:
+            await self._send(data)
+            return await self._read_own_head(request_id)
+        return await self._send_and_read(data, request_id)
+
+    async def read_body(self) -> bytes | None:
+        """Return the next bytes of the answer's body; None at its end."""
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Data):
+                return bytes(event.data)
+            if isinstance(event, h11.EndOfMessage):
+                return None
+            if not isinstance(event, h11.InformationalResponse):
+                raise BrokenAnswerError("the answer ended early")
+
+    async def read_whole(self, most_bytes: int) -> bytes:
+        """Return the whole rest of the body, up to a bound."""
+        parts: list[bytes] = []
+        size = 0
+        while (data := await self.read_body()) is not None:
+            parts.append(data)
+            size += len(data)
+            if size > most_bytes:
+                raise BrokenAnswerError(f"the answer is over {most_bytes} bytes")
+        return b"".join(parts)
+
+    def finish(self) -> bool:
+        """Make ready for the next request; tell whether there can be one."""
+        if not self._sent or self._h11.trailing_data != (b"", False):
+            return False
+        try:
+            self._h11.start_next_cycle()
+        except h11.LocalProtocolError:
+            return False
+        return True
+
+    def is_usable(self, now: float, margin_s: float) -> bool:
+        """Whether an idle connection is likely to take another request."""
+        if self.idle_s is not None and now - self.idle_since > self.idle_s - margin_s:
+            return False
+        return is_quiet(self.stream)
+
+    def close(self) -> None:
+        """Close at once; the other side stops what it does for us."""
+        abort(self.stream)
+
+    async def _send(self, data: bytes) -> None:
+        try:
+            await self.stream.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise BrokenAnswerError(f"sending failed: {error}") from error
+        self._sent = True
+
+    async def _send_and_read(
+        self, data: bytes, request_id: bytes | None
+    ) -> tuple[int, list[tuple[bytes, bytes]]]:
+        failure: BrokenAnswerError | None = None
+
+        async def send() -> None:
+            nonlocal failure
+            try:
+                await self._send(data)
+            except BrokenAnswerError as error:
+                failure = error
+                # An early answer may still be on its way to be read.
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send)
+            try:
+                head = await self._read_own_head(request_id)
+            except BrokenAnswerError as error:
+                raise (failure or error) from error
+            finally:
+                nursery.cancel_scope.cancel()
+        return head
+
+    async def _read_own_head(
+        self, request_id: bytes | None
+    ) -> tuple[int, list[tuple[bytes, bytes]]]:
+        for _ in range(MOST_STALE_ANSWERS + 1):
+            head = await self._read_head()
+            status, headers = head
+            answered = dict(headers).get(b"request-id")
+            if request_id is None or answered in (None, request_id):
+                return status, headers
+            await self._skip_stale_answer()
+        raise BrokenAnswerError("the answers belong to other requests")
+
+    async def _read_head(self) -> tuple[int, list[tuple[bytes, bytes]]]:
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Response):
+                return event.status_code, list(event.headers)
+            if not isinstance(event, h11.InformationalResponse):
+                raise BrokenAnswerError("the connection ended without an answer")
+
+    async def _skip_stale_answer(self) -> None:
+        """Read an answer to an earlier request to its end; go on behind it."""
+        while await self.read_body() is not None:
+            pass
+        rest, ended = self._h11.trailing_data
+        assert self._request is not None
+        self._h11 = h11.Connection(h11.CLIENT)
+        self._h11.send(self._request)
+        self._h11.send(h11.EndOfMessage())
+        if rest:
+            self._h11.receive_data(rest)
+        if ended:
+            self._h11.receive_data(b"")
+
+    async def _next_event(self) -> object:
+        while True:
+            try:
+                event = self._h11.next_event()
+            except h11.RemoteProtocolError as error:
+                raise BrokenAnswerError(f"the answer is wrong: {error}") from error
+            if event is h11.PAUSED:
+                raise BrokenAnswerError("the connection changed its protocol")
+            if event is not h11.NEED_DATA:
+                return event
+            try:
+                data = await self.stream.receive_some(RECEIVE_BYTES)
+            except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+                raise BrokenAnswerError(f"the connection broke: {error}") from error
+            self._h11.receive_data(data)
--- a/src/lycheepath/console/application.py
+++ b/src/lycheepath/console/application.py
@@ -9,6 +9,7 @@
 from .commands.check import CheckCommand
 from .commands.diff import DiffCommand
 from .commands.explain import ExplainCommand
+from .commands.gateway import GatewayCommand
 from .commands.promote import PromoteCommand
 from .commands.serve import ServeCommand
 from .commands.status import StatusCommand
@@ -18,6 +19,7 @@
     CheckCommand,
     DiffCommand,
     ExplainCommand,
+    GatewayCommand,
     PromoteCommand,
     ServeCommand,
     StatusCommand,
--- /dev/null
+++ b/src/lycheepath/core/catalog/__init__.py
@@ -0,0 +1,1 @@
+"""What the operator and the targets say: routes, services, limits, targets."""
--- /dev/null
+++ b/src/lycheepath/core/catalog/catalog.py
@@ -0,0 +1,152 @@
+"""
+What this host believes is configured and announced.
+
+The catalog takes snapshots and deltas and never steps back: neither to an
+older configuration nor to an older announcement of a target. While the store
+can't be read it keeps its beliefs. Entries may lapse during an outage though
+their targets live, so what is missing in the first reading after an outage is
+only dropped once ``LAPSE_GRACE_S`` has passed::
+
+    catalog = Catalog()
+    notes = catalog.replace(snapshot, now)
+    notes += catalog.apply(delta, now)
+    notes += catalog.expire(now)
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from .changes import Evacuation, EvacuationEnded, TargetRemoved, Unreadable
+from .model import Configuration, TargetEntry
+from .routes import RouteTable
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from .changes import Change, Delta, Snapshot
+
+# Lapsed entries are back about two seconds after the store's return, by its
+# documentation; half a second for the reading itself.
+LAPSE_GRACE_S = 2.5
+
+
+@dataclass(frozen=True, slots=True)
+class Note:
+    """A belief that changed, for the log and for whoever depends on it."""
+
+    event: str
+    subject: str
+    detail: str = ""
+
+
+class Catalog:
+    """State: the configuration in force, targets and evacuated zones."""
+
+    def __init__(self) -> None:
+        self.routes: RouteTable | None = None
+        self.targets: dict[str, TargetEntry] = {}
+        self.evacuated: set[str] = set()
+        self.revision = 0
+        self.heard_at: dict[str, float] = {}
+        self._dubious: dict[str, float] = {}
+
+    @property
+    def version(self) -> int:
+        """The version of the configuration in force, 0 before the first."""
+        return self.routes.configuration.version if self.routes else 0
+
+    def replace(self, snapshot: Snapshot, now: float, outage: bool) -> list[Note]:
+        """Take everything as of a revision; what it lacks is gone."""
+        if snapshot.revision < self.revision:
+            return []
+        seen = {e.id for e in snapshot.entries if isinstance(e, TargetEntry)}
+        zones = {e.zone for e in snapshot.entries if isinstance(e, Evacuation)}
+        notes = self._take(snapshot.entries, now)
+        for target in [t for t in self.targets if t not in seen]:
+            notes += self._remove_target(target, now, outage)
+        for zone in self.evacuated - zones:
+            self.evacuated.discard(zone)
+            notes.append(Note("evacuation-ended", zone))
+        self.revision = snapshot.revision
+        return notes
+
+    def apply(self, delta: Delta, now: float, outage: bool) -> list[Note]:
+        """Take the changes since the revision that is held."""
+        if delta.revision < self.revision:
+            return []
+        notes: list[Note] = []
+        for change in delta.changes:
+            if isinstance(change, TargetRemoved):
+                notes += self._remove_target(change.id, now, outage)
+            elif isinstance(change, EvacuationEnded):
+                self.evacuated.discard(change.zone)
+                notes.append(Note("evacuation-ended", change.zone))
+            else:
+                notes += self._take((change,), now)
+        self.revision = delta.revision
+        return notes
+
+    def expire(self, now: float) -> list[Note]:
+        """Drop targets whose entries lapsed and didn't come back."""
+        due = [target for target, at in self._dubious.items() if at <= now]
+        notes = []
+        for target in due:
+            del self._dubious[target]
+            notes += self._remove_target(target, now, outage=False)
+        return notes
+
+    def _take(self, entries: Iterable[Change], now: float) -> list[Note]:
+        notes: list[Note] = []
+        for entry in entries:
+            if isinstance(entry, TargetEntry):
+                notes += self._put_target(entry, now)
+            elif isinstance(entry, Configuration):
+                notes += self._put_configuration(entry)
+            elif isinstance(entry, Evacuation):
+                if entry.zone not in self.evacuated:
+                    self.evacuated.add(entry.zone)
+                    notes.append(Note("evacuation", entry.zone))
+            elif isinstance(entry, Unreadable):
+                notes.append(Note("entry-unreadable", entry.key, entry.reason))
+        return notes
+
+    def _put_configuration(self, configuration: Configuration) -> list[Note]:
+        if self.routes is not None and configuration.version <= self.version:
+            return []
+        before = self.version
+        self.routes = RouteTable(configuration)
+        detail = f"from {before}, {len(configuration.routes)} routes"
+        return [Note("configuration", str(configuration.version), detail)]
+
+    def _put_target(self, entry: TargetEntry, now: float) -> list[Note]:
+        held = self.targets.get(entry.id)
+        self._dubious.pop(entry.id, None)
+        self.heard_at[entry.id] = now
+        self.targets[entry.id] = entry
+        if held is None:
+            return [Note("target", entry.id, f"{entry.service} at {entry.address}")]
+        if has_restarted(held, entry):
+            return [Note("target-restarted", entry.id, entry.address)]
+        if held.draining != entry.draining:
+            return [Note("target-draining", entry.id, str(entry.draining))]
+        return []
+
+    def _remove_target(self, target: str, now: float, outage: bool) -> list[Note]:
+        if target not in self.targets:
+            return []
+        if outage:
+            self._dubious.setdefault(target, now + LAPSE_GRACE_S)
+            return [Note("target-lapsed", target)]
+        del self.targets[target]
+        self._dubious.pop(target, None)
+        self.heard_at.pop(target, None)
+        return [Note("target-gone", target)]
+
+
+def has_restarted(before: TargetEntry, after: TargetEntry) -> bool:
+    """Tell whether a target has started anew under the id that it had."""
+    if before.born_ms != after.born_ms:
+        return True
+    return after.sequence < before.sequence
--- /dev/null
+++ b/src/lycheepath/core/catalog/routes.py
@@ -0,0 +1,56 @@
+"""
+Finds the route of a request by host name and longest path prefix.
+
+The cost of a look-up grows with the depth of the path, not with the number of
+routes::
+
+    table = RouteTable(configuration)
+    route = table.match("books.example", "/drafts/2/page")
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from .model import Configuration, Route
+
+
+class RouteTable:
+    """The routes of one configuration, by host name and prefix."""
+
+    def __init__(self, configuration: Configuration) -> None:
+        self.configuration = configuration
+        self._by_host: dict[str, dict[str, Route]] = {}
+        for route in configuration.routes:
+            self._by_host.setdefault(route.host, {})[route.prefix] = route
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route whose prefix is the longest that begins the path."""
+        prefixes = self._by_host.get(host)
+        if prefixes is None:
+            return None
+        end = path.find("?")
+        end = path.rfind("/", 0, len(path) if end < 0 else end)
+        while end >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
+
+
+def draw_service(route: Route, random: Random) -> str:
+    """Return the service of one request, drawn by the route's weights."""
+    shares = route.services
+    if len(shares) == 1:
+        return shares[0].service
+    total = sum(share.weight for share in shares)
+    point = random.random() * total
+    for share in shares:
+        point -= share.weight
+        if point < 0:
+            return share.service
+    return shares[-1].service
--- /dev/null
+++ b/src/lycheepath/core/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Which target serves a request, and when it is refused instead."""
--- /dev/null
+++ b/src/lycheepath/core/placement/book.py
@@ -0,0 +1,250 @@
+"""
+The targets as this host knows them: what is under way there, and how it goes.
+
+The book records what this host sends and what comes of it, what peers tell of
+their own sending, and what targets report. Estimates follow from these::
+
+    book.started(key, target, work, now)
+    book.first_event(key, now)
+    book.ended(key, Ending.WHOLE, now)
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from ..catalog.catalog import has_restarted
+from ..routing.health import TargetHealth, may_eject
+from .cold import ColdGate
+from .prompts import PromptCache
+from .speed import SpeedModel
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from ..catalog.catalog import Catalog
+    from ..catalog.model import Service, TargetEntry
+    from ..serving.answers import ReportedLoad
+    from ..serving.requests import PromptPart
+
+# What a peer told of its sending is dropped after this long; eight of its
+# intervals in a region.
+PEER_LOAD_S = 1.5
+# Part of an engine's memory that is taken for cached parts; the rest holds
+# what runs.
+CACHE_SHARE = 0.85
+
+
+class Ending(Enum):
+    """What became of a request that was sent to a target."""
+
+    WHOLE = "whole"
+    FAILED = "failed"
+    WRONG = "wrong"
+    REFUSED = "refused"
+    NOT_RUN = "not-run"
+    SILENT = "silent"
+    LEFT = "left"
+
+
+@dataclass(slots=True)
+class Flight:
+    """
+    A request under way at a target.
+
+    ``tokens`` are those of its prompt that the target has to read, ``ahead``
+    what had to be read before it.
+    """
+
+    target: TargetState
+    sent_at: float
+    urgency: int
+    tokens: int
+    ahead: int
+    first_at: float | None = None
+
+
+@dataclass(slots=True)
+class PeerLoad:
+    """What a peer has under way at a target; tokens to read by urgency."""
+
+    in_flight: int
+    tokens: Mapping[int, int]
+    told_at: float
+
+
+@dataclass(slots=True)
+class TargetState:
+    """One target: its announcement and what this host makes of it."""
+
+    entry: TargetEntry
+    region: str
+    service: Service | None
+    cache: PromptCache
+    cold: ColdGate
+    health: TargetHealth = field(default_factory=TargetHealth)
+    flights: dict[int, Flight] = field(default_factory=dict)
+    peers: dict[str, PeerLoad] = field(default_factory=dict)
+    reported: ReportedLoad | None = None
+    reported_at: float = float("-inf")
+    evacuated: bool = False
+
+    def count_in_flight(self, now: float) -> int:
+        """Return the requests under way here, those of peers included."""
+        count = len(self.flights)
+        for load in self.peers.values():
+            if now - load.told_at < PEER_LOAD_S:
+                count += load.in_flight
+        return count
+
+    def count_ahead(self, urgency: int, now: float) -> int:
+        """Return the tokens that are read before those of a new request."""
+        tokens = 0
+        for flight in self.flights.values():
+            if flight.first_at is None and flight.urgency <= urgency:
+                tokens += flight.tokens
+        for load in self.peers.values():
+            if now - load.told_at < PEER_LOAD_S:
+                tokens += sum(n for u, n in load.tokens.items() if u <= urgency)
+        return tokens
+
+    @property
+    def open(self) -> bool:
+        """Whether the operator and the target let new requests come."""
+        return not (self.evacuated or self.entry.draining)
+
+
+class TargetBook:
+    """State: all targets, and the requests that this host has under way."""
+
+    def __init__(self) -> None:
+        self.targets: dict[str, TargetState] = {}
+        self.speeds: dict[str, SpeedModel] = {}
+        self._by_service: dict[str, list[TargetState]] = {}
+        self._flights: dict[int, Flight] = {}
+
+    def update(
+        self, catalog: Catalog, zone_regions: Mapping[str, str], now: float
+    ) -> None:
+        """Bring the book in line with the catalog; other knowledge is kept."""
+        services = catalog.routes.configuration.services if catalog.routes else {}
+        for target in self.targets.keys() - catalog.targets.keys():
+            del self.targets[target]
+        for entry in catalog.targets.values():
+            region = zone_regions.get(entry.zone, "")
+            self._put(entry, region, services.get(entry.service), now)
+            self.targets[entry.id].evacuated = entry.zone in catalog.evacuated
+        self._by_service = {}
+        for state in self.targets.values():
+            self._by_service.setdefault(state.entry.service, []).append(state)
+
+    def of_service(self, service: str) -> list[TargetState]:
+        """Return the targets of a service, whatever their condition."""
+        return self._by_service.get(service, [])
+
+    def speed(self, service: str) -> SpeedModel:
+        """Return what is learned of the speed of a service's targets."""
+        model = self.speeds.get(service)
+        if model is None:
+            model = self.speeds[service] = SpeedModel()
+        return model
+
+    def started(
+        self, key: int, target: TargetState, urgency: int, tokens: int, now: float
+    ) -> None:
+        """Note that a request is being sent."""
+        ahead = target.count_ahead(urgency, now)
+        flight = Flight(target, now, urgency, tokens, ahead)
+        target.flights[key] = flight
+        self._flights[key] = flight
+
+    def read_parts(self, target: TargetState, parts: Iterable[PromptPart]) -> None:
+        """Note that a target reads the shared parts of a prompt."""
+        target.cache.use(parts)
+
+    def first_event(self, key: int, now: float) -> None:
+        """Note that a target has begun to answer."""
+        flight = self._flights.get(key)
+        if flight is None or flight.first_at is not None:
+            return
+        flight.first_at = now
+        flight.target.health.record_contact()
+        speed = self.speed(flight.target.entry.service)
+        speed.observe_first(now - flight.sent_at, flight.tokens + flight.ahead)
+
+    def ended(self, key: int, ending: Ending, now: float) -> None:
+        """Note what became of a request."""
+        flight = self._flights.pop(key, None)
+        if flight is None:
+            return
+        target = flight.target
+        target.flights.pop(key, None)
+        health = target.health
+        if ending is Ending.WHOLE:
+            health.record_success()
+            took = now - flight.sent_at
+            self.speed(target.entry.service).observe_whole(took)
+        elif ending is Ending.REFUSED:
+            health.record_refusal(now)
+            target.cold.doubt(now)
+        elif ending in (Ending.FAILED, Ending.WRONG, Ending.SILENT):
+            if ending is Ending.SILENT:
+                target.cold.doubt(now)
+            wrong = ending is Ending.WRONG
+            if health.record_failure(wrong) and self._may_eject(target, now):
+                health.eject(now)
+
+    def note_load(self, target: TargetState, load: ReportedLoad, now: float) -> None:
+        """Take what a target reported with an answer."""
+        target.reported = load
+        target.reported_at = now
+
+    def note_peer(
+        self, host: str, loads: Mapping[str, tuple[int, Mapping[int, int]]], now: float
+    ) -> None:
+        """Take what a peer has under way, by target; it replaces the last."""
+        for target in self.targets.values():
+            load = loads.get(target.entry.id)
+            if load is not None:
+                target.peers[host] = PeerLoad(load[0], load[1], now)
+            else:
+                target.peers.pop(host, None)
+
+    def own_loads(self) -> dict[str, tuple[int, dict[int, int]]]:
+        """Return what this host has under way, for its peers."""
+        loads = {}
+        for target in self.targets.values():
+            if target.flights:
+                tokens: dict[int, int] = {}
+                for flight in target.flights.values():
+                    if flight.first_at is None and flight.tokens:
+                        held = tokens.get(flight.urgency, 0)
+                        tokens[flight.urgency] = held + flight.tokens
+                loads[target.entry.id] = (len(target.flights), tokens)
+        return loads
+
+    def _put(
+        self, entry: TargetEntry, region: str, service: Service | None, now: float
+    ) -> None:
+        state = self.targets.get(entry.id)
+        if state is None:
+            engine = service.engine if service else None
+            capacity = int(engine.kv_tokens * CACHE_SHARE) if engine else 0
+            cold = ColdGate(service.cold_per_s if service else 0.0)
+            state = TargetState(entry, region, service, PromptCache(capacity), cold)
+            self.targets[entry.id] = state
+        elif has_restarted(state.entry, entry):
+            state.cache.clear()
+            state.health = TargetHealth()
+            state.peers.clear()
+        state.cold.announce(entry.cold_s, now)
+        state.entry = entry
+        state.region = region
+        state.service = service
+
+    def _may_eject(self, target: TargetState, now: float) -> bool:
+        alike = [t for t in self.of_service(target.entry.service) if t.open]
+        ejected = sum(t.health.is_ejected(now) for t in alike if t is not target)
+        return may_eject(ejected, len(alike))
--- /dev/null
+++ b/src/lycheepath/core/serving/__init__.py
@@ -0,0 +1,1 @@
+"""What is decided for one request on its way to a target and back."""
--- /dev/null
+++ b/src/lycheepath/core/serving/answers.py
@@ -0,0 +1,39 @@
+"""What the head of a target's answer says."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class ReportedLoad:
+    """Requests that run and wait at a target, and its places."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerFacts:
+    """
+    The head of an answer.
+
+    ``not_run`` is the target's word that it did not run the request. ``idle_s``
+    is how long it keeps an idle connection, ``closes`` that it closes this one.
+    """
+
+    status: int
+    request_id: str
+    signed: bool
+    not_run: bool
+    retry_after_s: float | None
+    load: ReportedLoad | None
+    idle_s: float | None
+    closes: bool
+    headers: tuple[tuple[bytes, bytes], ...]
+
+    @property
+    def succeeded(self) -> bool:
+        """Whether the target answered with success."""
+        return 200 <= self.status < 300
--- /dev/null
+++ b/src/lycheepath/core/serving/events.py
@@ -0,0 +1,81 @@
+"""
+Cuts an event stream into whole events and keeps their order.
+
+Only whole events are passed on, so that an answer which goes on at another
+target joins no halves. Events that were passed on before are dropped, and a
+gap in the ids ends the attempt::
+
+    pieces = EventCutter(last_id=None)
+    ready = pieces.feed(b"id: 1\\ndata: x\\n\\nid: 2\\nda")
+"""
+
+from __future__ import annotations
+
+END = b"\n\n"
+ID = b"id:"
+# An event that is larger is no event of an engine.
+MOST_EVENT_BYTES = 1 << 20
+
+
+class EventOrderError(Exception):
+    """The events of a stream are not in order, or are no events."""
+
+
+class EventCutter:
+    """State: the id of the last event passed on, and what is not yet whole."""
+
+    def __init__(self, last_id: int | None) -> None:
+        self.last_id = last_id
+        self._rest = b""
+
+    def feed(self, data: bytes) -> bytes:
+        """Take bytes of the stream; return the whole events to pass on."""
+        data = self._rest + data
+        end = data.rfind(END)
+        if end < 0:
+            self._keep(data)
+            return b""
+        end += len(END)
+        self._keep(data[end:])
+        return b"".join(
+            event + END
+            for event in data[: end - len(END)].split(END)
+            if self._take(event)
+        )
+
+    def restart(self) -> None:
+        """Begin with the answer of another target."""
+        self._rest = b""
+
+    @property
+    def complete(self) -> bool:
+        """Whether the stream ends at the end of an event."""
+        return not self._rest.strip()
+
+    def _keep(self, rest: bytes) -> None:
+        if len(rest) > MOST_EVENT_BYTES:
+            raise EventOrderError(f"an event is over {MOST_EVENT_BYTES} bytes")
+        self._rest = rest
+
+    def _take(self, event: bytes) -> bool:
+        """Whether an event is to be passed on, by its id."""
+        number = read_id(event)
+        if number is None:
+            return True
+        last = self.last_id
+        if last is not None and number <= last:
+            return False
+        if last is not None and number != last + 1:
+            raise EventOrderError(f"event {number} follows event {last}")
+        self.last_id = number
+        return True
+
+
+def read_id(event: bytes) -> int | None:
+    """Return the number in an event's ``id`` line."""
+    at = 0 if event.startswith(ID) else event.find(b"\n" + ID) + 1
+    if at == 0 and not event.startswith(ID):
+        return None
+    end = event.find(b"\n", at)
+    text = event[at + len(ID) : end if end >= 0 else len(event)].strip()
+    return int(text) if text.isdigit() else None
--- /dev/null
+++ b/src/lycheepath/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""One gateway process: its listeners, its tasks and what they share."""
--- /dev/null
+++ b/src/lycheepath/gateway/process.py
@@ -0,0 +1,88 @@
+"""Runs one gateway process, from its start to its drained end."""
+
+from __future__ import annotations
+
+import os
+import signal
+from functools import partial
+from typing import TYPE_CHECKING
+
+import trio
+
+from ..adapters.events import record_event, set_up_events
+from .discovery import StoreFollower
+from .listeners import (
+    answer_directory,
+    answer_metrics,
+    answer_ready,
+    listen,
+    serve_caller,
+)
+from .node import GatewayNode
+
+if TYPE_CHECKING:
+    from .settings import GatewaySettings
+
+POLL_S = 0.1
+# Before SIGKILL comes, for the last lines of the log.
+LAST_WORDS_S = 0.5
+# Callers learn from the directory within this time that this host leaves.
+LEAVE_S = 3.0
+IDLE_CHECK_S = 1.0
+
+
+def run_gateway(settings: GatewaySettings) -> None:
+    """Run a gateway until it is told to end and has drained."""
+    trio.run(_run, settings)
+
+
+async def _run(settings: GatewaySettings) -> None:
+    node = GatewayNode(settings)
+    set_up_events(node.events, host=settings.host)
+    record_event("start", zone=settings.zone, region=settings.region, pid=os.getpid())
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(node.events.run)
+        nursery.start_soon(StoreFollower(node).run)
+        nursery.start_soon(_close_idle, node)
+        for address, answer in (
+            (settings.callers, serve_caller),
+            (settings.ready, answer_ready),
+            (settings.directory, answer_directory),
+            (settings.metrics, answer_metrics),
+        ):
+            await nursery.start(listen, node, address, partial(answer, node))
+        await _wait_for_end(node)
+        await _drain(node)
+        nursery.cancel_scope.cancel()
+    record_event("stop", serving=node.serving)
+    node.events.flush()
+
+
+async def _wait_for_end(node: GatewayNode) -> None:
+    with trio.open_signal_receiver(
+        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+    ) as signals:
+        async for number in signals:
+            if number == signal.SIGHUP:
+                record_event("reload")
+                continue
+            return
+
+
+async def _drain(node: GatewayNode) -> None:
+    """Take no new callers, serve those who are here, and end in time."""
+    node.leaving = True
+    started = node.now()
+    grace_s = node.settings.bounds.grace_s - LAST_WORDS_S
+    record_event("leaving", serving=node.serving)
+    while node.now() - started < grace_s:
+        waited = node.now() - started
+        if node.serving == 0 and waited > min(LEAVE_S, grace_s / 2):
+            return
+        await trio.sleep(POLL_S)
+
+
+async def _close_idle(node: GatewayNode) -> None:
+    while True:
+        await trio.sleep(IDLE_CHECK_S)
+        node.pool.close_idle(node.now())
--- /dev/null
+++ b/src/lycheepath/gateway/sending.py
@@ -0,0 +1,240 @@
+"""
+One sending of a request to one target, and the passing on of its answer.
+
+Nothing is decided here on where a request goes; the result says what is known
+of the sending, so that the caller of this module can.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import trio
+
+from ..adapters.http1.downstream import CallerGoneError
+from ..adapters.http1.sockets import ConnectError
+from ..adapters.http1.upstream import BrokenAnswerError
+from ..core.catalog.model import RouteKind
+from ..core.placement.book import Ending
+from ..core.serving.events import EventOrderError
+from ..core.serving.requests import Dispatch
+from ..core.serving.retries import Result
+from ..platform.headers import read_answer, write_request
+from ..platform.settings import parse_address
+from .exchange import HeldAnswer
+
+if TYPE_CHECKING:
+    from ..adapters.http1.upstream import Upstream
+    from ..core.placement.book import TargetState
+    from ..core.serving.answers import AnswerFacts
+    from .exchange import Exchange
+    from .node import GatewayNode
+
+# To a target of the region; three times a handshake on a busy target.
+CONNECT_S = 0.3
+# Whole answers up to this size are read before they are passed on, so that one
+# that breaks off can be asked for again.
+HELD_BYTES = 262_144
+MOST_URGENCY = 9
+# A target is taken for silent after this part of the caller's aim.
+SILENT_SHARE = {RouteKind.SAFE: 0.5, RouteKind.STREAM: 1.0}
+# Pauses within a stream are longer than the aimed one by this factor at most.
+GAP_FACTOR = 2.5
+LEAST_GAP_S = 0.8
+
+
+class SilentTargetError(Exception):
+    """A target gave no sign for longer than the request can spare."""
+
+
+@dataclass(frozen=True, slots=True)
+class Sent:
+    """The result of one sending, what it says of the target, and why."""
+
+    result: Result
+    ending: Ending
+    reason: str = ""
+
+
+async def send_to_target(
+    node: GatewayNode, exchange: Exchange, target: TargetState, cached_tokens: int
+) -> Sent:
+    """Send a request to a target of this region and pass its answer on."""
+    prompt = exchange.facts.prompt
+    tokens = max(0, prompt.tokens - cached_tokens) if prompt else 0
+    key = exchange.number
+    node.book.started(key, target, exchange.route.urgency, tokens, node.now())
+    if prompt:
+        node.book.read_parts(target, prompt.parts)
+    sent = Sent(Result.LOST, Ending.LEFT, "cancelled")
+    try:
+        sent = await _exchange(node, exchange, target)
+    finally:
+        node.book.ended(key, sent.ending, node.now())
+    return sent
+
+
+async def _exchange(node: GatewayNode, exchange: Exchange, target: TargetState) -> Sent:
+    address = parse_address(target.entry.address)
+    try:
+        upstream = await node.pool.take(address, CONNECT_S, node.now())
+    except ConnectError as error:
+        return Sent(Result.NOT_RUN, Ending.REFUSED, f"not connected: {error}")
+    kept = False
+    try:
+        facts = await _ask(node, exchange, target, upstream)
+        sent, kept = await _pass_on(node, exchange, target, upstream, facts)
+        if kept and not facts.closes:
+            node.pool.give_back(upstream, facts.idle_s, node.now())
+        else:
+            kept = False
+        return sent
+    except BrokenAnswerError as error:
+        return Sent(Result.LOST, Ending.FAILED, str(error))
+    except EventOrderError as error:
+        return Sent(Result.LOST, Ending.WRONG, str(error))
+    except SilentTargetError as error:
+        return Sent(Result.LOST, Ending.SILENT, str(error))
+    finally:
+        if not kept:
+            upstream.close()
+
+
+async def _ask(
+    node: GatewayNode, exchange: Exchange, target: TargetState, upstream: Upstream
+) -> AnswerFacts:
+    """Send the request and read the head of its answer."""
+    route = exchange.route
+    dispatch = Dispatch(
+        target=target.entry.id,
+        address=target.entry.address,
+        left_s=exchange.deadline - node.now(),
+        priority=min(route.urgency, MOST_URGENCY) if exchange.facts.prompt else None,
+        last_event_id=exchange.cutter.last_id,
+    )
+    headers = write_request(exchange.facts, dispatch)
+    body = exchange.request.body
+    if body or exchange.request.method not in (b"GET", b"HEAD", b"DELETE"):
+        headers.append((b"content-length", b"%d" % len(body)))
+    with trio.move_on_after(_silence_s(exchange)) as timer:
+        status, answered = await upstream.request(
+            exchange.request.method,
+            exchange.request.target,
+            headers,
+            body,
+            exchange.facts.id.encode("latin-1"),
+        )
+    if timer.cancelled_caught:
+        raise SilentTargetError("no answer began")
+    facts = read_answer(status, answered)
+    if facts.load is not None:
+        node.book.note_load(target, facts.load, node.now())
+    return facts
+
+
+def _silence_s(exchange: Exchange) -> float:
+    """Return how long a target may be silent before the answer begins."""
+    route = exchange.route
+    if not route.repeatable or exchange.tries.runs + 1 >= route.max_attempts:
+        return float("inf")
+    return SILENT_SHARE[route.kind] * route.aim_s
+
+
+async def _pass_on(
+    node: GatewayNode,
+    exchange: Exchange,
+    target: TargetState,
+    upstream: Upstream,
+    facts: AnswerFacts,
+) -> tuple[Sent, bool]:
+    """Pass an answer on; return the result, and whether it was read whole."""
+    if facts.not_run:
+        await upstream.read_whole(HELD_BYTES)
+        reason = f"the target did not run it: {facts.status}"
+        return Sent(Result.NOT_RUN, Ending.NOT_RUN, reason), True
+    if not facts.succeeded:
+        body = await upstream.read_whole(HELD_BYTES)
+        exchange.held = HeldAnswer(facts.status, facts.headers, body)
+        reason = f"the target failed: {facts.status}"
+        ending = Ending.FAILED if facts.status >= 500 else Ending.WHOLE
+        return Sent(Result.FAILED, ending, reason), True
+    if not facts.signed:
+        return Sent(Result.LOST, Ending.WRONG, "the answer isn't signed"), False
+    if exchange.route.kind is RouteKind.STREAM:
+        await _pass_stream(node, exchange, upstream, facts)
+    else:
+        await _pass_whole(exchange, upstream, facts)
+    return Sent(Result.ANSWERED, Ending.WHOLE), True
+
+
+async def _pass_whole(
+    exchange: Exchange, upstream: Upstream, facts: AnswerFacts
+) -> None:
+    """Read an answer whole and pass it on; pass on large ones as they come."""
+    parts: list[bytes] = []
+    size = 0
+    while (data := await upstream.read_body()) is not None:
+        parts.append(data)
+        size += len(data)
+        if size > HELD_BYTES:
+            await _pass_large(exchange, upstream, facts, b"".join(parts))
+            return
+    exchange.begun = True
+    await exchange.caller.answer(facts.status, facts.headers, b"".join(parts))
+
+
+async def _pass_large(
+    exchange: Exchange, upstream: Upstream, facts: AnswerFacts, first: bytes
+) -> None:
+    exchange.begun = True
+    head = await exchange.caller.start_answer(facts.status, facts.headers)
+    await exchange.caller.send_data(first, head)
+    while (data := await upstream.read_body()) is not None:
+        await exchange.caller.send_data(data)
+    await exchange.caller.end_answer()
+
+
+async def _pass_stream(
+    node: GatewayNode, exchange: Exchange, upstream: Upstream, facts: AnswerFacts
+) -> None:
+    """Pass on whole events as they come."""
+    head = b""
+    cutter = exchange.cutter
+    cutter.restart()
+    caller = exchange.caller
+    while True:
+        with trio.move_on_after(_gap_s(exchange)) as timer:
+            data = await upstream.read_body()
+        if timer.cancelled_caught:
+            raise SilentTargetError("no event came")
+        if data is None:
+            break
+        events = cutter.feed(data)
+        if not events:
+            continue
+        if not exchange.begun:
+            exchange.begun = True
+            head = await caller.start_answer(facts.status, facts.headers)
+        node.book.first_event(exchange.number, node.now())
+        await caller.send_data(events, head)
+        head = b""
+    if not cutter.complete:
+        raise BrokenAnswerError("the stream ended within an event")
+    if not exchange.begun:
+        exchange.begun = True
+        head = await caller.start_answer(facts.status, facts.headers)
+    await caller.end_answer(head)
+
+
+def _gap_s(exchange: Exchange) -> float:
+    """Return how long a stream may pause before it goes on elsewhere."""
+    route = exchange.route
+    if not route.repeatable or exchange.tries.runs + 1 >= route.max_attempts:
+        return float("inf")
+    if not exchange.begun:
+        return route.aim_s
+    return max(LEAST_GAP_S, GAP_FACTOR * route.gap_aim_s)
+
+
+__all__ = ["CallerGoneError", "Sent", "send_to_target"]
--- /dev/null
+++ b/src/lycheepath/gateway/serving.py
@@ -0,0 +1,215 @@
+"""
+Serves one caller's request: finds its route, sends it, and answers.
+
+A request is answered once by this host, whatever its targets do: with an
+answer, with a refusal that says it has not run, or with a failure that leaves
+that open. What has been decided is logged under the request's id.
+"""
+
+from __future__ import annotations
+
+from itertools import count
+from typing import TYPE_CHECKING
+
+import trio
+
+from ..adapters.events import record_event
+from ..core.catalog.routes import draw_service
+from ..core.placement.choice import Placement, Wanted, choose_target
+from ..core.reasons import Absent
+from ..core.serving.retries import Result, may_send_again
+from ..platform.headers import read_request
+from .exchange import Exchange
+from .sending import Sent, send_to_target
+
+if TYPE_CHECKING:
+    from ..adapters.http1.downstream import CallerConnection, ReceivedRequest
+    from .node import GatewayNode
+
+NOT_RUN = 503
+UNKNOWN = 502
+TOO_LATE = 504
+NOT_FOUND = 404
+# Before a configuration is known, or while no target is.
+SOON_S = 0.5
+# Refused callers come back spread over this part of the named time.
+SPREAD = 0.5
+NUMBERS = count(1)
+
+
+async def serve_request(
+    node: GatewayNode, caller: CallerConnection, request: ReceivedRequest
+) -> None:
+    """Answer one request."""
+    caller.closing = caller.closing or node.leaving
+    exchange = await _open(node, caller, request)
+    if exchange is None:
+        return
+    node.serving += 1
+    try:
+        with trio.CancelScope(deadline=exchange.deadline) as scope:
+            await _run(node, exchange)
+        if scope.cancelled_caught:
+            await _end_late(node, exchange)
+    finally:
+        node.serving -= 1
+        if caller.left:
+            _log(node, exchange, "left", 0)
+
+
+async def _open(
+    node: GatewayNode, caller: CallerConnection, request: ReceivedRequest
+) -> Exchange | None:
+    """Return the exchange of a request that has a route; answer others."""
+    facts = read_request(request.headers)
+    table = node.catalog.routes
+    if table is None:
+        await _refuse(node, caller, facts.id, NOT_RUN, SOON_S, "no configuration")
+        return None
+    path = request.target.decode("latin-1")
+    route = table.match(facts.host, path)
+    if route is None:
+        await _refuse(node, caller, facts.id, NOT_FOUND, None, "no route")
+        return None
+    wait_s = min(route.timeout_s, facts.deadline_s or route.timeout_s)
+    service = draw_service(route, node.random)
+    node.retries.count_request(service, node.now())
+    return Exchange(
+        caller,
+        request,
+        facts,
+        route,
+        service,
+        request.received_at + wait_s,
+        next(NUMBERS),
+    )
+
+
+async def _run(node: GatewayNode, exchange: Exchange) -> None:
+    while True:
+        placed = _place(node, exchange)
+        if isinstance(placed, Absent):
+            await _give_up(node, exchange, placed)
+            return
+        sent = await send_to_target(node, exchange, placed.target, placed.cached_tokens)
+        exchange.tries.note(sent.result)
+        if sent.result is Result.ANSWERED:
+            _log(node, exchange, "answered", 200, placed)
+            return
+        exchange.reason = sent.reason
+        _log_sent(node, exchange, placed, sent)
+        exchange.tried |= {placed.target.entry.id}
+        again = may_send_again(exchange.route, exchange.tries, sent.result)
+        hosts = node.count_hosts()
+        if not again or not node.retries.take(exchange.service, hosts, node.now()):
+            await _give_up(node, exchange, None)
+            return
+
+
+def _place(node: GatewayNode, exchange: Exchange) -> Placement | Absent:
+    now = node.now()
+    wanted = Wanted(
+        exchange.route,
+        exchange.service,
+        exchange.facts.prompt,
+        now - exchange.received_at,
+        exchange.deadline - now,
+    )
+    return choose_target(
+        node.book,
+        wanted,
+        node.surroundings(),
+        now,
+        exchange.tried,
+        exchange.tried_regions,
+    )
+
+
+async def _give_up(
+    node: GatewayNode, exchange: Exchange, absent: Absent | None
+) -> None:
+    """Answer a request that no target answered."""
+    caller = exchange.caller
+    if exchange.begun:
+        _log(node, exchange, "broken-off", 0)
+        caller.break_off()
+        return
+    if exchange.held is not None:
+        held = exchange.held
+        exchange.begun = True
+        _log(node, exchange, "failure-passed-on", held.status)
+        await caller.answer(held.status, held.headers, held.body)
+        return
+    reason = exchange.reason or (absent.detail if absent else "")
+    if exchange.tries.runs:
+        await _refuse(node, caller, exchange.facts.id, UNKNOWN, None, reason)
+        return
+    wait_s = absent.retry_after_s if absent else SOON_S
+    await _refuse(node, caller, exchange.facts.id, NOT_RUN, wait_s, reason)
+
+
+async def _end_late(node: GatewayNode, exchange: Exchange) -> None:
+    """Answer a request whose time is over."""
+    if exchange.begun:
+        _log(node, exchange, "broken-off", 0)
+        exchange.caller.break_off()
+        return
+    status = TOO_LATE
+    await _refuse(
+        node, exchange.caller, exchange.facts.id, status, None, "the time is over"
+    )
+
+
+async def _refuse(
+    node: GatewayNode,
+    caller: CallerConnection,
+    request_id: str,
+    status: int,
+    wait_s: float | None,
+    reason: str,
+) -> None:
+    headers = []
+    if request_id:
+        headers.append((b"request-id", request_id.encode("latin-1")))
+    if wait_s is not None:
+        spread = wait_s * (1.0 + SPREAD * node.random.random())
+        headers.append((b"retry-after", b"%.2f" % spread))
+    record_event("refused", request=request_id, status=status, reason=reason)
+    node.metrics.count("refusals_total", status=str(status))
+    await caller.answer(status, headers, f"{reason}\n".encode())
+
+
+def _log(
+    node: GatewayNode,
+    exchange: Exchange,
+    event: str,
+    status: int,
+    placed: Placement | None = None,
+) -> None:
+    took = node.now() - exchange.received_at
+    node.metrics.count("requests_total", outcome=event)
+    record_event(
+        event,
+        request=exchange.facts.id,
+        route=exchange.route.name,
+        status=status,
+        took_s=round(took, 4),
+        sends=exchange.tries.sends,
+        target=placed.target.entry.id if placed else "",
+        expected_s=round(placed.first_s, 4) if placed else None,
+        version=node.catalog.version,
+    )
+
+
+def _log_sent(
+    node: GatewayNode, exchange: Exchange, placed: Placement, sent: Sent
+) -> None:
+    node.metrics.count("sends_failed_total", result=sent.result.value)
+    record_event(
+        "send-failed",
+        request=exchange.facts.id,
+        target=placed.target.entry.id,
+        result=sent.result.value,
+        reason=sent.reason,
+        revision=node.catalog.revision,
+    )
--- /dev/null
+++ b/src/lycheepath/gateway/settings.py
@@ -0,0 +1,71 @@
+"""The settings of one gateway process."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+
+class Address(NamedTuple):
+    """An IP address and a port."""
+
+    ip: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.ip}:{self.port}"
+
+
+@dataclass(frozen=True, slots=True)
+class RuleBounds:
+    """
+    The bounds that a deployment sets, in seconds where not said otherwise.
+
+    The defaults are those of the two first deployments. ``retry_ratio`` is
+    retries for each request of a window, ``retry_allowance`` the retries of the
+    whole fleet beyond it. A cold target bears its rate times ``cold_factor``
+    plus ``cold_allowance`` requests in a second.
+    """
+
+    contact_s: float = 6.0
+    drain_s: float = 4.0
+    grace_s: float = 8.0
+    configuration_s: float = 4.0
+    evacuation_s: float = 5.0
+    retry_ratio: float = 0.2
+    retry_window_s: float = 10.0
+    retry_allowance: float = 58.0
+    cold_factor: float = 1.5
+    cold_allowance: float = 3.0
+    directory_ttl_s: float = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class GatewaySettings:
+    """
+    Where one process listens and whom it knows at its start.
+
+    ``peer_port`` takes datagrams and ``relay_port`` forwarded requests of other
+    hosts, which have the same ports.
+    """
+
+    host: str
+    ip: str
+    zone: str
+    region: str
+    zone_regions: Mapping[str, str]
+    callers: Address
+    ready: Address
+    control: Address
+    directory: Address
+    metrics: Address
+    peer_port: int
+    relay_port: int
+    seeds: tuple[Address, ...]
+    store: Address
+    memory_bytes: int
+    descriptors: int
+    bounds: RuleBounds
--- /dev/null
+++ b/src/lycheepath/platform/configuration.py
@@ -0,0 +1,87 @@
+"""Decodes the operator's configuration, which the store holds in full."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from ..core.catalog.model import (
+    CallerLimits,
+    Configuration,
+    EngineFacts,
+    Route,
+    RouteKind,
+    Service,
+    ServiceShare,
+)
+
+# Bounds every request of a route that names none, in ms.
+LONGEST_TIMEOUT_MS = 600_000
+DEFAULT_URGENCY = 5
+
+KINDS = {
+    "safe": RouteKind.SAFE,
+    "unsafe": RouteKind.UNSAFE,
+    "streaming": RouteKind.STREAM,
+}
+
+
+def read_configuration(value: dict[str, Any]) -> Configuration:
+    """Return the configuration; raises ValueError or KeyError on a wrong field."""
+    services = [_read_service(entry) for entry in value["services"]]
+    return Configuration(
+        version=int(value["version"]),
+        routes=tuple(_read_route(entry) for entry in value["routes"]),
+        services={service.name: service for service in services},
+        limits=_read_limits(value.get("limits") or {}),
+    )
+
+
+def _read_route(entry: dict[str, Any]) -> Route:
+    timeout_s = float(entry.get("timeout_ms") or LONGEST_TIMEOUT_MS) / 1000.0
+    return Route(
+        name=str(entry.get("name", "")),
+        host=entry["host"].lower(),
+        prefix=entry["prefix"],
+        kind=KINDS[entry["kind"]],
+        services=_read_shares(entry),
+        timeout_s=timeout_s,
+        aim_s=float(entry.get("target_latency_ms") or timeout_s * 1000.0) / 1000.0,
+        gap_aim_s=float(entry.get("gap_aim_ms") or 0.0) / 1000.0,
+        urgency=int(entry.get("priority", DEFAULT_URGENCY)),
+        max_attempts=max(1, int(entry.get("max_attempts") or 1)),
+        resumable=bool(entry.get("resumable")),
+        home_regions=frozenset(entry.get("home_regions") or ()),
+    )
+
+
+def _read_shares(entry: dict[str, Any]) -> tuple[ServiceShare, ...]:
+    split = entry.get("traffic_split")
+    if not split:
+        return (ServiceShare(entry["service"], 1.0),)
+    return tuple(ServiceShare(s["service"], float(s["weight"])) for s in split)
+
+
+def _read_service(entry: dict[str, Any]) -> Service:
+    engine = entry.get("engine")
+    return Service(
+        name=entry["name"],
+        # Connections that one target accepts from all hosts together.
+        max_connections=int(entry.get("max_connections") or 0),
+        cold_per_s=float(entry.get("cold_per_s") or 0.0),
+        engine=_read_engine(engine) if engine else None,
+    )
+
+
+def _read_engine(entry: dict[str, Any]) -> EngineFacts:
+    # ``slots`` are requests in one batch here, not places of a plain service.
+    return EngineFacts(int(entry["slots"]), int(entry["kv_cache_tokens"]))
+
+
+def _read_limits(entry: dict[str, Any]) -> CallerLimits:
+    usual = CallerLimits()
+    return CallerLimits(
+        head_bytes=int(entry.get("max_header_bytes") or usual.head_bytes),
+        body_bytes=int(entry.get("max_body_bytes") or usual.body_bytes),
+        head_s=float(entry.get("header_timeout_ms") or usual.head_s * 1000) / 1000.0,
+        idle_s=float(entry.get("idle_timeout_ms") or usual.idle_s * 1000) / 1000.0,
+    )
--- /dev/null
+++ b/src/lycheepath/platform/entry.py
@@ -0,0 +1,28 @@
+"""The calls that come from outside: readiness, and where callers connect."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from urllib.parse import parse_qs
+
+import orjson
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+READY_PATH = "/lycheepath/readyz"
+RESOLVE_PATH = "/lycheepath/resolve"
+
+
+def read_resolve(target: str) -> tuple[str, str] | None:
+    """Return the region and zone of a caller that asks where to connect."""
+    path, _, query = target.partition("?")
+    if path != RESOLVE_PATH:
+        return None
+    fields = parse_qs(query)
+    return fields.get("region", [""])[0], fields.get("zone", [""])[0]
+
+
+def write_resolved(addresses: Iterable[str], ttl_s: float) -> bytes:
+    """Return the answer that names the hosts for a caller."""
+    return orjson.dumps({"addresses": list(addresses), "ttl_s": ttl_s})
