Find the other hosts by gossip, and serve through hosts of other regions

Change: beats between hosts over UDP (core/fleet), the directory names live hosts, requests go to another region's targets through one host there. A first trial sent them straight to the target: it was reset (502, 358 tries).

--- /dev/null
+++ b/src/lycheepath/adapters/beats.py
@@ -0,0 +1,104 @@
+"""
+The messages that hosts tell each other, as datagrams of JSON.
+
+A message carries the sender's row, rows of others, what the sender has under
+way at its region's targets, and the shared parts of prompts that targets were
+lately sent. Anything that can't be read is dropped and counted.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+import orjson
+
+from ..core.fleet.view import HostRow
+from ..core.serving.requests import PromptPart
+
+FORMAT = 1
+MOST_BYTES = 16_384
+
+# Requests under way at a target, and tokens to read there by urgency.
+Load = tuple[int, dict[int, int]]
+
+
+class BeatError(ValueError):
+    """A datagram is no message of ours."""
+
+
+@dataclass(frozen=True, slots=True)
+class Beat:
+    """
+    One message.
+
+    ``loads`` are the sender's own towards hosts of its region, and those of
+    its whole region towards others, as ``of_region`` says.
+    """
+
+    sender: HostRow
+    rows: tuple[HostRow, ...]
+    loads: dict[str, Load] = field(default_factory=dict)
+    of_region: bool = False
+    parts: tuple[tuple[str, tuple[PromptPart, ...]], ...] = ()
+
+
+def encode_beat(beat: Beat) -> bytes:
+    """Return the datagram for a message."""
+    return orjson.dumps(
+        [
+            FORMAT,
+            _encode_row(beat.sender),
+            [_encode_row(row) for row in beat.rows],
+            [
+                [name, n, list(tokens.items())]
+                for name, (n, tokens) in beat.loads.items()
+            ],
+            beat.of_region,
+            [[name, [[p.id, p.tokens] for p in parts]] for name, parts in beat.parts],
+        ]
+    )
+
+
+def decode_beat(data: bytes) -> Beat:
+    """Return the message of a datagram; raises BeatError."""
+    if len(data) > MOST_BYTES:
+        raise BeatError("the datagram is too large")
+    try:
+        form, sender, rows, loads, of_region, parts = orjson.loads(data)
+        if form != FORMAT:
+            raise BeatError(f"the format {form!r} is unknown")
+        return Beat(
+            _decode_row(sender),
+            tuple(_decode_row(row) for row in rows),
+            {
+                str(name): (int(n), {int(u): int(t) for u, t in tokens})
+                for name, n, tokens in loads
+            },
+            bool(of_region),
+            tuple(
+                (str(name), tuple(PromptPart(str(p), int(t)) for p, t in held))
+                for name, held in parts
+            ),
+        )
+    except (ValueError, TypeError) as error:
+        raise BeatError(f"the datagram can't be read: {error}") from error
+
+
+def _encode_row(row: HostRow) -> list[Any]:
+    flags = row.leaving | row.ready << 1
+    return [row.id, row.start, row.beat, row.ip, row.zone, row.region, flags]
+
+
+def _decode_row(fields: Any) -> HostRow:
+    name, start, beat, ip, zone, region, flags = fields
+    return HostRow(
+        str(name),
+        int(start),
+        int(beat),
+        str(ip),
+        str(zone),
+        str(region),
+        bool(flags & 1),
+        bool(flags & 2),
+    )
--- a/src/lycheepath/adapters/http1/downstream.py
+++ b/src/lycheepath/adapters/http1/downstream.py
@@ -13,6 +13,7 @@
 import h11
 import trio
 
+from ..events import record_event
 from .sockets import abort
 
 if TYPE_CHECKING:
@@ -251,6 +252,7 @@
                 await self._consumed.wait()
 
     async def _refuse(self, error: BadRequestError) -> None:
+        record_event("unreadable-request", status=error.status, reason=str(error))
         if self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         self.closing = True
--- a/src/lycheepath/adapters/http1/upstream.py
+++ b/src/lycheepath/adapters/http1/upstream.py
@@ -127,25 +127,33 @@
     async def _send_and_read(
         self, data: bytes, request_id: bytes | None
     ) -> tuple[int, list[tuple[bytes, bytes]]]:
-        failure: BrokenAnswerError | None = None
+        """
+        Send and read side by side, since the answer may come early.
+
+        A failure to send counts only if no answer comes.
+        """
+        failures: list[BrokenAnswerError] = []
+        heads: list[tuple[int, list[tuple[bytes, bytes]]]] = []
 
         async def send() -> None:
-            nonlocal failure
             try:
                 await self._send(data)
             except BrokenAnswerError as error:
-                failure = error
-                # An early answer may still be on its way to be read.
+                failures.append(error)
 
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(send)
+        async def read() -> None:
             try:
-                head = await self._read_own_head(request_id)
+                heads.append(await self._read_own_head(request_id))
             except BrokenAnswerError as error:
-                raise (failure or error) from error
-            finally:
-                nursery.cancel_scope.cancel()
-        return head
+                failures.append(error)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send)
+            await read()
+            nursery.cancel_scope.cancel()
+        if heads:
+            return heads[0]
+        raise failures[0]
 
     async def _read_own_head(
         self, request_id: bytes | None
--- /dev/null
+++ b/src/lycheepath/core/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Which hosts there are, found through seeds and kept by gossip alone."""
--- /dev/null
+++ b/src/lycheepath/core/fleet/view.py
@@ -0,0 +1,169 @@
+"""
+The hosts of the fleet as this host hears of them.
+
+Each host counts a beat and tells it, with beats of others that it has heard,
+to a bounded number of hosts. A host whose beat stands still for longer than
+``SILENCE_S`` is taken for gone; nothing needs to agree on that. The cost for a
+host doesn't grow with the fleet::
+
+    view = FleetView(own, seeds=("10.0.0.2",), random=Random())
+    for ip in view.next_receivers(now): ...
+    view.hear(row, now, direct=True)
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from random import Random
+
+# A host that tells nothing for this long is gone; over a dozen of its beats.
+SILENCE_S = 1.6
+# Beats of another region come through fewer hosts and over long ways.
+AWAY_SILENCE_S = 3.5
+# A host that is gone is tried again for this long, as it may only be cut off.
+FORGET_S = 60.0
+# Hosts of the own region that are told at each beat; all there are in a small
+# region.
+REGION_RECEIVERS = 6
+# Of each other region and among the seeds, at every ``AWAY_EVERY`` beats.
+AWAY_RECEIVERS = 1
+AWAY_EVERY = 4
+ROWS = 12
+
+
+@dataclass(frozen=True, slots=True)
+class HostRow:
+    """
+    What a host says of itself.
+
+    ``start`` is drawn anew by each process, ``beat`` grows while it runs. A
+    leaving host takes no new callers, one that isn't ready can't serve yet.
+    """
+
+    id: str
+    start: int
+    beat: int
+    ip: str
+    zone: str
+    region: str
+    leaving: bool = False
+    ready: bool = False
+
+
+@dataclass(slots=True)
+class _Heard:
+    row: HostRow
+    at: float
+
+
+class FleetView:
+    """State: the rows of all hosts heard of, and when they last changed."""
+
+    def __init__(self, own: HostRow, seeds: Iterable[str], random: Random) -> None:
+        self.own = own
+        self.seeds = tuple(ip for ip in seeds if ip != own.ip)
+        self._random = random
+        self._heard: dict[str, _Heard] = {}
+        self._beats = 0
+
+    def beat(self, leaving: bool, ready: bool) -> HostRow:
+        """Count a beat of this host and return its row."""
+        self._beats += 1
+        self.own = replace(
+            self.own, beat=self.own.beat + 1, leaving=leaving, ready=ready
+        )
+        return self.own
+
+    def hear(self, row: HostRow, now: float, direct: bool) -> bool:
+        """
+        Take a row; tell whether it made a host known or live again.
+
+        A row with another start replaces the held one if it comes from the
+        host itself, or if the held one has fallen silent: old rows go on being
+        told for a while after a restart, but their beat stands still.
+        """
+        if row.id == self.own.id:
+            return False
+        held = self._heard.get(row.id)
+        if held is None:
+            self._heard[row.id] = _Heard(row, now)
+            return True
+        silent = now - held.at > SILENCE_S
+        if row.start != held.row.start:
+            if direct or silent:
+                held.row, held.at = row, now
+                return True
+            return False
+        if row.beat <= held.row.beat:
+            return False
+        held.row, held.at = row, now
+        return silent
+
+    def forgive(self, pause_s: float) -> None:
+        """Don't count a pause of this process as silence of the others."""
+        for held in self._heard.values():
+            held.at += pause_s
+
+    def live(self, now: float, region: str | None = None) -> list[HostRow]:
+        """Return the other hosts that are heard of, of one region or of all."""
+        return [
+            held.row
+            for held in self._heard.values()
+            if now - held.at <= self._silence_s(held.row)
+            and (region is None or held.row.region == region)
+        ]
+
+    def count_known(self) -> int:
+        """Return the number of hosts, with those gone lately and this one."""
+        return len(self._heard) + 1
+
+    def expire(self, now: float) -> list[str]:
+        """Forget hosts that have been gone for long; return their ids."""
+        old = [host for host, held in self._heard.items() if now - held.at > FORGET_S]
+        for host in old:
+            del self._heard[host]
+        return old
+
+    def next_receivers(self, now: float) -> list[tuple[str, str]]:
+        """Return the IPs to tell at this beat, each with its region ('' unknown)."""
+        near = self.live(now, self.own.region)
+        receivers = self._sample(near, REGION_RECEIVERS)
+        if self._beats % AWAY_EVERY:
+            return receivers
+        regions: dict[str, list[HostRow]] = {}
+        for row in self.live(now):
+            if row.region != self.own.region:
+                regions.setdefault(row.region, []).append(row)
+        for rows in regions.values():
+            receivers += self._sample(rows, AWAY_RECEIVERS)
+        told = {ip for ip, _ in receivers}
+        receivers += [(ip, "") for ip in self._find_lost(now) if ip not in told]
+        return receivers
+
+    def rows_to_tell(self, now: float) -> list[HostRow]:
+        """Return rows of other live hosts for a message, chosen at random."""
+        live = self.live(now)
+        return live if len(live) <= ROWS else self._random.sample(live, ROWS)
+
+    def _find_lost(self, now: float) -> list[str]:
+        """Return a seed and a silent host, which may be there again."""
+        live = {row.ip for row in self.live(now)}
+        lost = [s for s in self.seeds if s not in live]
+        silent = [h.row.ip for h in self._heard.values() if h.row.ip not in live]
+        picked = []
+        for ips in (lost, silent):
+            if ips:
+                picked.append(self._random.choice(ips))
+        return picked
+
+    def _sample(self, rows: list[HostRow], most: int) -> list[tuple[str, str]]:
+        if len(rows) > most:
+            rows = self._random.sample(rows, most)
+        return [(row.ip, row.region) for row in rows]
+
+    def _silence_s(self, row: HostRow) -> float:
+        return SILENCE_S if row.region == self.own.region else AWAY_SILENCE_S
--- a/src/lycheepath/core/placement/book.py
+++ b/src/lycheepath/core/placement/book.py
@@ -32,6 +32,8 @@
 # What a peer told of its sending is dropped after this long; eight of its
 # intervals in a region.
 PEER_LOAD_S = 1.5
+# A relayed request is told of by the hosts of the other region after this long.
+RELAYED_S = 0.6
 # Part of an engine's memory that is taken for cached parts; the rest holds
 # what runs.
 CACHE_SHARE = 0.85
@@ -64,6 +66,11 @@
     tokens: int
     ahead: int
     first_at: float | None = None
+    relayed: bool = False
+
+    def counts(self, now: float) -> bool:
+        """Whether nobody else tells of the request yet."""
+        return not self.relayed or now - self.sent_at < RELAYED_S
 
 
 @dataclass(slots=True)
@@ -93,7 +100,7 @@
 
     def count_in_flight(self, now: float) -> int:
         """Return the requests under way here, those of peers included."""
-        count = len(self.flights)
+        count = sum(flight.counts(now) for flight in self.flights.values())
         for load in self.peers.values():
             if now - load.told_at < PEER_LOAD_S:
                 count += load.in_flight
@@ -103,13 +110,21 @@
         """Return the tokens that are read before those of a new request."""
         tokens = 0
         for flight in self.flights.values():
-            if flight.first_at is None and flight.urgency <= urgency:
+            waits = flight.first_at is None and flight.urgency <= urgency
+            if waits and flight.counts(now):
                 tokens += flight.tokens
         for load in self.peers.values():
             if now - load.told_at < PEER_LOAD_S:
                 tokens += sum(n for u, n in load.tokens.items() if u <= urgency)
         return tokens
 
+    def urgencies(self) -> list[int]:
+        """Return the urgencies of what is under way here, most urgent first."""
+        found = {flight.urgency for flight in self.flights.values()}
+        for load in self.peers.values():
+            found.update(load.tokens)
+        return sorted(found)
+
     @property
     def open(self) -> bool:
         """Whether the operator and the target let new requests come."""
@@ -160,6 +175,14 @@
         target.flights[key] = flight
         self._flights[key] = flight
 
+    def relayed(
+        self, key: int, target: TargetState, urgency: int, tokens: int, now: float
+    ) -> None:
+        """Note that a request goes to a target through a host of its region."""
+        flight = Flight(target, now, urgency, tokens, 0, relayed=True)
+        target.flights[key] = flight
+        self._flights[key] = flight
+
     def read_parts(self, target: TargetState, parts: Iterable[PromptPart]) -> None:
         """Note that a target reads the shared parts of a prompt."""
         target.cache.use(parts)
@@ -170,6 +193,8 @@
         if flight is None or flight.first_at is not None:
             return
         flight.first_at = now
+        if flight.relayed:
+            return
         flight.target.health.record_contact()
         speed = self.speed(flight.target.entry.service)
         speed.observe_first(now - flight.sent_at, flight.tokens + flight.ahead)
@@ -216,13 +241,30 @@
         """Return what this host has under way, for its peers."""
         loads = {}
         for target in self.targets.values():
-            if target.flights:
+            flights = [f for f in target.flights.values() if not f.relayed]
+            if flights:
                 tokens: dict[int, int] = {}
-                for flight in target.flights.values():
+                for flight in flights:
                     if flight.first_at is None and flight.tokens:
                         held = tokens.get(flight.urgency, 0)
                         tokens[flight.urgency] = held + flight.tokens
-                loads[target.entry.id] = (len(target.flights), tokens)
+                loads[target.entry.id] = (len(flights), tokens)
+        return loads
+
+    def region_loads(
+        self, region: str, now: float
+    ) -> dict[str, tuple[int, dict[int, int]]]:
+        """Return what all hosts have under way at a region's targets."""
+        loads = {}
+        for target in self.targets.values():
+            if target.region == region and (count := target.count_in_flight(now)):
+                tokens = {}
+                before = 0
+                for urgency in target.urgencies():
+                    ahead = target.count_ahead(urgency, now)
+                    tokens[urgency] = ahead - before
+                    before = ahead
+                loads[target.entry.id] = (count, tokens)
         return loads
 
     def _put(
--- a/src/lycheepath/core/placement/choice.py
+++ b/src/lycheepath/core/placement/choice.py
@@ -27,6 +27,9 @@
 AWAY_COST_S = 0.05
 # Preference of one owner for each shared part while no host knows better.
 OWNER_BONUS_S = 0.005
+# A target that answered with a failure is asked again only if others take
+# longer by this.
+FAILED_COST_S = 0.1
 # Estimates are off by about this factor at the tail.
 LATE_FACTOR = 1.0
 MIN_RETRY_AFTER_S = 0.3
@@ -58,6 +61,23 @@
     cold_senders: Mapping[str, int | None]
 
 
+@dataclass(frozen=True, slots=True)
+class Tried:
+    """
+    Where a request was sent before.
+
+    ``targets`` and ``regions`` did not answer and are left out; ``failed`` are
+    targets that answered with a failure, which the next answer need not be.
+    """
+
+    targets: frozenset[str] = frozenset()
+    regions: frozenset[str] = frozenset()
+    failed: frozenset[str] = frozenset()
+
+
+NOT_TRIED = Tried()
+
+
 @dataclass(frozen=True, slots=True)
 class Placement:
     """The chosen target with the estimate that decided."""
@@ -73,8 +93,7 @@
     wanted: Wanted,
     around: Surroundings,
     now: float,
-    excluded: frozenset[str] = frozenset(),
-    excluded_regions: frozenset[str] = frozenset(),
+    tried: Tried = NOT_TRIED,
 ) -> Placement | Absent:
     """Return where the request goes, or why it is refused and until when."""
     best: Placement | None = None
@@ -83,23 +102,18 @@
     homes = wanted.route.home_regions
     service = book.of_service(wanted.service)
     for target in service:
-        if not target.open or target.entry.id in excluded:
-            continue
         if homes and target.region not in homes:
             continue
-        away = target.region != around.region
-        if away and (
-            target.region not in around.away_s or target.region in excluded_regions
-        ):
-            continue
-        if not away and not _may_send(target, around, now):
+        if not _can_reach(target, around, tried, now):
             continue
         placed = _estimate(book, wanted, target, around, now)
         if _is_doubtful(target, now):
             if resort is None or placed.first_s < resort.first_s:
                 resort = placed
             continue
-        score = placed.first_s + (AWAY_COST_S if away else 0.0)
+        score = placed.first_s + (AWAY_COST_S if placed.away else 0.0)
+        if target.entry.id in tried.failed:
+            score += FAILED_COST_S
         score -= _owner_bonus(wanted, target)
         if score < best_score:
             best, best_score = placed, score
@@ -110,6 +124,17 @@
     return _admit(wanted, best)
 
 
+def _can_reach(
+    target: TargetState, around: Surroundings, tried: Tried, now: float
+) -> bool:
+    """Whether a target takes requests, and this host may send it one."""
+    if not target.open or target.entry.id in tried.targets:
+        return False
+    if target.region == around.region:
+        return _may_send(target, around, now)
+    return target.region in around.away_s and target.region not in tried.regions
+
+
 def _admit(wanted: Wanted, best: Placement) -> Placement | Absent:
     route = wanted.route
     expected = wanted.elapsed_s + best.first_s
--- a/src/lycheepath/gateway/exchange.py
+++ b/src/lycheepath/gateway/exchange.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from ..core.placement.choice import NOT_TRIED, Tried
 from ..core.serving.events import EventCutter
 from ..core.serving.retries import Tries
 
@@ -29,7 +30,9 @@
     State of one request, from its head to the end of its answer.
 
     ``deadline`` is on the loop's clock: the caller's or the route's, whichever
-    is first. ``resort`` says that the answer has begun.
+    is first. ``waited_s`` passed at another host before this one took the
+    request. ``begun`` says that the answer has begun, ``relayed`` that another
+    host decides over the request.
     """
 
     caller: CallerConnection
@@ -40,17 +43,18 @@
     deadline: float
     number: int
     tries: Tries = field(default_factory=Tries)
-    tried: frozenset[str] = frozenset()
-    tried_regions: frozenset[str] = frozenset()
+    tried: Tried = NOT_TRIED
     cutter: EventCutter = field(init=False)
     held: HeldAnswer | None = None
     begun: bool = False
     reason: str = ""
+    waited_s: float = 0.0
+    relayed: bool = False
 
     def __post_init__(self) -> None:
         self.cutter = EventCutter(self.facts.last_event_id)
 
     @property
     def received_at(self) -> float:
-        """When the request had been read."""
-        return self.request.received_at
+        """When the request's head came to the first host."""
+        return self.request.received_at - self.waited_s
--- a/src/lycheepath/gateway/node.py
+++ b/src/lycheepath/gateway/node.py
@@ -4,6 +4,7 @@
 
 import random
 from dataclasses import dataclass, field
+from itertools import count
 from typing import TYPE_CHECKING
 
 import trio
@@ -12,15 +13,23 @@
 from ..adapters.http1.pool import Pool
 from ..adapters.metrics import Metrics
 from ..core.catalog.catalog import Catalog
+from ..core.hosts.rendezvous import rank
 from ..core.placement.book import TargetBook
-from ..core.placement.choice import Surroundings
+from ..core.placement.choice import Placement, Surroundings, Wanted, choose_target
+from ..core.placement.cold import MOST_SENDERS
 from ..core.retries.window import RetryWindow
+from .peers import Peers
 
 if TYPE_CHECKING:
+    from ..core.reasons import Absent
+    from .exchange import Exchange
     from .settings import GatewaySettings
 
 # Callers ask again after this long; a host that leaves is known by then.
 DIRECTORY_TTL_S = 1.5
+MOST_NAMED = 64
+# To another region and back, before it is measured.
+FIRST_AWAY_S = 0.16
 
 
 @dataclass(slots=True)
@@ -35,6 +44,10 @@
     catalog: Catalog = field(default_factory=Catalog)
     book: TargetBook = field(default_factory=TargetBook)
     retries: RetryWindow = field(init=False)
+    peers: Peers = field(init=False)
+    away_s: dict[str, float] = field(default_factory=dict)
+    avoided: dict[str, float] = field(default_factory=dict)
+    _numbers: count[int] = field(default_factory=lambda: count(1))
     leaving: bool = False
     serving: int = 0
 
@@ -43,6 +56,7 @@
         self.retries = RetryWindow(
             bounds.retry_ratio, bounds.retry_allowance, bounds.retry_window_s
         )
+        self.peers = Peers(self)
 
     @property
     def ready(self) -> bool:
@@ -53,18 +67,69 @@
         """Return the loop's monotonic time in seconds."""
         return trio.current_time()
 
+    def next_number(self) -> int:
+        """Return a number that tells two requests of this process apart."""
+        return next(self._numbers)
+
+    def place(self, exchange: Exchange, around: Surroundings) -> Placement | Absent:
+        """Choose the target of a request, or say why there is none."""
+        now = self.now()
+        wanted = Wanted(
+            exchange.route,
+            exchange.service,
+            exchange.facts.prompt,
+            now - exchange.received_at,
+            exchange.deadline - now,
+        )
+        return choose_target(self.book, wanted, around, now, exchange.tried)
+
     def count_hosts(self) -> int:
-        """Return the number of hosts of the fleet, at least."""
-        return 9
+        """Return the number of hosts of the fleet, those gone lately included."""
+        return self.peers.view.count_known()
 
     def surroundings(self) -> Surroundings:
         """Return where this host stands, for the choice of a target."""
-        return Surroundings(self.settings.region, {}, {})
+        own = self.settings.region
+        away = {}
+        for row in self.peers.view.live(self.now()):
+            if row.region != own and row.ready and not row.leaving:
+                away[row.region] = self.away_s.get(row.region, FIRST_AWAY_S)
+        return Surroundings(own, away, self.share_cold_targets())
 
     def hosts_for(self, region: str, zone: str) -> list[str]:
-        """Return the addresses at which a caller of a zone may connect."""
-        return [str(self.settings.callers)]
+        """
+        Return the addresses at which a caller of a zone may connect.
+
+        Hosts of the caller's region go before others. This host is named where
+        no other is known to serve.
+        """
+        rows = [r for r in self.peers.view.live(self.now()) if r.ready]
+        rows = [row for row in rows if not row.leaving]
+        if self.ready:
+            rows.append(self.peers.view.own)
+        near = [row for row in rows if row.region == region]
+        port = self.settings.callers.port
+        ips = [row.ip for row in near or rows] or [self.settings.ip]
+        if len(ips) > MOST_NAMED:
+            ips = self.random.sample(ips, MOST_NAMED)
+        return [f"{ip}:{port}" for ip in ips]
 
     def directory_ttl_s(self) -> float:
         """Return how long a caller may keep the directory's answer."""
         return min(DIRECTORY_TTL_S, self.settings.bounds.directory_ttl_s)
+
+    def share_cold_targets(self) -> dict[str, int | None]:
+        """Return for each cold target how many hosts share it, if this does."""
+        now = self.now()
+        cold = [t for t in self.book.targets.values() if t.cold.is_cold(now)]
+        if not cold:
+            return {}
+        view = self.peers.view
+        hosts = [row.id for row in view.live(now, self.settings.region)]
+        hosts.append(self.settings.host)
+        shares: dict[str, int | None] = {}
+        for target in cold:
+            senders = rank(target.entry.id, hosts)[:MOST_SENDERS]
+            member = self.settings.host in senders
+            shares[target.entry.id] = len(senders) if member else None
+        return shares
--- /dev/null
+++ b/src/lycheepath/gateway/peers.py
@@ -0,0 +1,134 @@
+"""Tells the other hosts of this one, and hears of them, by datagrams."""
+
+from __future__ import annotations
+
+import socket
+from collections import deque
+from typing import TYPE_CHECKING
+
+import trio
+
+from ..adapters.beats import Beat, BeatError, decode_beat, encode_beat
+from ..adapters.events import record_event
+from ..core.fleet.view import FleetView, HostRow
+
+if TYPE_CHECKING:
+    from ..core.placement.book import TargetState
+    from ..core.serving.requests import Prompt, PromptPart
+    from .node import GatewayNode
+
+# Between two beats; loads of peers are this old when they are used.
+BEAT_S = 0.1
+# A loop that wakes later than this was stopped, not busy.
+PAUSE_S = 1.0
+RECEIVE_BYTES = 65_536
+# Parts told in one message, the newest.
+MOST_PARTS = 24
+
+
+class Peers:
+    """State: the socket, the view of the fleet, and parts still to be told."""
+
+    def __init__(self, node: GatewayNode) -> None:
+        self._node = node
+        settings = node.settings
+        own = HostRow(
+            settings.host,
+            node.random.getrandbits(53),
+            0,
+            settings.ip,
+            settings.zone,
+            settings.region,
+        )
+        seeds = [seed.ip for seed in settings.seeds]
+        self.view = FleetView(own, seeds, node.random)
+        self._parts: deque[tuple[str, tuple[PromptPart, ...]]] = deque(
+            maxlen=MOST_PARTS
+        )
+        self._live: set[str] = set()
+
+    async def run(self) -> None:
+        """Tell and hear until cancelled."""
+        with trio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as plain:
+            await plain.bind((self._node.settings.ip, self._node.settings.peer_port))
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._tell, plain)
+                nursery.start_soon(self._hear, plain)
+
+    def note_parts(self, target: TargetState, prompt: Prompt | None) -> None:
+        """Tell the others which shared parts a target is sent."""
+        if prompt is not None and len(prompt.parts) > 1:
+            self._parts.append((target.entry.id, prompt.parts[:-1]))
+
+    async def _tell(self, plain: trio.socket.SocketType) -> None:
+        node = self._node
+        woken = node.now()
+        while True:
+            await trio.sleep(BEAT_S)
+            now = node.now()
+            if now - woken > PAUSE_S:
+                self.view.forgive(now - woken)
+                record_event("paused", for_s=round(now - woken, 3))
+            woken = now
+            self.view.beat(node.leaving, node.ready)
+            await self._send_beat(plain, now)
+            self._note_changes(now)
+
+    async def _send_beat(self, plain: trio.socket.SocketType, now: float) -> None:
+        node = self._node
+        view = self.view
+        rows = tuple(view.rows_to_tell(now))
+        parts = tuple(self._parts)
+        self._parts.clear()
+        own = view.own
+        near = encode_beat(Beat(own, rows, node.book.own_loads(), False, parts))
+        away = None
+        for ip, region in view.next_receivers(now):
+            if region == own.region:
+                data = near
+            else:
+                away = away or encode_beat(
+                    Beat(
+                        own, rows, node.book.region_loads(own.region, now), True, parts
+                    )
+                )
+                data = away
+            try:
+                await plain.sendto(data, (ip, node.settings.peer_port))
+            except OSError as error:
+                node.metrics.count("beats_unsent_total", reason=str(error.errno))
+
+    async def _hear(self, plain: trio.socket.SocketType) -> None:
+        node = self._node
+        while True:
+            try:
+                data, _ = await plain.recvfrom(RECEIVE_BYTES)
+                beat = decode_beat(data)
+            except BeatError:
+                node.metrics.count("beats_unreadable_total")
+                continue
+            except OSError as error:
+                node.metrics.count("beats_unreceived_total", reason=str(error.errno))
+                continue
+            self._take(beat, node.now())
+
+    def _take(self, beat: Beat, now: float) -> None:
+        node = self._node
+        self.view.hear(beat.sender, now, direct=True)
+        for row in beat.rows:
+            self.view.hear(row, now, direct=False)
+        sender = f"region {beat.sender.region}" if beat.of_region else beat.sender.id
+        node.book.note_peer(sender, beat.loads, now)
+        for target_id, parts in beat.parts:
+            target = node.book.targets.get(target_id)
+            if target is not None:
+                node.book.read_parts(target, parts)
+
+    def _note_changes(self, now: float) -> None:
+        live = {row.id for row in self.view.live(now)}
+        for host in live - self._live:
+            record_event("host-live", subject=host, hosts=len(live) + 1)
+        for host in self._live - live:
+            record_event("host-silent", subject=host, hosts=len(live) + 1)
+        self._live = live
+        self.view.expire(now)
--- a/src/lycheepath/gateway/process.py
+++ b/src/lycheepath/gateway/process.py
@@ -19,6 +19,8 @@
     serve_caller,
 )
 from .node import GatewayNode
+from .relay import serve_relayed
+from .settings import Address
 
 if TYPE_CHECKING:
     from .settings import GatewaySettings
@@ -43,12 +45,14 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(node.events.run)
         nursery.start_soon(StoreFollower(node).run)
+        nursery.start_soon(node.peers.run)
         nursery.start_soon(_close_idle, node)
         for address, answer in (
             (settings.callers, serve_caller),
             (settings.ready, answer_ready),
             (settings.directory, answer_directory),
             (settings.metrics, answer_metrics),
+            (Address(settings.ip, settings.relay_port), serve_relayed),
         ):
             await nursery.start(listen, node, address, partial(answer, node))
         await _wait_for_end(node)
--- /dev/null
+++ b/src/lycheepath/gateway/relay.py
@@ -0,0 +1,268 @@
+"""
+Requests that go to a target of another region through a host there.
+
+Targets take connections only from hosts of their own region. The first host
+keeps the request and decides over it; the second one picks a target of its
+region, sends it there once, and says what became of it. A relayed request is
+never relayed again.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import trio
+
+from ..adapters.events import record_event
+from ..adapters.http1.sockets import ConnectError
+from ..adapters.http1.upstream import BrokenAnswerError
+from ..core.placement.book import Ending
+from ..core.placement.choice import Surroundings
+from ..core.reasons import Absent
+from ..core.serving.events import EventOrderError
+from ..core.serving.retries import Result
+from ..platform.headers import read_answer, read_request
+from .exchange import Exchange
+from .sending import (
+    Sent,
+    SilentTargetError,
+    bound_first_silence,
+    pass_on,
+    send_to_target,
+)
+from .settings import Address
+
+if TYPE_CHECKING:
+    from ..adapters.http1.downstream import CallerConnection, ReceivedRequest
+    from ..adapters.http1.upstream import Upstream
+    from ..core.catalog.model import Route
+    from ..core.fleet.view import HostRow
+    from ..core.placement.choice import Placement
+    from .node import GatewayNode
+
+SERVICE = b"lycheepath-service"
+TARGET = b"lycheepath-target"
+LEFT_MS = b"lycheepath-left-ms"
+WAITED_MS = b"lycheepath-waited-ms"
+LAST_EVENT = b"lycheepath-last-event"
+RESULT = b"lycheepath-result"
+REASON = b"lycheepath-reason"
+OWN_HEADERS = frozenset(
+    {SERVICE, TARGET, LEFT_MS, WAITED_MS, LAST_EVENT, RESULT, REASON}
+)
+
+# To a host of another region; six times the way there and back.
+CONNECT_S = 1.0
+# Below the limit that relaying hosts set on idle connections.
+IDLE_S = 10.0
+# A host that could not be reached is left out for this long.
+AVOID_S = 2.0
+# What one measured connection adds to the estimate of the way.
+AWAY_STEP = 0.3
+
+
+@dataclass(frozen=True, slots=True)
+class RelayedWork:
+    """What the first host says of a request that it relays."""
+
+    service: str
+    target: str
+    left_s: float
+    waited_s: float
+    last_event_id: int | None
+
+
+async def send_to_region(
+    node: GatewayNode, exchange: Exchange, placed: Placement
+) -> Sent:
+    """Send a request to a host of the target's region; pass its answer on."""
+    host = _pick_host(node, placed.target.region)
+    if host is None:
+        return Sent(Result.NOT_RUN, Ending.NOT_RUN, "no host of the region is live")
+    address = Address(host.ip, node.settings.relay_port)
+    started = node.now()
+    try:
+        upstream = await node.pool.take(address, CONNECT_S, started)
+    except ConnectError as error:
+        node.avoided[host.id] = node.now() + AVOID_S
+        return Sent(Result.NOT_RUN, Ending.NOT_RUN, f"{host.id} not reached: {error}")
+    if upstream.exchanges == 0:
+        _note_away(node, placed.target.region, node.now() - started)
+    kept = False
+    prompt = exchange.facts.prompt
+    node.book.relayed(
+        exchange.number,
+        placed.target,
+        exchange.route.urgency,
+        prompt.tokens - placed.cached_tokens if prompt else 0,
+        node.now(),
+    )
+    try:
+        with trio.move_on_after(bound_first_silence(exchange)) as timer:
+            status, headers = await upstream.request(
+                exchange.request.method,
+                exchange.request.target,
+                _write_headers(node, exchange, placed),
+                exchange.request.body,
+            )
+        if timer.cancelled_caught:
+            raise SilentTargetError(f"no answer began at {host.id}")
+        sent, kept = await _take_answer(node, exchange, upstream, status, headers)
+        return sent
+    except (BrokenAnswerError, EventOrderError, SilentTargetError) as error:
+        return Sent(Result.LOST, Ending.LEFT, f"{host.id}: {error}")
+    finally:
+        node.book.ended(exchange.number, Ending.LEFT, node.now())
+        if kept:
+            node.pool.give_back(upstream, IDLE_S, node.now())
+        else:
+            upstream.close()
+
+
+async def serve_relayed(
+    node: GatewayNode, caller: CallerConnection, request: ReceivedRequest
+) -> None:
+    """Serve a request that another host relays: send it once, here."""
+    work = _read_work(request)
+    facts = read_request(tuple(h for h in request.headers if h[0] not in OWN_HEADERS))
+    table = node.catalog.routes
+    route = table and table.match(facts.host, request.target.decode("latin-1"))
+    if work is None or not route:
+        await _answer_result(caller, Result.NOT_RUN, "this host has no such route")
+        return
+    refusal = _check_home(node, route)
+    if refusal:
+        await _answer_result(caller, Result.NOT_RUN, refusal)
+        return
+    deadline = request.received_at + work.left_s
+    exchange = Exchange(
+        caller, request, facts, route, work.service, deadline, node.next_number()
+    )
+    exchange.waited_s = work.waited_s
+    exchange.cutter.last_id = work.last_event_id
+    exchange.relayed = True
+    node.serving += 1
+    try:
+        with trio.CancelScope(deadline=deadline) as scope:
+            await _send_here(node, exchange)
+        if scope.cancelled_caught:
+            caller.break_off()
+    finally:
+        node.serving -= 1
+
+
+async def _send_here(node: GatewayNode, exchange: Exchange) -> None:
+    around = Surroundings(node.settings.region, {}, node.share_cold_targets())
+    placed = node.place(exchange, around)
+    if isinstance(placed, Absent):
+        await _answer_result(
+            exchange.caller, Result.NOT_RUN, placed.detail, placed.retry_after_s
+        )
+        return
+    sent = await send_to_target(node, exchange, placed.target, placed.cached_tokens)
+    record_event(
+        "relayed",
+        request=exchange.facts.id,
+        target=placed.target.entry.id,
+        result=sent.result.value,
+        reason=sent.reason,
+        expected_s=round(placed.first_s, 4),
+    )
+    if sent.result is Result.ANSWERED:
+        return
+    if exchange.begun:
+        exchange.caller.break_off()
+        return
+    held = exchange.held
+    if sent.result is Result.FAILED and held is not None:
+        named = [*held.headers, (RESULT, sent.result.value.encode())]
+        await exchange.caller.answer(held.status, named, held.body)
+        return
+    await _answer_result(exchange.caller, sent.result, sent.reason)
+
+
+def _check_home(node: GatewayNode, route: Route) -> str:
+    """Return why a request may not be served here, or nothing."""
+    homes = route.home_regions
+    if homes and node.settings.region not in homes:
+        return f"{node.settings.region} is no home of the route"
+    return ""
+
+
+async def _answer_result(
+    caller: CallerConnection, result: Result, reason: str, wait_s: float = 0.0
+) -> None:
+    headers = [
+        (RESULT, result.value.encode()),
+        (REASON, reason.encode("ascii", "replace")),
+    ]
+    if wait_s:
+        headers.append((b"retry-after", b"%.3f" % wait_s))
+    await caller.answer(503, headers, b"")
+
+
+def _write_headers(
+    node: GatewayNode, exchange: Exchange, placed: Placement
+) -> list[tuple[bytes, bytes]]:
+    now = node.now()
+    headers = [h for h in exchange.facts.headers if h[0] not in OWN_HEADERS]
+    headers += [
+        (SERVICE, exchange.service.encode()),
+        (TARGET, placed.target.entry.id.encode()),
+        (LEFT_MS, b"%d" % int((exchange.deadline - now) * 1000)),
+        (WAITED_MS, b"%d" % int((now - exchange.received_at) * 1000)),
+    ]
+    if exchange.cutter.last_id is not None:
+        headers.append((LAST_EVENT, b"%d" % exchange.cutter.last_id))
+    if exchange.request.body:
+        headers.append((b"content-length", b"%d" % len(exchange.request.body)))
+    return headers
+
+
+def _read_work(request: ReceivedRequest) -> RelayedWork | None:
+    fields = dict(request.headers)
+    try:
+        last = fields.get(LAST_EVENT)
+        return RelayedWork(
+            fields[SERVICE].decode(),
+            fields[TARGET].decode(),
+            int(fields[LEFT_MS]) / 1000.0,
+            int(fields[WAITED_MS]) / 1000.0,
+            None if last is None else int(last),
+        )
+    except (KeyError, ValueError):
+        return None
+
+
+async def _take_answer(
+    node: GatewayNode,
+    exchange: Exchange,
+    upstream: Upstream,
+    status: int,
+    headers: list[tuple[bytes, bytes]],
+) -> tuple[Sent, bool]:
+    """Pass a target's answer on, or read what the other host says of it."""
+    fields = dict(headers)
+    result = fields.get(RESULT)
+    if result is None or result == Result.FAILED.value.encode():
+        kept = [h for h in headers if h[0] not in OWN_HEADERS]
+        return await pass_on(exchange, upstream, read_answer(status, kept), node)
+    await upstream.read_whole(65_536)
+    reason = fields.get(REASON, b"").decode("latin-1")
+    return Sent(Result(result.decode()), Ending.LEFT, reason), True
+
+
+def _pick_host(node: GatewayNode, region: str) -> HostRow | None:
+    now = node.now()
+    hosts = [
+        row
+        for row in node.peers.view.live(now, region)
+        if row.ready and not row.leaving and node.avoided.get(row.id, 0.0) <= now
+    ]
+    return node.random.choice(hosts) if hosts else None
+
+
+def _note_away(node: GatewayNode, region: str, took_s: float) -> None:
+    held = node.away_s.get(region, took_s)
+    node.away_s[region] = held + AWAY_STEP * (took_s - held)
--- a/src/lycheepath/gateway/sending.py
+++ b/src/lycheepath/gateway/sending.py
@@ -12,7 +12,6 @@
 
 import trio
 
-from ..adapters.http1.downstream import CallerGoneError
 from ..adapters.http1.sockets import ConnectError
 from ..adapters.http1.upstream import BrokenAnswerError
 from ..core.catalog.model import RouteKind
@@ -67,6 +66,7 @@
     node.book.started(key, target, exchange.route.urgency, tokens, node.now())
     if prompt:
         node.book.read_parts(target, prompt.parts)
+        node.peers.note_parts(target, prompt)
     sent = Sent(Result.LOST, Ending.LEFT, "cancelled")
     try:
         sent = await _exchange(node, exchange, target)
@@ -84,7 +84,7 @@
     kept = False
     try:
         facts = await _ask(node, exchange, target, upstream)
-        sent, kept = await _pass_on(node, exchange, target, upstream, facts)
+        sent, kept = await pass_on(exchange, upstream, facts, node)
         if kept and not facts.closes:
             node.pool.give_back(upstream, facts.idle_s, node.now())
         else:
@@ -117,7 +117,7 @@
     body = exchange.request.body
     if body or exchange.request.method not in (b"GET", b"HEAD", b"DELETE"):
         headers.append((b"content-length", b"%d" % len(body)))
-    with trio.move_on_after(_silence_s(exchange)) as timer:
+    with trio.move_on_after(bound_first_silence(exchange)) as timer:
         status, answered = await upstream.request(
             exchange.request.method,
             exchange.request.target,
@@ -133,7 +133,7 @@
     return facts
 
 
-def _silence_s(exchange: Exchange) -> float:
+def bound_first_silence(exchange: Exchange) -> float:
     """Return how long a target may be silent before the answer begins."""
     route = exchange.route
     if not route.repeatable or exchange.tries.runs + 1 >= route.max_attempts:
@@ -141,12 +141,8 @@
     return SILENT_SHARE[route.kind] * route.aim_s
 
 
-async def _pass_on(
-    node: GatewayNode,
-    exchange: Exchange,
-    target: TargetState,
-    upstream: Upstream,
-    facts: AnswerFacts,
+async def pass_on(
+    exchange: Exchange, upstream: Upstream, facts: AnswerFacts, node: GatewayNode
 ) -> tuple[Sent, bool]:
     """Pass an answer on; return the result, and whether it was read whole."""
     if facts.not_run:
@@ -235,6 +231,3 @@
     if not exchange.begun:
         return route.aim_s
     return max(LEAST_GAP_S, GAP_FACTOR * route.gap_aim_s)
-
-
-__all__ = ["CallerGoneError", "Sent", "send_to_target"]
--- a/src/lycheepath/gateway/serving.py
+++ b/src/lycheepath/gateway/serving.py
@@ -8,22 +8,23 @@
 
 from __future__ import annotations
 
-from itertools import count
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import trio
 
 from ..adapters.events import record_event
 from ..core.catalog.routes import draw_service
-from ..core.placement.choice import Placement, Wanted, choose_target
 from ..core.reasons import Absent
 from ..core.serving.retries import Result, may_send_again
 from ..platform.headers import read_request
 from .exchange import Exchange
+from .relay import send_to_region
 from .sending import Sent, send_to_target
 
 if TYPE_CHECKING:
     from ..adapters.http1.downstream import CallerConnection, ReceivedRequest
+    from ..core.placement.choice import Placement, Tried
     from .node import GatewayNode
 
 NOT_RUN = 503
@@ -34,7 +35,6 @@
 SOON_S = 0.5
 # Refused callers come back spread over this part of the named time.
 SPREAD = 0.5
-NUMBERS = count(1)
 
 
 async def serve_request(
@@ -81,24 +81,24 @@
         route,
         service,
         request.received_at + wait_s,
-        next(NUMBERS),
+        node.next_number(),
     )
 
 
 async def _run(node: GatewayNode, exchange: Exchange) -> None:
     while True:
-        placed = _place(node, exchange)
+        placed = node.place(exchange, node.surroundings())
         if isinstance(placed, Absent):
             await _give_up(node, exchange, placed)
             return
-        sent = await send_to_target(node, exchange, placed.target, placed.cached_tokens)
+        sent = await _send(node, exchange, placed)
         exchange.tries.note(sent.result)
         if sent.result is Result.ANSWERED:
             _log(node, exchange, "answered", 200, placed)
             return
         exchange.reason = sent.reason
         _log_sent(node, exchange, placed, sent)
-        exchange.tried |= {placed.target.entry.id}
+        exchange.tried = _add_tried(exchange.tried, placed, sent.result)
         again = may_send_again(exchange.route, exchange.tries, sent.result)
         hosts = node.count_hosts()
         if not again or not node.retries.take(exchange.service, hosts, node.now()):
@@ -106,23 +106,19 @@
             return
 
 
-def _place(node: GatewayNode, exchange: Exchange) -> Placement | Absent:
-    now = node.now()
-    wanted = Wanted(
-        exchange.route,
-        exchange.service,
-        exchange.facts.prompt,
-        now - exchange.received_at,
-        exchange.deadline - now,
-    )
-    return choose_target(
-        node.book,
-        wanted,
-        node.surroundings(),
-        now,
-        exchange.tried,
-        exchange.tried_regions,
-    )
+def _add_tried(tried: Tried, placed: Placement, result: Result) -> Tried:
+    target = placed.target
+    if placed.away:
+        return replace(tried, regions=tried.regions | {target.region})
+    if result is Result.FAILED:
+        return replace(tried, failed=tried.failed | {target.entry.id})
+    return replace(tried, targets=tried.targets | {target.entry.id})
+
+
+async def _send(node: GatewayNode, exchange: Exchange, placed: Placement) -> Sent:
+    if placed.away:
+        return await send_to_region(node, exchange, placed)
+    return await send_to_target(node, exchange, placed.target, placed.cached_tokens)
 
 
 async def _give_up(
