Test the gateway against stand-ins of the platform's store and targets

Two faults found: a late answer to an earlier request ended a request with a body (the request was replayed to the parser without it), and a head over the limit passed if it came in one piece. Equal targets are now drawn among.

--- a/src/lycheepath/adapters/http1/downstream.py
+++ b/src/lycheepath/adapters/http1/downstream.py
@@ -177,6 +177,10 @@
         if not isinstance(head, h11.Request):
             return None
         received_at = trio.current_time()
+        if count_head_bytes(head) > self.limits.head_bytes:
+            raise BadRequestError(
+                431, f"the head is over {self.limits.head_bytes} bytes"
+            )
         body = await self._read_body(head)
         return ReceivedRequest(
             head.method, head.target, tuple(head.headers), body, received_at
@@ -266,3 +270,9 @@
             await self.stream.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise CallerGoneError(str(error)) from error
+
+
+def count_head_bytes(head: h11.Request) -> int:
+    """Return the size of a request's head as it was sent, nearly."""
+    line = len(head.method) + len(head.target) + len("  HTTP/1.1\r\n")
+    return line + sum(len(name) + len(value) + 4 for name, value in head.headers) + 2
--- a/src/lycheepath/adapters/http1/upstream.py
+++ b/src/lycheepath/adapters/http1/upstream.py
@@ -47,6 +47,7 @@
         self.idle_s: float | None = None
         self._h11 = h11.Connection(h11.CLIENT)
         self._request: h11.Request | None = None
+        self._body = b""
         self._sent = False
 
     async def request(
@@ -66,10 +67,8 @@
         self.exchanges += 1
         self._sent = False
         self._request = h11.Request(method=method, target=target, headers=list(headers))
-        data = self._h11.send(self._request) or b""
-        if body:
-            data += self._h11.send(h11.Data(data=body)) or b""
-        data += self._h11.send(h11.EndOfMessage()) or b""
+        self._body = body
+        data = self._write_request()
         if len(data) <= SENT_AT_ONCE_BYTES:
             await self._send(data)
             return await self._read_own_head(request_id)
@@ -180,15 +179,21 @@
         while await self.read_body() is not None:
             pass
         rest, ended = self._h11.trailing_data
-        assert self._request is not None
         self._h11 = h11.Connection(h11.CLIENT)
-        self._h11.send(self._request)
-        self._h11.send(h11.EndOfMessage())
+        self._write_request()
         if rest:
             self._h11.receive_data(rest)
         if ended:
             self._h11.receive_data(b"")
 
+    def _write_request(self) -> bytes:
+        """Take the request as sent; return its bytes."""
+        assert self._request is not None
+        data = self._h11.send(self._request) or b""
+        if self._body:
+            data += self._h11.send(h11.Data(data=self._body)) or b""
+        return data + (self._h11.send(h11.EndOfMessage()) or b"")
+
     async def _next_event(self) -> object:
         while True:
             try:
--- a/src/lycheepath/core/placement/choice.py
+++ b/src/lycheepath/core/placement/choice.py
@@ -17,6 +17,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
+    from random import Random
 
     from ..catalog.model import Route
     from ..serving.requests import Prompt
@@ -27,6 +28,8 @@
 AWAY_COST_S = 0.05
 # Preference of one owner for each shared part while no host knows better.
 OWNER_BONUS_S = 0.005
+# Equal targets are drawn among, so that hosts don't all take the first one.
+TIE_S = 0.002
 # A target that answered with a failure is asked again only if others take
 # longer by this.
 FAILED_COST_S = 0.1
@@ -93,6 +96,7 @@
     wanted: Wanted,
     around: Surroundings,
     now: float,
+    random: Random,
     tried: Tried = NOT_TRIED,
 ) -> Placement | Absent:
     """Return where the request goes, or why it is refused and until when."""
@@ -114,7 +118,7 @@
         score = placed.first_s + (AWAY_COST_S if placed.away else 0.0)
         if target.entry.id in tried.failed:
             score += FAILED_COST_S
-        score -= _owner_bonus(wanted, target)
+        score -= _owner_bonus(wanted, target) + TIE_S * random.random()
         if score < best_score:
             best, best_score = placed, score
     best = best or resort
--- a/src/lycheepath/gateway/node.py
+++ b/src/lycheepath/gateway/node.py
@@ -81,7 +81,9 @@
             now - exchange.received_at,
             exchange.deadline - now,
         )
-        return choose_target(self.book, wanted, around, now, exchange.tried)
+        return choose_target(
+            self.book, wanted, around, now, self.random, exchange.tried
+        )
 
     def count_hosts(self) -> int:
         """Return the number of hosts of the fleet, those gone lately included."""
--- a/src/lycheepath/gateway/process.py
+++ b/src/lycheepath/gateway/process.py
@@ -43,25 +43,31 @@
     set_up_events(node.events, host=settings.host)
     record_event("start", zone=settings.zone, region=settings.region, pid=os.getpid())
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(node.events.run)
-        nursery.start_soon(StoreFollower(node).run)
-        nursery.start_soon(node.peers.run)
-        nursery.start_soon(_close_idle, node)
-        for address, answer in (
-            (settings.callers, serve_caller),
-            (settings.ready, answer_ready),
-            (settings.directory, answer_directory),
-            (settings.metrics, answer_metrics),
-            (Address(settings.ip, settings.relay_port), serve_relayed),
-        ):
-            await nursery.start(listen, node, address, partial(answer, node))
+        await start_tasks(node, nursery)
         await _wait_for_end(node)
-        await _drain(node)
+        await drain(node)
         nursery.cancel_scope.cancel()
     record_event("stop", serving=node.serving)
     node.events.flush()
 
 
+async def start_tasks(node: GatewayNode, nursery: trio.Nursery) -> None:
+    """Start a gateway's tasks and listeners in a nursery."""
+    settings = node.settings
+    nursery.start_soon(node.events.run)
+    nursery.start_soon(StoreFollower(node).run)
+    nursery.start_soon(node.peers.run)
+    nursery.start_soon(_close_idle, node)
+    for address, answer in (
+        (settings.callers, serve_caller),
+        (settings.ready, answer_ready),
+        (settings.directory, answer_directory),
+        (settings.metrics, answer_metrics),
+        (Address(settings.ip, settings.relay_port), serve_relayed),
+    ):
+        await nursery.start(listen, node, address, partial(answer, node))
+
+
 async def _wait_for_end(node: GatewayNode) -> None:
     with trio.open_signal_receiver(
         signal.SIGTERM, signal.SIGINT, signal.SIGHUP
@@ -73,7 +79,7 @@
             return
 
 
-async def _drain(node: GatewayNode) -> None:
+async def drain(node: GatewayNode) -> None:
     """Take no new callers, serve those who are here, and end in time."""
     node.leaving = True
     started = node.now()
--- /dev/null
+++ b/standins/site.py
@@ -0,0 +1,368 @@
+"""
+Small stand-ins for the users' platform: its store, and targets of services.
+
+They speak the published wire over loopback, in the loop of the test. A target
+answers as its ``behaviour`` says, which gets the request and the stream::
+
+    async with trio.open_nursery() as nursery:
+        site = await Site.open(nursery)
+        target = await site.add_target("books", answer_text(b"done"))
+        node = await site.start_gateway("host-1")
+        answer = await site.ask(node, b"GET", "/books/1")
+"""
+
+from __future__ import annotations
+
+import base64
+import random
+from dataclasses import dataclass, field
+from functools import partial
+from typing import Any
+from urllib.parse import parse_qs
+
+import h11
+import orjson
+import trio
+
+from lycheepath.gateway.node import GatewayNode
+from lycheepath.gateway.process import start_tasks
+from lycheepath.platform.settings import read_settings
+
+HOST = "books.example"
+REGIONS = {"east-a": "east", "west-a": "west"}
+PORTS = {"front": 20_001, "ready": 20_002, "control": 20_003, "directory": 20_004}
+POLL_S = 0.01
+READY_WITHIN_S = 5.0
+
+
+@dataclass(frozen=True)
+class Seen:
+    """A request as a target saw it."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclass
+class Answer:
+    """What a caller got; ``whole`` says that the answer was complete."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool
+
+
+def answer_bytes(*pieces: bytes, close: bool = False) -> Any:
+    """Return a behaviour that sends pieces as they are, then may close."""
+
+    async def behave(seen: Seen, stream: trio.SocketStream) -> None:
+        for piece in pieces:
+            await stream.send_all(
+                piece.replace(b"{id}", seen.headers["request-id"].encode())
+            )
+            await trio.sleep(0)
+        if close:
+            await stream.aclose()
+
+    return behave
+
+
+def answer_text(body: bytes, status: int = 200, *headers: str) -> Any:
+    """Return a behaviour that answers with a signed body."""
+    lines = [
+        f"HTTP/1.1 {status} X",
+        "Request-Id: {id}",
+        f"Content-Length: {len(body)}",
+        *headers,
+    ]
+    if status < 300:
+        lines.append("Response-Signature: s.1")
+    return answer_bytes(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+
+
+@dataclass
+class FakeTarget:
+    """A target; ``seen`` holds the requests that came."""
+
+    id: str
+    service: str
+    zone: str
+    address: str
+    behaviour: Any
+    seen: list[Seen] = field(default_factory=list)
+    connections: int = 0
+    open: int = 0
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        """Serve one connection."""
+        self.connections += 1
+        self.open += 1
+        connection = h11.Connection(h11.SERVER)
+        try:
+            while (seen := await _read_request(connection, stream)) is not None:
+                self.seen.append(seen)
+                await self.behaviour(seen, stream)
+                connection = h11.Connection(h11.SERVER)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return
+        finally:
+            self.open -= 1
+            stream.socket.close()
+
+
+async def _read_request(
+    connection: h11.Connection, stream: trio.SocketStream
+) -> Seen | None:
+    head: h11.Request | None = None
+    body = b""
+    while True:
+        event = connection.next_event()
+        if event is h11.NEED_DATA:
+            connection.receive_data(await stream.receive_some(65_536))
+        elif isinstance(event, h11.Request):
+            head = event
+        elif isinstance(event, h11.Data):
+            body += bytes(event.data)
+        elif isinstance(event, h11.EndOfMessage):
+            assert head is not None
+            headers = {n.decode(): v.decode() for n, v in head.headers}
+            return Seen(head.method.decode(), head.target.decode(), headers, body)
+        else:
+            return None
+
+
+@dataclass
+class FakeStore:
+    """The platform's store; ``failing`` has it answer with that status."""
+
+    address: str = ""
+    items: dict[str, tuple[bytes, int]] = field(default_factory=dict)
+    history: list[dict[str, Any]] = field(default_factory=list)
+    revision: int = 1
+    oldest: int = 0
+    failing: int = 0
+    calls: int = 0
+
+    def put(self, key: str, value: Any) -> None:
+        """Write an item; bytes are taken as they are."""
+        self.revision += 1
+        data = value if isinstance(value, bytes) else orjson.dumps(value)
+        self.items[key] = (data, self.revision)
+        self.history.append(self._item(key))
+
+    def remove(self, key: str) -> None:
+        """Remove an item."""
+        self.revision += 1
+        del self.items[key]
+        self.history.append({"key": key, "revision": self.revision, "tombstone": True})
+
+    def compact(self) -> None:
+        """Forget the history."""
+        self.oldest = self.revision
+        self.history.clear()
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        """Serve one connection."""
+        try:
+            while (
+                seen := await _read_request(h11.Connection(h11.SERVER), stream)
+            ) is not None:
+                self.calls += 1
+                status, answer = await self._answer(seen.target)
+                body = orjson.dumps(answer)
+                head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n"
+                await stream.send_all(head.encode() + body)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return
+
+    async def _answer(self, target: str) -> tuple[int, Any]:
+        path, _, query = target.partition("?")
+        fields = parse_qs(query)
+        if self.failing:
+            return self.failing, {}
+        if path.endswith("kv-range"):
+            items = [self._item(key) for key in sorted(self.items)]
+            return 200, {"items": items, "has_more": False, "as_of": self.revision}
+        after = int(fields["after"][0])
+        if after < self.oldest:
+            return 410, {}
+        with trio.move_on_after(int(fields["wait_ms"][0]) / 1000.0):
+            while self.revision <= after:
+                await trio.sleep(POLL_S)
+        events = [event for event in self.history if event["revision"] > after]
+        return 200, {"events": events, "as_of": self.revision}
+
+    def _item(self, key: str) -> dict[str, Any]:
+        value, revision = self.items[key]
+        return {
+            "key": key,
+            "value": base64.b64encode(value).decode(),
+            "revision": revision,
+            "create_rev": revision,
+            "lease": 0,
+        }
+
+
+class Site:
+    """State: the store, the targets and the gateways of one test."""
+
+    def __init__(self, nursery: trio.Nursery) -> None:
+        self.nursery = nursery
+        self.store = FakeStore()
+        self.targets: list[FakeTarget] = []
+        self.routes: list[dict[str, Any]] = []
+        self.services: list[dict[str, Any]] = []
+        self.version = 0
+        self.bounds: dict[str, float] = {}
+        self._hosts = 0
+        # An address range of its own keeps runs side by side apart.
+        draw = random.SystemRandom()
+        self._network = f"127.{draw.randrange(1, 255)}.{draw.randrange(255)}"
+
+    @classmethod
+    async def open(cls, nursery: trio.Nursery) -> Site:
+        """Return a site whose store serves."""
+        site = cls(nursery)
+        site.store.address = await site._listen(site.store.serve)
+        return site
+
+    async def add_target(
+        self, service: str, behaviour: Any, zone: str = "east-a", **fields: Any
+    ) -> FakeTarget:
+        """Start a target and announce it."""
+        target = FakeTarget(f"i-{len(self.targets)}", service, zone, "", behaviour)
+        target.address = await self._listen(target.serve)
+        self.targets.append(target)
+        self.announce(target, **fields)
+        return target
+
+    def announce(self, target: FakeTarget, **fields: Any) -> None:
+        """Write what a target says of itself into the store."""
+        entry = {
+            "service": target.service,
+            "address": target.address,
+            "zone": target.zone,
+            "version": "v1",
+            "slots": 4,
+            "state": "ready",
+            "cold_left_ms": 0,
+            "seq": 1,
+        }
+        self.store.put(f"servers/{target.id}", entry | fields)
+
+    def configure(self, *routes: dict[str, Any], **limits: int) -> None:
+        """Write a configuration with these routes; a new version each time."""
+        self.version += 3
+        services = {
+            name: {"name": name, "max_connections": 100}
+            for route in routes
+            for name in _services_of(route)
+        }
+        value = {
+            "version": self.version,
+            "routes": list(routes),
+            "services": list(services.values()),
+            "limits": limits,
+        }
+        self.store.put("op/config", value)
+
+    async def start_gateway(self, host: str, zone: str = "east-a") -> GatewayNode:
+        """Start a gateway in the test's loop; return it once it is ready."""
+        self._hosts += 1
+        ip = f"{self._network}.{self._hosts}"
+        listen = {name: f"{ip}:{port}" for name, port in PORTS.items()}
+        fields = {
+            "node_name": host,
+            "ip": ip,
+            "zone": zone,
+            "region": REGIONS[zone],
+            "zones": REGIONS,
+            "listen": listen,
+            "port_range": [20_010, 20_020],
+            "seeds": [f"{self._network}.1:{PORTS['control']}"],
+            "limits": {"memory_mb": 300, "max_fds": 1024},
+            "bounds": self.bounds,
+            "platform": {"address": self.store.address},
+        }
+        node = GatewayNode(read_settings(orjson.dumps(fields)))
+        await start_tasks(node, self.nursery)
+        with trio.fail_after(READY_WITHIN_S):
+            while not node.ready:
+                await trio.sleep(POLL_S)
+        return node
+
+    async def ask(
+        self,
+        node: GatewayNode,
+        method: bytes,
+        path: str,
+        body: bytes = b"",
+        request_id: str = "r1",
+        headers: dict[str, str] | None = None,
+    ) -> Answer:
+        """Send a caller's request on a new connection; return its answer."""
+        address = node.settings.callers
+        async with await trio.open_tcp_stream(address.ip, address.port) as stream:
+            named = {"host": HOST, "request-id": request_id, "deadline-ms": "2000"}
+            named |= headers or {}
+            if body:
+                named["content-length"] = str(len(body))
+            lines = [f"{name}: {value}" for name, value in named.items()]
+            head = "\r\n".join([f"{method.decode()} {path} HTTP/1.1", *lines, "", ""])
+            await stream.send_all(head.encode() + body)
+            return await read_answer(stream)
+
+    async def _listen(self, serve: Any) -> str:
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        self.nursery.start_soon(partial(trio.serve_listeners, serve, listeners))
+        ip, port = listeners[0].socket.getsockname()
+        return f"{ip}:{port}"
+
+
+async def read_answer(stream: trio.SocketStream) -> Answer:
+    """Read one answer, however it ends."""
+    connection = h11.Connection(h11.CLIENT)
+    connection.send(h11.Request(method="GET", target="/", headers=[("host", HOST)]))
+    connection.send(h11.EndOfMessage())
+    answer = Answer(0, {}, b"", False)
+    while True:
+        try:
+            event = connection.next_event()
+            if event is h11.NEED_DATA:
+                connection.receive_data(await stream.receive_some(65_536))
+                continue
+        except (h11.RemoteProtocolError, trio.BrokenResourceError):
+            return answer
+        if isinstance(event, h11.Response):
+            answer.status = event.status_code
+            answer.headers = {n.decode(): v.decode() for n, v in event.headers}
+        elif isinstance(event, h11.Data):
+            answer.body += bytes(event.data)
+        else:
+            answer.whole = isinstance(event, h11.EndOfMessage)
+            return answer
+
+
+def make_route(
+    service: str, kind: str = "safe", prefix: str = "/books/", **fields: Any
+) -> dict[str, Any]:
+    """Return a route as the operator writes it."""
+    return {
+        "name": f"route-{prefix}",
+        "host": HOST,
+        "prefix": prefix,
+        "kind": kind,
+        "service": service,
+        "timeout_ms": 1500,
+        "target_latency_ms": 400,
+        "priority": 1,
+        "max_attempts": 2,
+    } | fields
+
+
+def _services_of(route: dict[str, Any]) -> list[str]:
+    split = route.get("traffic_split")
+    return [part["service"] for part in split] if split else [route["service"]]
--- /dev/null
+++ b/tests/core/catalog/test_routes.py
@@ -0,0 +1,67 @@
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+from hypothesis import given, strategies
+
+from lycheepath.core.catalog.model import (
+    CallerLimits,
+    Configuration,
+    Route,
+    RouteKind,
+    ServiceShare,
+)
+from lycheepath.core.catalog.routes import RouteTable, draw_service
+
+
+def make_route(
+    prefix: str, *shares: ServiceShare, host: str = "books.example"
+) -> Route:
+    return Route(
+        name=prefix,
+        host=host,
+        prefix=prefix,
+        kind=RouteKind.SAFE,
+        services=shares or (ServiceShare("books", 1.0),),
+        timeout_s=1.0,
+        aim_s=0.4,
+        gap_aim_s=0.0,
+        urgency=0,
+        max_attempts=2,
+        resumable=False,
+        home_regions=frozenset(),
+    )
+
+
+def make_table(*prefixes: str) -> RouteTable:
+    routes = tuple(make_route(prefix) for prefix in prefixes)
+    return RouteTable(Configuration(1, routes, {}, CallerLimits()))
+
+
+def test_table_matches_the_longest_prefix() -> None:
+    table = make_table("/a/", "/a/b/", "/")
+    found = [
+        route.prefix if (route := table.match("books.example", path)) else None
+        for path in ("/a/b/c", "/a/bc", "/a/b", "/x", "/a/?q=/a/b/")
+    ]
+    assert found == ["/a/b/", "/a/", "/a/", "/", "/a/"]
+
+
+def test_table_knows_no_route_of_another_host() -> None:
+    assert make_table("/").match("other.example", "/") is None
+
+
+@given(strategies.lists(strategies.sampled_from("ab/"), max_size=12))
+def test_table_agrees_with_a_search_through_all_routes(path: list[str]) -> None:
+    prefixes = ("/a/", "/a/b/", "/b/a/a/", "/b/")
+    text = "/" + "".join(path)
+    fitting = [prefix for prefix in prefixes if text.startswith(prefix)]
+    route = make_table(*prefixes).match("books.example", text)
+    assert (route.prefix if route else None) == max(fitting, key=len, default=None)
+
+
+def test_draw_service_follows_the_weights() -> None:
+    route = make_route("/", ServiceShare("old", 90.0), ServiceShare("new", 10.0))
+    drawn = Counter(draw_service(route, random.Random(seed)) for seed in range(2000))
+    assert 120 < drawn["new"] < 280
--- /dev/null
+++ b/tests/gateway/test_serving.py
@@ -0,0 +1,296 @@
+from __future__ import annotations
+
+import trio
+
+from lycheepath.core.reasons import Reason
+from standins.site import (
+    HOST,
+    Seen,
+    Site,
+    answer_bytes,
+    answer_text,
+    make_route,
+    read_answer,
+)
+
+SIGNED = b"HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: s\r\n"
+BUSY = answer_text(b"", 503, "Not-Executed: 1")
+
+
+async def stay_silent(seen: Seen, stream: trio.SocketStream) -> None:
+    await trio.sleep_forever()
+
+
+async def test_request_reaches_its_target_and_the_answer_comes_back(site: Site) -> None:
+    target = await site.add_target("books", answer_text(b"done", 200, "X-Own: 1"))
+    site.configure(make_route("books", "unsafe"))
+    node = await site.start_gateway("host-1")
+    answer = await site.ask(node, b"POST", "/books/1?x=2", b"body", x_extra="y")
+    assert (answer.status, answer.body, answer.whole) == (200, b"done", True)
+    assert answer.headers["response-signature"] == "s.1"
+    assert answer.headers["x-own"] == "1"
+    seen = target.seen[0]
+    assert (seen.method, seen.target, seen.body) == ("POST", "/books/1?x=2", b"body")
+    assert seen.headers["x-extra"] == "y"
+    assert seen.headers["expect-instance"] == target.id
+    assert 0 < int(seen.headers["deadline-ms"]) <= 1500
+
+
+async def test_headers_that_only_the_gateway_sets_are_dropped(site: Site) -> None:
+    target = await site.add_target("books", answer_text(b"done"))
+    site.configure(make_route("books"))
+    node = await site.start_gateway("host-1")
+    forged = dict.fromkeys(
+        ("hold", "pin_ms", "kv_backup", "kv_from", "kv_fetch", "request_priority"), "9"
+    )
+    await site.ask(node, b"GET", "/books/1", expect_instance="other", **forged)
+    headers = target.seen[0].headers
+    assert headers["expect-instance"] == target.id
+    assert not {name.replace("_", "-") for name in forged} & headers.keys()
+
+
+async def test_unknown_path_is_not_found_and_no_configuration_is_no_refusal_for_good(
+    site: Site,
+) -> None:
+    await site.add_target("books", answer_text(b"done"))
+    site.configure(make_route("books"))
+    node = await site.start_gateway("host-1")
+    assert (await site.ask(node, b"GET", "/other")).status == 404
+    node.catalog.routes = None
+    answer = await site.ask(node, b"GET", "/books/1")
+    assert answer.status == 503
+    assert float(answer.headers["retry-after"]) > 0
+
+
+async def test_safe_request_is_asked_again_when_an_answer_breaks_off(
+    site: Site,
+) -> None:
+    broken = answer_bytes(SIGNED + b"Content-Length: 9\r\n\r\nha", close=True)
+    targets = [await site.add_target("books", broken)]
+    targets.append(await site.add_target("books", answer_text(b"done")))
+    site.configure(make_route("books"))
+    node = await site.start_gateway("host-1")
+    for number in range(4):
+        answer = await site.ask(node, b"GET", "/books/1", request_id=f"r{number}")
+        assert (answer.status, answer.body) == (200, b"done")
+    assert targets[0].seen
+
+
+async def test_unsafe_request_runs_once_when_its_answer_breaks_off(site: Site) -> None:
+    broken = answer_bytes(SIGNED + b"Content-Length: 9\r\n\r\nha", close=True)
+    targets = [await site.add_target("books", broken) for _ in range(2)]
+    site.configure(make_route("books", "unsafe"))
+    node = await site.start_gateway("host-1")
+    answer = await site.ask(node, b"POST", "/books/1", b"pay")
+    assert answer.status == 502
+    assert sum(len(target.seen) for target in targets) == 1
+
+
+async def test_unsafe_request_goes_elsewhere_when_it_has_not_run(site: Site) -> None:
+    busy = await site.add_target("books", BUSY)
+    free = await site.add_target("books", answer_text(b"done"))
+    site.configure(make_route("books", "unsafe"))
+    node = await site.start_gateway("host-1")
+    for number in range(4):
+        answer = await site.ask(node, b"POST", "/books/1", b"x", f"r{number}")
+        assert (answer.status, answer.body) == (200, b"done")
+    assert busy.seen
+    assert len(free.seen) == 4
+
+
+async def test_request_that_no_target_runs_is_refused_as_not_run(site: Site) -> None:
+    await site.add_target("books", BUSY)
+    site.configure(make_route("books", "unsafe"))
+    node = await site.start_gateway("host-1")
+    answer = await site.ask(node, b"POST", "/books/1", b"x")
+    assert answer.status == 503
+    assert float(answer.headers["retry-after"]) > 0
+    assert "response-signature" not in answer.headers
+
+
+async def test_failure_of_a_target_is_passed_on_unchanged(site: Site) -> None:
+    failure = answer_text(b"oh", 500, "Response-Signature: s.9")
+    await site.add_target("books", failure)
+    site.configure(make_route("books", "unsafe"))
+    node = await site.start_gateway("host-1")
+    answer = await site.ask(node, b"POST", "/books/1", b"x")
+    assert (answer.status, answer.body) == (500, b"oh")
+    assert answer.headers["response-signature"] == "s.9"
+
+
+async def test_success_that_is_not_signed_is_no_success(site: Site) -> None:
+    await site.add_target(
+        "books", answer_bytes(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi")
+    )
+    site.configure(make_route("books", "unsafe"))
+    node = await site.start_gateway("host-1")
+    assert (await site.ask(node, b"POST", "/books/1", b"x")).status == 502
+
+
+async def test_bytes_after_an_answer_reach_nobody(site: Site) -> None:
+    extra = (
+        SIGNED
+        + b"Content-Length: 2\r\n\r\nhi"
+        + SIGNED
+        + b"Content-Length: 3\r\n\r\nbad"
+    )
+    target = await site.add_target("books", answer_bytes(extra))
+    site.configure(make_route("books"))
+    node = await site.start_gateway("host-1")
+    for number in range(3):
+        answer = await site.ask(node, b"GET", "/books/1", request_id=f"r{number}")
+        assert (answer.status, answer.body) == (200, b"hi")
+    assert target.connections == 3
+
+
+async def test_late_answer_to_an_earlier_request_is_skipped(site: Site) -> None:
+    stale = b"HTTP/1.1 200 OK\r\nRequest-Id: old\r\nResponse-Signature: s\r\nContent-Length: 3\r\n\r\nbad"
+    own = SIGNED + b"Content-Length: 2\r\n\r\nhi"
+    await site.add_target("books", answer_bytes(stale + own))
+    site.configure(make_route("books", "unsafe"))
+    node = await site.start_gateway("host-1")
+    answer = await site.ask(node, b"POST", "/books/1", b"x")
+    assert (answer.status, answer.body) == (200, b"hi")
+
+
+async def test_answer_without_a_length_ends_with_its_connection(site: Site) -> None:
+    await site.add_target("books", answer_bytes(SIGNED + b"\r\nhello", close=True))
+    site.configure(make_route("books", "unsafe"))
+    node = await site.start_gateway("host-1")
+    answer = await site.ask(node, b"POST", "/books/1", b"x")
+    assert (answer.status, answer.body, answer.whole) == (200, b"hello", True)
+
+
+async def test_request_is_answered_when_its_routes_time_is_over(site: Site) -> None:
+    await site.add_target("books", stay_silent)
+    site.configure(make_route("books", "unsafe", timeout_ms=300))
+    node = await site.start_gateway("host-1")
+    started = trio.current_time()
+    answer = await site.ask(node, b"POST", "/books/1", b"x")
+    assert answer.status == 504
+    assert 0.25 < trio.current_time() - started < 0.7
+
+
+async def test_target_is_freed_when_the_caller_leaves(site: Site) -> None:
+    target = await site.add_target("books", stay_silent)
+    site.configure(make_route("books", "unsafe"))
+    node = await site.start_gateway("host-1")
+    with trio.move_on_after(0.2):
+        await site.ask(node, b"POST", "/books/1", b"x")
+    assert target.seen
+    with trio.fail_after(0.5):
+        while node.serving:
+            await trio.sleep(0.01)
+
+
+async def test_stream_goes_on_at_another_target_with_no_event_twice(site: Site) -> None:
+    head = SIGNED + b"Content-Type: text/event-stream\r\n\r\n"
+    begun = head + b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda"
+
+    async def break_off(seen: Seen, stream: trio.SocketStream) -> None:
+        await stream.send_all(
+            begun.replace(b"{id}", seen.headers["request-id"].encode())
+        )
+        await trio.sleep(0.05)
+        stream.socket.close()
+
+    async def resume(seen: Seen, stream: trio.SocketStream) -> None:
+        first = int(seen.headers.get("last-event-id", "0")) + 1
+        events = b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(first, 5))
+        whole = head.replace(
+            b"\r\n\r\n", b"\r\nContent-Length: %d\r\n\r\n" % len(events)
+        )
+        await stream.send_all(
+            whole.replace(b"{id}", seen.headers["request-id"].encode()) + events
+        )
+
+    targets = [await site.add_target("books", b) for b in (break_off, resume)]
+    site.configure(make_route("books", "streaming", resumable=True, gap_aim_ms=400))
+    node = await site.start_gateway("host-1")
+    for number in range(4):
+        answer = await site.ask(node, b"POST", "/books/1", b"x", f"r{number}")
+        assert answer.whole
+        ids = [line for line in answer.body.split(b"\n") if line.startswith(b"id")]
+        assert ids == [b"id: 1", b"id: 2", b"id: 3", b"id: 4"]
+    assert targets[0].seen
+
+
+async def test_stream_that_may_run_once_does_not_look_complete_when_it_breaks(
+    site: Site,
+) -> None:
+    begun = SIGNED + b"Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n"
+    await site.add_target("books", answer_bytes(begun, close=True))
+    site.configure(make_route("books", "streaming", resumable=False))
+    node = await site.start_gateway("host-1")
+    answer = await site.ask(node, b"POST", "/books/1", b"x")
+    assert answer.status == 200
+    assert not answer.whole
+
+
+async def test_garbage_from_a_caller_is_answered_and_touches_nothing_else(
+    site: Site,
+) -> None:
+    target = await site.add_target("books", answer_text(b"done"))
+    site.configure(make_route("books"), max_body_bytes=100)
+    node = await site.start_gateway("host-1")
+    address = node.settings.callers
+    cases = {
+        b"\x00\x01garbage\r\n\r\n": 400,
+        b"GET /books/ HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n": 400,
+        b"GET / HTTP/1.1\r\nHost: " + b"x" * 20_000 + b"\r\n\r\n": 431,
+        b"POST /books/ HTTP/1.1\r\nHost: x\r\nContent-Length: 101\r\n\r\n": 413,
+    }
+    for sent, status in cases.items():
+        async with await trio.open_tcp_stream(address.ip, address.port) as stream:
+            await stream.send_all(sent)
+            assert (await read_answer(stream)).status == status
+    assert (await site.ask(node, b"GET", "/books/1")).status == 200
+    assert len(target.seen) == 1
+
+
+async def test_requests_sent_ahead_are_answered_in_their_order(site: Site) -> None:
+    async def echo(seen: Seen, stream: trio.SocketStream) -> None:
+        await answer_text(seen.target.encode())(seen, stream)
+
+    await site.add_target("books", echo)
+    site.configure(make_route("books"))
+    node = await site.start_gateway("host-1")
+    address = node.settings.callers
+    async with await trio.open_tcp_stream(address.ip, address.port) as stream:
+        for number in range(3):
+            head = f"GET /books/{number} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: r{number}\r\n\r\n"
+            await stream.send_all(head.encode())
+        data = b""
+        with trio.fail_after(2):
+            while data.count(b"/books/") < 3:
+                data += await stream.receive_some(65_536)
+    at = [data.index(b"/books/%d" % number) for number in range(3)]
+    assert at == sorted(at)
+
+
+async def test_target_under_another_address_holder_is_not_run(site: Site) -> None:
+    await site.add_target("books", answer_text(b"", 421, "Instance-Id: other"))
+    site.configure(make_route("books", "unsafe"))
+    node = await site.start_gateway("host-1")
+    answer = await site.ask(node, b"POST", "/books/1", b"x")
+    assert answer.status == 503
+    assert Reason.OVERLOADED.value not in answer.body.decode()
+
+
+async def test_evacuated_and_draining_targets_get_nothing(site: Site) -> None:
+    target = await site.add_target("books", answer_text(b"done"))
+    site.configure(make_route("books"))
+    node = await site.start_gateway("host-1")
+    assert (await site.ask(node, b"GET", "/books/1")).status == 200
+    site.store.put("op/evacuate/east-a", {})
+    with trio.fail_after(3):
+        while not node.catalog.evacuated:
+            await trio.sleep(0.02)
+    assert (await site.ask(node, b"GET", "/books/1")).status == 503
+    site.store.remove("op/evacuate/east-a")
+    site.announce(target, state="draining", seq=2)
+    with trio.fail_after(3):
+        while node.catalog.evacuated or not node.catalog.targets[target.id].draining:
+            await trio.sleep(0.02)
+    assert (await site.ask(node, b"GET", "/books/1")).status == 503
+    assert len(target.seen) == 1
