--- a/src/lycheepath/core/placement/book.py
+++ b/src/lycheepath/core/placement/book.py
@@ -97,6 +97,7 @@
     reported: ReportedLoad | None = None
     reported_at: float = float("-inf")
     evacuated: bool = False
+    contact_at: float = float("-inf")
 
     def count_in_flight(self, now: float) -> int:
         """Return the requests under way here, those of peers included."""
@@ -125,6 +126,13 @@
             found.update(load.tokens)
         return sorted(found)
 
+    def oldest_wait_s(self, now: float) -> float:
+        """Return how long a request sent from here has waited for a sign."""
+        for flight in self.flights.values():
+            if flight.first_at is None and not flight.relayed:
+                return now - flight.sent_at
+        return 0.0
+
     @property
     def open(self) -> bool:
         """Whether the operator and the target let new requests come."""
@@ -170,6 +178,7 @@
         self, key: int, target: TargetState, urgency: int, tokens: int, now: float
     ) -> None:
         """Note that a request is being sent."""
+        target.cold.sent(now)
         ahead = target.count_ahead(urgency, now)
         flight = Flight(target, now, urgency, tokens, ahead)
         target.flights[key] = flight
@@ -196,6 +205,7 @@
         if flight.relayed:
             return
         flight.target.health.record_contact()
+        flight.target.contact_at = now
         speed = self.speed(flight.target.entry.service)
         speed.observe_first(now - flight.sent_at, flight.tokens + flight.ahead)
 
@@ -209,6 +219,7 @@
         health = target.health
         if ending is Ending.WHOLE:
             health.record_success()
+            target.contact_at = now
             took = now - flight.sent_at
             self.speed(target.entry.service).observe_whole(took)
         elif ending is Ending.REFUSED:
--- a/src/lycheepath/core/placement/choice.py
+++ b/src/lycheepath/core/placement/choice.py
@@ -28,6 +28,11 @@
 AWAY_COST_S = 0.05
 # Preference of one owner for each shared part while no host knows better.
 OWNER_BONUS_S = 0.005
+# A target is taken for silent when nothing came for this long, and for this
+# many times what its work should take.
+LEAST_OVERDUE_S = 0.25
+OVERDUE_FACTOR = 3.0
+MOST_URGENCY = 9
 # Equal targets are drawn among, so that hosts don't all take the first one.
 TIE_S = 0.002
 # A target that answered with a failure is asked again only if others take
@@ -111,7 +116,7 @@
         if not _can_reach(target, around, tried, now):
             continue
         placed = _estimate(book, wanted, target, around, now)
-        if _is_doubtful(target, now):
+        if _is_doubtful(target, now) or _is_overdue(book, target, now):
             if resort is None or placed.first_s < resort.first_s:
                 resort = placed
             continue
@@ -188,6 +193,18 @@
     return target.cold.may_send(senders, now)
 
 
+def _is_overdue(book: TargetBook, target: TargetState, now: float) -> bool:
+    """Whether a target is silent for longer than its work explains."""
+    waited = target.oldest_wait_s(now)
+    if waited < LEAST_OVERDUE_S or now - target.contact_at < LEAST_OVERDUE_S:
+        return False
+    speed = book.speed(target.entry.service)
+    if target.service is None or target.service.engine is None:
+        return waited > OVERDUE_FACTOR * speed.service_s
+    work = speed.estimate_first_s(target.count_ahead(MOST_URGENCY, now))
+    return waited > OVERDUE_FACTOR * work
+
+
 def _is_doubtful(target: TargetState, now: float) -> bool:
     health = target.health
     if health.is_ejected(now) or now < health.paused_until:
--- a/src/lycheepath/core/placement/cold.py
+++ b/src/lycheepath/core/placement/cold.py
@@ -24,6 +24,7 @@
     def __init__(self, rate_per_s: float) -> None:
         self._rate_per_s = rate_per_s
         self._until = float("-inf")
+        self._senders = MOST_SENDERS
         self._saved = 1.0
         self._at = float("-inf")
 
@@ -42,15 +43,16 @@
 
     def may_send(self, senders: int, now: float) -> bool:
         """Whether this host, one of ``senders``, may send a request now."""
-        return not self.is_cold(now) or self._refill(senders, now) >= 1.0
+        self._senders = max(1, senders)
+        return not self.is_cold(now) or self._refill(now) >= 1.0
 
-    def sent(self, senders: int, now: float) -> None:
+    def sent(self, now: float) -> None:
         """Count a request that is sent."""
         if self.is_cold(now):
-            self._saved = self._refill(senders, now) - 1.0
+            self._saved = self._refill(now) - 1.0
 
-    def _refill(self, senders: int, now: float) -> float:
-        share = self._rate_per_s / max(1, senders)
+    def _refill(self, now: float) -> float:
+        share = self._rate_per_s / self._senders
         if self._at > float("-inf"):
             self._saved = min(1.0, self._saved + (now - self._at) * share)
         self._at = now
