Name the time to come back; wait for the first reading; send long answers where events come fast

Causes: an Absent is falsy, so its detail and time were dropped (201 refusals without a word); a host that had just started refused 188 requests though it read the store within 0.4 s; long streams met their deadline behind prefill.

--- a/src/lycheepath/core/catalog/model.py
+++ b/src/lycheepath/core/catalog/model.py
@@ -71,10 +71,15 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineFacts:
-    """What a service's model engines hold: requests at once and cached tokens."""
+    """
+    What a service's model engines hold: requests at once and cached tokens.
+
+    An event of a stream holds ``event_tokens``.
+    """
 
     slots: int
     kv_tokens: int
+    event_tokens: int = 1
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/lycheepath/core/placement/book.py
+++ b/src/lycheepath/core/placement/book.py
@@ -34,6 +34,10 @@
 PEER_LOAD_S = 1.5
 # A relayed request is told of by the hosts of the other region after this long.
 RELAYED_S = 0.6
+# Between two events of a stream, before any was seen.
+FIRST_EVENT_S = 0.05
+# Weight of one more gap; some tens of them are seen a second on a busy target.
+EVENT_STEP = 0.02
 # Part of an engine's memory that is taken for cached parts; the rest holds
 # what runs.
 CACHE_SHARE = 0.85
@@ -66,6 +70,7 @@
     tokens: int
     ahead: int
     first_at: float | None = None
+    event_at: float | None = None
     relayed: bool = False
 
     def counts(self, now: float) -> bool:
@@ -98,6 +103,7 @@
     reported_at: float = float("-inf")
     evacuated: bool = False
     contact_at: float = float("-inf")
+    event_s: float = FIRST_EVENT_S
 
     def count_in_flight(self, now: float) -> int:
         """Return the requests under way here, those of peers included."""
@@ -196,17 +202,25 @@
         """Note that a target reads the shared parts of a prompt."""
         target.cache.use(parts)
 
-    def first_event(self, key: int, now: float) -> None:
-        """Note that a target has begun to answer."""
+    def next_events(self, key: int, count: int, now: float) -> None:
+        """Note that a target has sent events of an answer, the first or more."""
         flight = self._flights.get(key)
-        if flight is None or flight.first_at is not None:
+        if flight is None:
             return
-        flight.first_at = now
+        before, flight.event_at = flight.event_at, now
+        target = flight.target
         if flight.relayed:
+            flight.first_at = flight.first_at or now
             return
-        flight.target.health.record_contact()
-        flight.target.contact_at = now
-        speed = self.speed(flight.target.entry.service)
+        target.contact_at = now
+        if flight.first_at is not None:
+            if before is not None:
+                gap_s = (now - before) / max(1, count)
+                target.event_s += EVENT_STEP * (gap_s - target.event_s)
+            return
+        flight.first_at = now
+        target.health.record_contact()
+        speed = self.speed(target.entry.service)
         speed.observe_first(now - flight.sent_at, flight.tokens + flight.ahead)
 
     def ended(self, key: int, ending: Ending, now: float) -> None:
--- a/src/lycheepath/core/placement/choice.py
+++ b/src/lycheepath/core/placement/choice.py
@@ -25,9 +25,25 @@
 
 # What a request to another region costs beyond its way there and back, as
 # time: its bytes are priced, and it depends on more.
-AWAY_COST_S = 0.05
-# Preference of one owner for each shared part while no host knows better.
-OWNER_BONUS_S = 0.005
+AWAY_COST_S = 0.03
+# Part of the way there and back that doesn't count while the aim isn't at risk.
+AWAY_DISCOUNT = 0.8
+# Weight of an engine's own time against one caller's waiting: two more callers
+# wait for it on a busy day.
+ENGINE_WEIGHT = 2.0
+# Estimates beyond this part of the aim often turn out late.
+SAFE_SHARE = 0.6
+LATE_WEIGHT = 3.0
+# Of the time that the rest of an answer takes; it doesn't count for the aim,
+# but slots and memory are taken as long.
+REST_WEIGHT = 0.05
+# Guesses of an answer's length are often short.
+REST_SHARE = 0.7
+# Preference of one owner for each shared part, the same on all hosts, before
+# anybody knows who has it.
+OWNER_BONUS_S = 0.1
+# Shared parts that are shorter are read anywhere.
+LEAST_OWNED_TOKENS = 1000
 # A target is taken for silent when nothing came for this long, and for this
 # many times what its work should take.
 LEAST_OVERDUE_S = 0.25
@@ -88,12 +104,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Placement:
-    """The chosen target with the estimate that decided."""
+    """
+    The chosen target with the estimate that decided.
+
+    ``away_s`` is the time to another region and back, 0 for this one.
+    """
 
     target: TargetState
     first_s: float
     cached_tokens: int
-    away: bool
+    away_s: float
+
+    @property
+    def away(self) -> bool:
+        """Whether the target is in another region."""
+        return self.away_s > 0.0
 
 
 def choose_target(
@@ -120,10 +145,9 @@
             if resort is None or placed.first_s < resort.first_s:
                 resort = placed
             continue
-        score = placed.first_s + (AWAY_COST_S if placed.away else 0.0)
+        score = _score(book, wanted, placed) + TIE_S * random.random()
         if target.entry.id in tried.failed:
             score += FAILED_COST_S
-        score -= _owner_bonus(wanted, target) + TIE_S * random.random()
         if score < best_score:
             best, best_score = placed, score
     best = best or resort
@@ -162,30 +186,67 @@
     now: float,
 ) -> Placement:
     away_s = around.away_s.get(target.region, 0.0)
-    away = target.region != around.region
     speed = book.speed(wanted.service)
     prompt = wanted.prompt
     if prompt is None:
         slots = max(1, target.entry.slots)
         over = max(0, target.count_in_flight(now) + 1 - slots)
         first_s = speed.service_s * (1.0 + over / slots)
-        return Placement(target, first_s + away_s, 0, away)
+        return Placement(target, first_s + away_s, 0, away_s)
     cached = target.cache.count_cached(prompt.parts)
     ahead = target.count_ahead(wanted.route.urgency, now)
     first_s = speed.estimate_first_s(ahead + prompt.tokens - cached)
-    return Placement(target, first_s + away_s, cached, away)
+    return Placement(target, first_s + away_s, cached, away_s)
+
+
+def _score(book: TargetBook, wanted: Wanted, placed: Placement) -> float:
+    """
+    Return what a placement costs all callers, as seconds.
+
+    Time of an engine is dear, since whoever comes later waits for it; time on
+    the way costs little while the caller's aim isn't at risk.
+    """
+    aim_s = wanted.route.aim_s
+    expected_s = wanted.elapsed_s + placed.first_s
+    late_s = max(0.0, expected_s - SAFE_SHARE * aim_s)
+    score = placed.first_s + LATE_WEIGHT * late_s
+    if placed.away:
+        score += AWAY_COST_S - AWAY_DISCOUNT * placed.away_s
+    if wanted.prompt is not None:
+        read = wanted.prompt.tokens - placed.cached_tokens
+        score += ENGINE_WEIGHT * read * book.speed(wanted.service).token_s
+        rest_s = _estimate_rest_s(wanted.prompt, placed.target)
+        score += REST_WEIGHT * rest_s
+        over_s = placed.first_s + rest_s - REST_SHARE * wanted.left_s
+        score += LATE_WEIGHT * max(0.0, over_s)
+    return score - _owner_bonus(wanted, placed.target)
+
+
+def _estimate_rest_s(prompt: Prompt, target: TargetState) -> float:
+    """Return the time from the first event of an answer to its last."""
+    service = target.service
+    if service is None or service.engine is None:
+        return 0.0
+    tokens = prompt.expected_answer_tokens or prompt.most_answer_tokens
+    return tokens / service.engine.event_tokens * target.event_s
 
 
 def _owner_bonus(wanted: Wanted, target: TargetState) -> float:
     """Spread unknown prompts by their shared part, the same on all hosts."""
     prompt = wanted.prompt
-    if prompt is None or not prompt.parts:
+    if prompt is None:
         return 0.0
-    shared = prompt.parts[-2] if len(prompt.parts) > 1 else prompt.parts[0]
+    if len(prompt.parts) < 2 or _count_shared(prompt) < LEAST_OWNED_TOKENS:
+        return 0.0
+    shared = prompt.parts[-2]
     point = mix(hash_name(shared.id), hash_name(target.entry.id)) & 0xFFFF
     return OWNER_BONUS_S * point / 0xFFFF
 
 
+def _count_shared(prompt: Prompt) -> int:
+    return sum(part.tokens for part in prompt.parts[:-1])
+
+
 def _may_send(target: TargetState, around: Surroundings, now: float) -> bool:
     senders = around.cold_senders.get(target.entry.id, 1)
     if senders is None:
--- a/src/lycheepath/core/placement/speed.py
+++ b/src/lycheepath/core/placement/speed.py
@@ -27,6 +27,8 @@
     def __init__(self) -> None:
         self.token_s = FIRST_TOKEN_S
         self.service_s = FIRST_SERVICE_S
+        self._readings = 0
+        self._answers = 0
 
     def observe_first(self, took_s: float, tokens: int) -> None:
         """Take the time to a first event, and the tokens read until then."""
@@ -34,11 +36,15 @@
             return
         sample = max(0.0, took_s - BASE_S) / tokens
         sample = min(max(sample, FASTEST_TOKEN_S), SLOWEST_TOKEN_S)
-        self.token_s += STEP * (sample - self.token_s)
+        self._readings += 1
+        step = max(STEP, 1.0 / (self._readings + 1))
+        self.token_s += step * (sample - self.token_s)
 
     def observe_whole(self, took_s: float) -> None:
         """Take the time of a whole answer of a plain service."""
-        self.service_s += STEP * (min(took_s, 1.0) - self.service_s)
+        self._answers += 1
+        step = max(STEP, 1.0 / (self._answers + 1))
+        self.service_s += step * (min(took_s, 1.0) - self.service_s)
 
     def estimate_first_s(self, tokens: int) -> float:
         """Return the time to a first event behind ``tokens`` to read."""
--- a/src/lycheepath/gateway/discovery.py
+++ b/src/lycheepath/gateway/discovery.py
@@ -155,3 +155,5 @@
             revision=node.catalog.revision,
         )
     node.book.update(node.catalog, node.settings.zone_regions, node.now())
+    if node.catalog.routes is not None:
+        node.configured.set()
--- a/src/lycheepath/gateway/exchange.py
+++ b/src/lycheepath/gateway/exchange.py
@@ -32,7 +32,8 @@
     ``deadline`` is on the loop's clock: the caller's or the route's, whichever
     is first. ``waited_s`` passed at another host before this one took the
     request. ``begun`` says that the answer has begun, ``relayed`` that another
-    host decides over the request.
+    host decides over the request. ``first_s`` is the time from the request to
+    the first event of its answer.
     """
 
     caller: CallerConnection
@@ -50,6 +51,7 @@
     reason: str = ""
     waited_s: float = 0.0
     relayed: bool = False
+    first_s: float | None = None
 
     def __post_init__(self) -> None:
         self.cutter = EventCutter(self.facts.last_event_id)
--- a/src/lycheepath/gateway/node.py
+++ b/src/lycheepath/gateway/node.py
@@ -43,6 +43,7 @@
     pool: Pool = field(default_factory=Pool)
     catalog: Catalog = field(default_factory=Catalog)
     book: TargetBook = field(default_factory=TargetBook)
+    configured: trio.Event = field(default_factory=trio.Event)
     retries: RetryWindow = field(init=False)
     peers: Peers = field(init=False)
     away_s: dict[str, float] = field(default_factory=dict)
--- a/src/lycheepath/gateway/sending.py
+++ b/src/lycheepath/gateway/sending.py
@@ -16,7 +16,7 @@
 from ..adapters.http1.upstream import BrokenAnswerError
 from ..core.catalog.model import RouteKind
 from ..core.placement.book import Ending
-from ..core.serving.events import EventOrderError
+from ..core.serving.events import END, EventOrderError
 from ..core.serving.requests import Dispatch
 from ..core.serving.retries import Result
 from ..platform.headers import read_answer, write_request
@@ -212,7 +212,9 @@
         if not exchange.begun:
             exchange.begun = True
             head = await caller.start_answer(facts.status, facts.headers)
-        node.book.first_event(exchange.number, node.now())
+        if exchange.first_s is None:
+            exchange.first_s = node.now() - exchange.received_at
+        node.book.next_events(exchange.number, events.count(END), node.now())
         await caller.send_data(events, head)
         head = b""
     if not cutter.complete:
--- a/src/lycheepath/gateway/serving.py
+++ b/src/lycheepath/gateway/serving.py
@@ -31,6 +31,9 @@
 UNKNOWN = 502
 TOO_LATE = 504
 NOT_FOUND = 404
+# A host that has just started reads the store within this time; less than a
+# caller loses by coming again.
+FIRST_READING_S = 0.6
 # Before a configuration is known, or while no target is.
 SOON_S = 0.5
 # Refused callers come back spread over this part of the named time.
@@ -62,6 +65,9 @@
 ) -> Exchange | None:
     """Return the exchange of a request that has a route; answer others."""
     facts = read_request(request.headers)
+    if node.catalog.routes is None:
+        with trio.move_on_after(FIRST_READING_S):
+            await node.configured.wait()
     table = node.catalog.routes
     if table is None:
         await _refuse(node, caller, facts.id, NOT_RUN, SOON_S, "no configuration")
@@ -136,11 +142,11 @@
         _log(node, exchange, "failure-passed-on", held.status)
         await caller.answer(held.status, held.headers, held.body)
         return
-    reason = exchange.reason or (absent.detail if absent else "")
+    reason = exchange.reason or ("" if absent is None else absent.detail)
     if exchange.tries.runs:
         await _refuse(node, caller, exchange.facts.id, UNKNOWN, None, reason)
         return
-    wait_s = absent.retry_after_s if absent else SOON_S
+    wait_s = SOON_S if absent is None else absent.retry_after_s
     await _refuse(node, caller, exchange.facts.id, NOT_RUN, wait_s, reason)
 
 
@@ -193,6 +199,7 @@
         sends=exchange.tries.sends,
         target=placed.target.entry.id if placed else "",
         expected_s=round(placed.first_s, 4) if placed else None,
+        first_s=exchange.first_s and round(exchange.first_s, 4),
         version=node.catalog.version,
     )
 
--- a/src/lycheepath/platform/configuration.py
+++ b/src/lycheepath/platform/configuration.py
@@ -74,7 +74,12 @@
 
 def _read_engine(entry: dict[str, Any]) -> EngineFacts:
     # ``slots`` are requests in one batch here, not places of a plain service.
-    return EngineFacts(int(entry["slots"]), int(entry["kv_cache_tokens"]))
+    return EngineFacts(
+        int(entry["slots"]),
+        int(entry["kv_cache_tokens"]),
+        # Tokens in one event of a stream.
+        max(1, int(entry.get("stride") or 1)),
+    )
 
 
 def _read_limits(entry: dict[str, Any]) -> CallerLimits:
