Tell busy from silent targets; keep remote requests from cold ones

Cause: a target that was only busy counted as silent after the caller's aim, was resent elsewhere and taken for cold, which took capacity away and fed itself (527 relayed requests met 'no target is open').

--- a/src/lycheepath/core/fleet/view.py
+++ b/src/lycheepath/core/fleet/view.py
@@ -32,6 +32,8 @@
 # Of each other region and among the seeds, at every ``AWAY_EVERY`` beats.
 AWAY_RECEIVERS = 1
 AWAY_EVERY = 4
+# A host that has just started tells seeds and other regions at each beat.
+FIRST_BEATS = 15
 ROWS = 12
 
 
@@ -108,6 +110,11 @@
         for held in self._heard.values():
             held.at += pause_s
 
+    def heard_at(self, host: str) -> float:
+        """Return when a host was last heard of; minus infinity if never."""
+        held = self._heard.get(host)
+        return float("-inf") if held is None else held.at
+
     def live(self, now: float, region: str | None = None) -> list[HostRow]:
         """Return the other hosts that are heard of, of one region or of all."""
         return [
@@ -132,7 +139,7 @@
         """Return the IPs to tell at this beat, each with its region ('' unknown)."""
         near = self.live(now, self.own.region)
         receivers = self._sample(near, REGION_RECEIVERS)
-        if self._beats % AWAY_EVERY:
+        if self._beats % AWAY_EVERY and self._beats > FIRST_BEATS:
             return receivers
         regions: dict[str, list[HostRow]] = {}
         for row in self.live(now):
--- a/src/lycheepath/core/placement/book.py
+++ b/src/lycheepath/core/placement/book.py
@@ -240,8 +240,6 @@
             health.record_refusal(now)
             target.cold.doubt(now)
         elif ending in (Ending.FAILED, Ending.WRONG, Ending.SILENT):
-            if ending is Ending.SILENT:
-                target.cold.doubt(now)
             wrong = ending is Ending.WRONG
             if health.record_failure(wrong) and self._may_eject(target, now):
                 health.eject(now)
--- a/src/lycheepath/core/placement/choice.py
+++ b/src/lycheepath/core/placement/choice.py
@@ -48,14 +48,12 @@
 # many times what its work should take.
 LEAST_OVERDUE_S = 0.25
 OVERDUE_FACTOR = 3.0
-MOST_URGENCY = 9
 # Equal targets are drawn among, so that hosts don't all take the first one.
 TIE_S = 0.002
 # A target that answered with a failure is asked again only if others take
 # longer by this.
 FAILED_COST_S = 0.1
-# Estimates are off by about this factor at the tail.
-LATE_FACTOR = 1.0
+LEAST_URGENCY = 9
 MIN_RETRY_AFTER_S = 0.3
 
 
@@ -107,13 +105,15 @@
     """
     The chosen target with the estimate that decided.
 
-    ``away_s`` is the time to another region and back, 0 for this one.
+    ``first_s`` is the time to the first event behind all work that is at least
+    as urgent, ``away_s`` the time to another region and back, 0 for this one.
     """
 
     target: TargetState
     first_s: float
     cached_tokens: int
     away_s: float
+    urgency: int
 
     @property
     def away(self) -> bool:
@@ -165,17 +165,18 @@
         return False
     if target.region == around.region:
         return _may_send(target, around, now)
+    if target.cold.is_cold(now):
+        return False
     return target.region in around.away_s and target.region not in tried.regions
 
 
 def _admit(wanted: Wanted, best: Placement) -> Placement | Absent:
-    route = wanted.route
-    expected = wanted.elapsed_s + best.first_s
-    if expected <= route.aim_s * LATE_FACTOR:
+    """Admit a request that can be answered within its aim; refuse it at once else."""
+    over_s = wanted.elapsed_s + best.first_s - wanted.route.aim_s
+    if over_s <= 0.0:
         return best
-    over = expected - route.aim_s * LATE_FACTOR
     detail = f"first event expected after {best.first_s:.3f} s"
-    return Absent(Reason.OVERLOADED, max(MIN_RETRY_AFTER_S, over), detail)
+    return Absent(Reason.OVERLOADED, max(MIN_RETRY_AFTER_S, over_s), detail)
 
 
 def _estimate(
@@ -188,15 +189,16 @@
     away_s = around.away_s.get(target.region, 0.0)
     speed = book.speed(wanted.service)
     prompt = wanted.prompt
+    urgency = min(wanted.route.urgency, LEAST_URGENCY)
     if prompt is None:
         slots = max(1, target.entry.slots)
         over = max(0, target.count_in_flight(now) + 1 - slots)
-        first_s = speed.service_s * (1.0 + over / slots)
-        return Placement(target, first_s + away_s, 0, away_s)
+        first_s = speed.service_s * (1.0 + over / slots) + away_s
+        return Placement(target, first_s, 0, away_s, urgency)
     cached = target.cache.count_cached(prompt.parts)
-    ahead = target.count_ahead(wanted.route.urgency, now)
-    first_s = speed.estimate_first_s(ahead + prompt.tokens - cached)
-    return Placement(target, first_s + away_s, cached, away_s)
+    read = prompt.tokens - cached
+    first_s = speed.estimate_first_s(target.count_ahead(urgency, now) + read)
+    return Placement(target, first_s + away_s, cached, away_s, urgency)
 
 
 def _score(book: TargetBook, wanted: Wanted, placed: Placement) -> float:
@@ -262,7 +264,7 @@
     speed = book.speed(target.entry.service)
     if target.service is None or target.service.engine is None:
         return waited > OVERDUE_FACTOR * speed.service_s
-    work = speed.estimate_first_s(target.count_ahead(MOST_URGENCY, now))
+    work = speed.estimate_first_s(target.count_ahead(LEAST_URGENCY, now))
     return waited > OVERDUE_FACTOR * work
 
 
--- a/src/lycheepath/gateway/discovery.py
+++ b/src/lycheepath/gateway/discovery.py
@@ -32,8 +32,9 @@
 
 # Between two questions; a quarter of the shortest bound on acting on an answer.
 INTERVAL_S = 1.0
-# While no configuration is known.
-FIRST_INTERVAL_S = 0.3
+# After a start and after the store's return, when entries come back.
+EAGER_INTERVAL_S = 0.3
+EAGER_S = 4.0
 CONNECT_S = 0.8
 ANSWER_S = 2.0
 # An answer waits for at least one change up to this long.
@@ -57,6 +58,7 @@
     def __init__(self, node: GatewayNode) -> None:
         self._node = node
         self._answered_at = node.now()
+        self._eager_until = node.now() + EAGER_S
         self._failing = False
         self._whole = True
 
@@ -66,8 +68,8 @@
             started = self._node.now()
             await self._ask()
             apply_notes(self._node, self._node.catalog.expire(self._node.now()))
-            known = self._node.catalog.routes is not None
-            interval = INTERVAL_S if known else FIRST_INTERVAL_S
+            soon = self._node.now() < self._eager_until
+            interval = EAGER_INTERVAL_S if soon else INTERVAL_S
             await trio.sleep(max(0.05, started + interval - self._node.now()))
 
     async def _ask(self) -> None:
@@ -140,6 +142,7 @@
         node = self._node
         if self._failing:
             self._failing = False
+            self._eager_until = node.now() + EAGER_S
             silent = round(node.now() - self._answered_at, 3)
             record_event("store-regained", silent_s=silent)
         self._answered_at = node.now()
--- a/src/lycheepath/gateway/exchange.py
+++ b/src/lycheepath/gateway/exchange.py
@@ -33,7 +33,7 @@
     is first. ``waited_s`` passed at another host before this one took the
     request. ``begun`` says that the answer has begun, ``relayed`` that another
     host decides over the request. ``first_s`` is the time from the request to
-    the first event of its answer.
+    the first event of its answer, ``longest_gap_s`` the longest pause after it.
     """
 
     caller: CallerConnection
@@ -52,6 +52,8 @@
     waited_s: float = 0.0
     relayed: bool = False
     first_s: float | None = None
+    event_at: float = 0.0
+    longest_gap_s: float = 0.0
 
     def __post_init__(self) -> None:
         self.cutter = EventCutter(self.facts.last_event_id)
@@ -60,3 +62,11 @@
     def received_at(self) -> float:
         """When the request's head came to the first host."""
         return self.request.received_at - self.waited_s
+
+    def note_events(self, now: float) -> None:
+        """Note that events of the answer have come."""
+        if self.first_s is None:
+            self.first_s = now - self.received_at
+        else:
+            self.longest_gap_s = max(self.longest_gap_s, now - self.event_at)
+        self.event_at = now
--- a/src/lycheepath/gateway/node.py
+++ b/src/lycheepath/gateway/node.py
@@ -19,6 +19,7 @@
 from ..core.placement.cold import MOST_SENDERS
 from ..core.retries.window import RetryWindow
 from .peers import Peers
+from .silence import SilenceWatch
 
 if TYPE_CHECKING:
     from ..core.reasons import Absent
@@ -46,6 +47,7 @@
     configured: trio.Event = field(default_factory=trio.Event)
     retries: RetryWindow = field(init=False)
     peers: Peers = field(init=False)
+    silence: SilenceWatch = field(default_factory=SilenceWatch)
     away_s: dict[str, float] = field(default_factory=dict)
     avoided: dict[str, float] = field(default_factory=dict)
     _numbers: count[int] = field(default_factory=lambda: count(1))
--- a/src/lycheepath/gateway/process.py
+++ b/src/lycheepath/gateway/process.py
@@ -57,6 +57,7 @@
     nursery.start_soon(node.events.run)
     nursery.start_soon(StoreFollower(node).run)
     nursery.start_soon(node.peers.run)
+    nursery.start_soon(node.silence.run)
     nursery.start_soon(_close_idle, node)
     for address, answer in (
         (settings.callers, serve_caller),
--- a/src/lycheepath/gateway/relay.py
+++ b/src/lycheepath/gateway/relay.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from functools import partial
 from typing import TYPE_CHECKING
 
 import trio
@@ -26,12 +27,12 @@
 from .exchange import Exchange
 from .sending import (
     Sent,
-    SilentTargetError,
     bound_first_silence,
     pass_on,
     send_to_target,
 )
 from .settings import Address
+from .silence import SilentTargetError
 
 if TYPE_CHECKING:
     from ..adapters.http1.downstream import CallerConnection, ReceivedRequest
@@ -52,6 +53,9 @@
     {SERVICE, TARGET, LEFT_MS, WAITED_MS, LAST_EVENT, RESULT, REASON}
 )
 
+FAILED = Result.FAILED.value.encode()
+MOST_RESULT_BYTES = 4096
+
 # To a host of another region; six times the way there and back.
 CONNECT_S = 1.0
 # Below the limit that relaying hosts set on idle connections.
@@ -94,21 +98,27 @@
     node.book.relayed(
         exchange.number,
         placed.target,
-        exchange.route.urgency,
+        placed.urgency,
         prompt.tokens - placed.cached_tokens if prompt else 0,
         node.now(),
     )
     try:
-        with trio.move_on_after(bound_first_silence(exchange)) as timer:
+        limit_s = bound_first_silence(exchange)
+        sign = partial(node.peers.view.heard_at, host.id)
+        with node.silence.guard(exchange.number, limit_s, sign):
             status, headers = await upstream.request(
                 exchange.request.method,
                 exchange.request.target,
                 _write_headers(node, exchange, placed),
                 exchange.request.body,
             )
-        if timer.cancelled_caught:
-            raise SilentTargetError(f"no answer began at {host.id}")
-        sent, kept = await _take_answer(node, exchange, upstream, status, headers)
+        fields = dict(headers)
+        if RESULT in fields and fields[RESULT] != FAILED:
+            sent, kept = await _read_result(upstream, fields), True
+        else:
+            answered = [h for h in headers if h[0] not in OWN_HEADERS]
+            facts = read_answer(status, answered)
+            sent, kept = await pass_on(node, exchange, upstream, facts, sign)
         return sent
     except (BrokenAnswerError, EventOrderError, SilentTargetError) as error:
         return Sent(Result.LOST, Ending.LEFT, f"{host.id}: {error}")
@@ -160,7 +170,7 @@
             exchange.caller, Result.NOT_RUN, placed.detail, placed.retry_after_s
         )
         return
-    sent = await send_to_target(node, exchange, placed.target, placed.cached_tokens)
+    sent = await send_to_target(node, exchange, placed)
     record_event(
         "relayed",
         request=exchange.facts.id,
@@ -206,12 +216,13 @@
     node: GatewayNode, exchange: Exchange, placed: Placement
 ) -> list[tuple[bytes, bytes]]:
     now = node.now()
+    waited_s = now - exchange.received_at
     headers = [h for h in exchange.facts.headers if h[0] not in OWN_HEADERS]
     headers += [
         (SERVICE, exchange.service.encode()),
         (TARGET, placed.target.entry.id.encode()),
         (LEFT_MS, b"%d" % int((exchange.deadline - now) * 1000)),
-        (WAITED_MS, b"%d" % int((now - exchange.received_at) * 1000)),
+        (WAITED_MS, b"%d" % int(waited_s * 1000)),
     ]
     if exchange.cutter.last_id is not None:
         headers.append((LAST_EVENT, b"%d" % exchange.cutter.last_id))
@@ -235,22 +246,11 @@
         return None
 
 
-async def _take_answer(
-    node: GatewayNode,
-    exchange: Exchange,
-    upstream: Upstream,
-    status: int,
-    headers: list[tuple[bytes, bytes]],
-) -> tuple[Sent, bool]:
-    """Pass a target's answer on, or read what the other host says of it."""
-    fields = dict(headers)
-    result = fields.get(RESULT)
-    if result is None or result == Result.FAILED.value.encode():
-        kept = [h for h in headers if h[0] not in OWN_HEADERS]
-        return await pass_on(exchange, upstream, read_answer(status, kept), node)
-    await upstream.read_whole(65_536)
+async def _read_result(upstream: Upstream, fields: dict[bytes, bytes]) -> Sent:
+    """Return what the other host says of a request that got no answer there."""
+    await upstream.read_whole(MOST_RESULT_BYTES)
     reason = fields.get(REASON, b"").decode("latin-1")
-    return Sent(Result(result.decode()), Ending.LEFT, reason), True
+    return Sent(Result(fields[RESULT].decode()), Ending.LEFT, reason)
 
 
 def _pick_host(node: GatewayNode, region: str) -> HostRow | None:
--- a/src/lycheepath/gateway/sending.py
+++ b/src/lycheepath/gateway/sending.py
@@ -10,8 +10,6 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-import trio
-
 from ..adapters.http1.sockets import ConnectError
 from ..adapters.http1.upstream import BrokenAnswerError
 from ..core.catalog.model import RouteKind
@@ -22,20 +20,24 @@
 from ..platform.headers import read_answer, write_request
 from ..platform.settings import parse_address
 from .exchange import HeldAnswer
+from .silence import SilentTargetError
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ..adapters.http1.upstream import Upstream
-    from ..core.placement.book import TargetState
+    from ..core.placement.choice import Placement
     from ..core.serving.answers import AnswerFacts
     from .exchange import Exchange
     from .node import GatewayNode
 
+    LastSign = Callable[[], float]
+
 # To a target of the region; three times a handshake on a busy target.
 CONNECT_S = 0.3
 # Whole answers up to this size are read before they are passed on, so that one
 # that breaks off can be asked for again.
 HELD_BYTES = 262_144
-MOST_URGENCY = 9
 # A target is taken for silent after this part of the caller's aim.
 SILENT_SHARE = {RouteKind.SAFE: 0.5, RouteKind.STREAM: 1.0}
 # Pauses within a stream are longer than the aimed one by this factor at most.
@@ -43,10 +45,6 @@
 LEAST_GAP_S = 0.8
 
 
-class SilentTargetError(Exception):
-    """A target gave no sign for longer than the request can spare."""
-
-
 @dataclass(frozen=True, slots=True)
 class Sent:
     """The result of one sending, what it says of the target, and why."""
@@ -57,34 +55,37 @@
 
 
 async def send_to_target(
-    node: GatewayNode, exchange: Exchange, target: TargetState, cached_tokens: int
+    node: GatewayNode, exchange: Exchange, placed: Placement
 ) -> Sent:
     """Send a request to a target of this region and pass its answer on."""
     prompt = exchange.facts.prompt
-    tokens = max(0, prompt.tokens - cached_tokens) if prompt else 0
+    target = placed.target
+    tokens = max(0, prompt.tokens - placed.cached_tokens) if prompt else 0
     key = exchange.number
-    node.book.started(key, target, exchange.route.urgency, tokens, node.now())
+    node.book.started(key, target, placed.urgency, tokens, node.now())
     if prompt:
         node.book.read_parts(target, prompt.parts)
         node.peers.note_parts(target, prompt)
     sent = Sent(Result.LOST, Ending.LEFT, "cancelled")
     try:
-        sent = await _exchange(node, exchange, target)
+        sent = await _exchange(node, exchange, placed)
     finally:
         node.book.ended(key, sent.ending, node.now())
     return sent
 
 
-async def _exchange(node: GatewayNode, exchange: Exchange, target: TargetState) -> Sent:
-    address = parse_address(target.entry.address)
+async def _exchange(node: GatewayNode, exchange: Exchange, placed: Placement) -> Sent:
+    address = parse_address(placed.target.entry.address)
     try:
         upstream = await node.pool.take(address, CONNECT_S, node.now())
     except ConnectError as error:
         return Sent(Result.NOT_RUN, Ending.REFUSED, f"not connected: {error}")
     kept = False
     try:
-        facts = await _ask(node, exchange, target, upstream)
-        sent, kept = await pass_on(exchange, upstream, facts, node)
+        facts = await _ask(node, exchange, placed, upstream)
+        sent, kept = await pass_on(
+            node, exchange, upstream, facts, lambda: placed.target.contact_at
+        )
         if kept and not facts.closes:
             node.pool.give_back(upstream, facts.idle_s, node.now())
         else:
@@ -102,22 +103,23 @@
 
 
 async def _ask(
-    node: GatewayNode, exchange: Exchange, target: TargetState, upstream: Upstream
+    node: GatewayNode, exchange: Exchange, placed: Placement, upstream: Upstream
 ) -> AnswerFacts:
     """Send the request and read the head of its answer."""
-    route = exchange.route
+    target = placed.target
     dispatch = Dispatch(
         target=target.entry.id,
         address=target.entry.address,
         left_s=exchange.deadline - node.now(),
-        priority=min(route.urgency, MOST_URGENCY) if exchange.facts.prompt else None,
+        priority=placed.urgency if exchange.facts.prompt else None,
         last_event_id=exchange.cutter.last_id,
     )
     headers = write_request(exchange.facts, dispatch)
     body = exchange.request.body
     if body or exchange.request.method not in (b"GET", b"HEAD", b"DELETE"):
         headers.append((b"content-length", b"%d" % len(body)))
-    with trio.move_on_after(bound_first_silence(exchange)) as timer:
+    limit_s = bound_first_silence(exchange)
+    with node.silence.guard(exchange.number, limit_s, lambda: target.contact_at):
         status, answered = await upstream.request(
             exchange.request.method,
             exchange.request.target,
@@ -125,8 +127,6 @@
             body,
             exchange.facts.id.encode("latin-1"),
         )
-    if timer.cancelled_caught:
-        raise SilentTargetError("no answer began")
     facts = read_answer(status, answered)
     if facts.load is not None:
         node.book.note_load(target, facts.load, node.now())
@@ -142,7 +142,11 @@
 
 
 async def pass_on(
-    exchange: Exchange, upstream: Upstream, facts: AnswerFacts, node: GatewayNode
+    node: GatewayNode,
+    exchange: Exchange,
+    upstream: Upstream,
+    facts: AnswerFacts,
+    last_sign: LastSign,
 ) -> tuple[Sent, bool]:
     """Pass an answer on; return the result, and whether it was read whole."""
     if facts.not_run:
@@ -158,7 +162,7 @@
     if not facts.signed:
         return Sent(Result.LOST, Ending.WRONG, "the answer isn't signed"), False
     if exchange.route.kind is RouteKind.STREAM:
-        await _pass_stream(node, exchange, upstream, facts)
+        await _pass_stream(node, exchange, upstream, facts, last_sign)
     else:
         await _pass_whole(exchange, upstream, facts)
     return Sent(Result.ANSWERED, Ending.WHOLE), True
@@ -192,7 +196,11 @@
 
 
 async def _pass_stream(
-    node: GatewayNode, exchange: Exchange, upstream: Upstream, facts: AnswerFacts
+    node: GatewayNode,
+    exchange: Exchange,
+    upstream: Upstream,
+    facts: AnswerFacts,
+    last_sign: LastSign,
 ) -> None:
     """Pass on whole events as they come."""
     head = b""
@@ -200,10 +208,8 @@
     cutter.restart()
     caller = exchange.caller
     while True:
-        with trio.move_on_after(_gap_s(exchange)) as timer:
+        with node.silence.guard(exchange.number, _gap_s(exchange), last_sign):
             data = await upstream.read_body()
-        if timer.cancelled_caught:
-            raise SilentTargetError("no event came")
         if data is None:
             break
         events = cutter.feed(data)
@@ -212,8 +218,7 @@
         if not exchange.begun:
             exchange.begun = True
             head = await caller.start_answer(facts.status, facts.headers)
-        if exchange.first_s is None:
-            exchange.first_s = node.now() - exchange.received_at
+        exchange.note_events(node.now())
         node.book.next_events(exchange.number, events.count(END), node.now())
         await caller.send_data(events, head)
         head = b""
--- a/src/lycheepath/gateway/serving.py
+++ b/src/lycheepath/gateway/serving.py
@@ -124,7 +124,7 @@
 async def _send(node: GatewayNode, exchange: Exchange, placed: Placement) -> Sent:
     if placed.away:
         return await send_to_region(node, exchange, placed)
-    return await send_to_target(node, exchange, placed.target, placed.cached_tokens)
+    return await send_to_target(node, exchange, placed)
 
 
 async def _give_up(
@@ -198,8 +198,10 @@
         took_s=round(took, 4),
         sends=exchange.tries.sends,
         target=placed.target.entry.id if placed else "",
+        urgency=placed.urgency if placed else None,
         expected_s=round(placed.first_s, 4) if placed else None,
         first_s=exchange.first_s and round(exchange.first_s, 4),
+        longest_gap_s=round(exchange.longest_gap_s, 4),
         version=node.catalog.version,
     )
 
