--- a/src/lycheepath/adapters/beats.py
+++ b/src/lycheepath/adapters/beats.py
@@ -33,7 +33,8 @@
     One message.
 
     ``loads`` are the sender's own towards hosts of its region, and those of
-    its whole region towards others, as ``of_region`` says.
+    its whole region towards others, as ``of_region`` says. ``suspects`` are
+    fingerprints of requests that broke off, with the targets where they did.
     """
 
     sender: HostRow
@@ -41,6 +42,7 @@
     loads: dict[str, Load] = field(default_factory=dict)
     of_region: bool = False
     parts: tuple[tuple[str, tuple[PromptPart, ...]], ...] = ()
+    suspects: tuple[tuple[int, tuple[str, ...]], ...] = ()
 
 
 def encode_beat(beat: Beat) -> bytes:
@@ -56,6 +58,7 @@
             ],
             beat.of_region,
             [[name, [[p.id, p.tokens] for p in parts]] for name, parts in beat.parts],
+            [[number, list(targets)] for number, targets in beat.suspects],
         ]
     )
 
@@ -65,7 +68,7 @@
     if len(data) > MOST_BYTES:
         raise BeatError("the datagram is too large")
     try:
-        form, sender, rows, loads, of_region, parts = orjson.loads(data)
+        form, sender, rows, loads, of_region, parts, suspects = orjson.loads(data)
         if form != FORMAT:
             raise BeatError(f"the format {form!r} is unknown")
         return Beat(
@@ -80,6 +83,7 @@
                 (str(name), tuple(PromptPart(str(p), int(t)) for p, t in held))
                 for name, held in parts
             ),
+            tuple((int(n), tuple(str(t) for t in held)) for n, held in suspects),
         )
     except (ValueError, TypeError) as error:
         raise BeatError(f"the datagram can't be read: {error}") from error
--- a/src/lycheepath/gateway/exchange.py
+++ b/src/lycheepath/gateway/exchange.py
@@ -8,6 +8,7 @@
 from ..core.placement.choice import NOT_TRIED, Tried
 from ..core.serving.events import EventCutter
 from ..core.serving.retries import Tries
+from ..core.serving.suspects import fingerprint_request
 
 if TYPE_CHECKING:
     from ..adapters.http1.downstream import CallerConnection, ReceivedRequest
@@ -46,6 +47,7 @@
     tries: Tries = field(default_factory=Tries)
     tried: Tried = NOT_TRIED
     cutter: EventCutter = field(init=False)
+    fingerprint: int = field(init=False)
     held: HeldAnswer | None = None
     begun: bool = False
     reason: str = ""
@@ -58,6 +60,10 @@
 
     def __post_init__(self) -> None:
         self.cutter = EventCutter(self.facts.last_event_id)
+        request = self.request
+        self.fingerprint = fingerprint_request(
+            request.method, request.target, request.body
+        )
 
     @property
     def received_at(self) -> float:
--- a/src/lycheepath/gateway/node.py
+++ b/src/lycheepath/gateway/node.py
@@ -18,6 +18,7 @@
 from ..core.placement.choice import Placement, Surroundings, Wanted, choose_target
 from ..core.placement.cold import MOST_SENDERS
 from ..core.retries.window import RetryWindow
+from ..core.serving.suspects import Suspects
 from .peers import Peers
 from .silence import SilenceWatch
 
@@ -47,6 +48,7 @@
     configured: trio.Event = field(default_factory=trio.Event)
     retries: RetryWindow = field(init=False)
     peers: Peers = field(init=False)
+    suspects: Suspects = field(default_factory=Suspects)
     silence: SilenceWatch = field(default_factory=SilenceWatch)
     away_s: dict[str, float] = field(default_factory=dict)
     avoided: dict[str, float] = field(default_factory=dict)
--- a/src/lycheepath/gateway/peers.py
+++ b/src/lycheepath/gateway/peers.py
@@ -22,6 +22,9 @@
 # A loop that wakes later than this was stopped, not busy.
 PAUSE_S = 1.0
 RECEIVE_BYTES = 65_536
+# What broke off is told for some beats, so that one lost datagram matters little.
+SUSPECT_TOLD_S = 0.5
+MOST_SUSPECTS = 16
 # Parts told in one message, the newest.
 MOST_PARTS = 24
 
@@ -86,16 +89,20 @@
         parts = tuple(self._parts)
         self._parts.clear()
         own = view.own
-        near = encode_beat(Beat(own, rows, node.book.own_loads(), False, parts))
+        suspects = tuple(
+            (number, tuple(targets))
+            for number, targets in node.suspects.to_tell(now, SUSPECT_TOLD_S)
+        )[:MOST_SUSPECTS]
+        loads = node.book.own_loads()
+        near = encode_beat(Beat(own, rows, loads, False, parts, suspects))
         away = None
         for ip, region in view.next_receivers(now):
             if region == own.region:
                 data = near
             else:
+                loads = node.book.region_loads(own.region, now)
                 away = away or encode_beat(
-                    Beat(
-                        own, rows, node.book.region_loads(own.region, now), True, parts
-                    )
+                    Beat(own, rows, loads, True, parts, suspects)
                 )
                 data = away
             try:
@@ -124,6 +131,9 @@
             self.view.hear(row, now, direct=False)
         sender = f"region {beat.sender.region}" if beat.of_region else beat.sender.id
         node.book.note_peer(sender, beat.loads, now)
+        for number, targets in beat.suspects:
+            for target_id in targets:
+                node.suspects.note_break(number, target_id, now)
         for target_id, parts in beat.parts:
             target = node.book.targets.get(target_id)
             if target is not None:
--- a/src/lycheepath/gateway/sending.py
+++ b/src/lycheepath/gateway/sending.py
@@ -86,12 +86,16 @@
         sent, kept = await pass_on(
             node, exchange, upstream, facts, lambda: placed.target.contact_at
         )
+        node.suspects.note_answer(exchange.fingerprint)
         if kept and not facts.closes:
             node.pool.give_back(upstream, facts.idle_s, node.now())
         else:
             kept = False
         return sent
     except BrokenAnswerError as error:
+        node.suspects.note_break(
+            exchange.fingerprint, placed.target.entry.id, node.now()
+        )
         return Sent(Result.LOST, Ending.FAILED, str(error))
     except EventOrderError as error:
         return Sent(Result.LOST, Ending.WRONG, str(error))
--- a/src/lycheepath/gateway/serving.py
+++ b/src/lycheepath/gateway/serving.py
@@ -15,8 +15,9 @@
 
 from ..adapters.events import record_event
 from ..core.catalog.routes import draw_service
-from ..core.reasons import Absent
+from ..core.reasons import Absent, Reason
 from ..core.serving.retries import Result, may_send_again
+from ..core.serving.suspects import BARRED_S
 from ..platform.headers import read_request
 from .exchange import Exchange
 from .relay import send_to_region
@@ -93,6 +94,11 @@
 
 async def _run(node: GatewayNode, exchange: Exchange) -> None:
     while True:
+        if node.suspects.is_barred(exchange.fingerprint, node.now()):
+            detail = "targets went down under this request"
+            barred = Absent(Reason.QUARANTINED, BARRED_S, detail)
+            await _give_up(node, exchange, barred)
+            return
         placed = node.place(exchange, node.surroundings())
         if isinstance(placed, Absent):
             await _give_up(node, exchange, placed)
--- /dev/null
+++ b/tests/core/serving/test_suspects.py
@@ -0,0 +1,50 @@
+from __future__ import annotations
+
+from lycheepath.core.serving.suspects import (
+    BARRED_S,
+    MOST_NOTED,
+    MOST_TARGETS,
+    Suspects,
+    fingerprint_request,
+)
+
+
+def test_request_that_ended_several_targets_is_held_back() -> None:
+    suspects = Suspects()
+    for number in range(MOST_TARGETS):
+        assert not suspects.is_barred(7, 0.0)
+        suspects.note_break(7, f"i-{number}", 0.0)
+    assert suspects.is_barred(7, 1.0)
+    assert not suspects.is_barred(8, 1.0)
+    assert not suspects.is_barred(7, BARRED_S + 1.0)
+
+
+def test_request_that_breaks_off_at_one_target_again_is_not_held_back() -> None:
+    suspects = Suspects()
+    for _ in range(10):
+        suspects.note_break(7, "i-1", 0.0)
+    assert not suspects.is_barred(7, 0.0)
+
+
+def test_answer_clears_a_request() -> None:
+    suspects = Suspects()
+    for number in range(MOST_TARGETS):
+        suspects.note_break(7, f"i-{number}", 0.0)
+    suspects.note_answer(7)
+    assert not suspects.is_barred(7, 0.0)
+
+
+def test_memory_is_bounded() -> None:
+    suspects = Suspects()
+    for number in range(MOST_NOTED * 2):
+        suspects.note_break(number, "i-1", 0.0)
+    assert len(suspects.to_tell(0.0, 1.0)) == MOST_NOTED
+
+
+def test_fingerprint_tells_requests_apart() -> None:
+    assert fingerprint_request(b"GET", b"/a", b"") == fingerprint_request(
+        b"GET", b"/a", b""
+    )
+    assert fingerprint_request(b"GET", b"/a", b"") != fingerprint_request(
+        b"GET", b"/", b"a"
+    )
