--- a/src/lycheepath/console/application.py
+++ b/src/lycheepath/console/application.py
@@ -13,6 +13,7 @@
 from .commands.promote import PromoteCommand
 from .commands.serve import ServeCommand
 from .commands.status import StatusCommand
+from .commands.story import StoryCommand
 
 COMMANDS = (
     AuditCommand,
@@ -23,6 +24,7 @@
     PromoteCommand,
     ServeCommand,
     StatusCommand,
+    StoryCommand,
 )
 
 
--- /dev/null
+++ b/src/lycheepath/console/request_logs.py
@@ -0,0 +1,47 @@
+"""Reads the structured lines of gateways from files or standard input."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import orjson
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+
+class LogError(Exception):
+    """A log can't be read; the text says which and why."""
+
+
+def read_log_lines(paths: Iterable[str]) -> Iterator[dict[str, Any]]:
+    """
+    Return the JSON lines of the named files, or of standard input without any.
+
+    What stands before the first brace of a line is ignored, since collectors
+    put a time or a host there; lines without JSON are skipped.
+    """
+    named = list(paths)
+    if not named:
+        yield from _read_lines(sys.stdin)
+    for path in named:
+        try:
+            with Path(path).open(encoding="utf-8", errors="replace") as file:
+                yield from _read_lines(file)
+        except OSError as error:
+            raise LogError(f"Can't read {path}: {error.strerror}") from error
+
+
+def _read_lines(lines: Iterable[str]) -> Iterator[dict[str, Any]]:
+    for line in lines:
+        start = line.find("{")
+        if start < 0:
+            continue
+        try:
+            value = orjson.loads(line[start:])
+        except orjson.JSONDecodeError:
+            continue
+        if isinstance(value, dict) and "event" in value:
+            yield value
--- /dev/null
+++ b/src/lycheepath/core/explaining/__init__.py
@@ -0,0 +1,1 @@
+"""Finds out from log lines what became of a request, and why."""
--- a/src/lycheepath/gateway/process.py
+++ b/src/lycheepath/gateway/process.py
@@ -23,6 +23,7 @@
 from .node import GatewayNode
 from .relay import serve_relayed
 from .settings import Address
+from .telemetry import watch_node
 
 if TYPE_CHECKING:
     from .settings import GatewaySettings
@@ -56,6 +57,7 @@
 async def start_tasks(node: GatewayNode, nursery: trio.Nursery) -> None:
     """Start a gateway's tasks and listeners in a nursery."""
     settings = node.settings
+    watch_node(node)
     nursery.start_soon(node.events.run)
     nursery.start_soon(StoreFollower(node).run)
     nursery.start_soon(node.peers.run)
--- a/src/lycheepath/gateway/serving.py
+++ b/src/lycheepath/gateway/serving.py
@@ -22,6 +22,7 @@
 from .exchange import Exchange
 from .relay import send_to_region
 from .sending import Sent, send_to_target
+from .telemetry import count_outcome
 
 if TYPE_CHECKING:
     from ..adapters.http1.downstream import CallerConnection, ReceivedRequest
@@ -103,6 +104,7 @@
         if isinstance(placed, Absent):
             await _give_up(node, exchange, placed)
             return
+        _log_placed(node, exchange, placed)
         sent = await _send(node, exchange, placed)
         exchange.tries.note(sent.result)
         if sent.result is Result.ANSWERED:
@@ -158,14 +160,13 @@
 
 async def _end_late(node: GatewayNode, exchange: Exchange) -> None:
     """Answer a request whose time is over."""
+    exchange.reason = "the time is over"
     if exchange.begun:
         _log(node, exchange, "broken-off", 0)
         exchange.caller.break_off()
         return
-    status = TOO_LATE
-    await _refuse(
-        node, exchange.caller, exchange.facts.id, status, None, "the time is over"
-    )
+    request_id = exchange.facts.id
+    await _refuse(node, exchange.caller, request_id, TOO_LATE, None, exchange.reason)
 
 
 async def _refuse(
@@ -182,7 +183,14 @@
     if wait_s is not None:
         spread = wait_s * (1.0 + SPREAD * node.random.random())
         headers.append((b"retry-after", b"%.2f" % spread))
-    record_event("refused", request=request_id, status=status, reason=reason)
+    record_event(
+        "refused",
+        request=request_id,
+        status=status,
+        reason=reason,
+        retry_after_s=wait_s,
+        version=node.catalog.version,
+    )
     node.metrics.count("refusals_total", status=str(status))
     await caller.answer(status, headers, f"{reason}\n".encode())
 
@@ -195,12 +203,13 @@
     placed: Placement | None = None,
 ) -> None:
     took = node.now() - exchange.received_at
-    node.metrics.count("requests_total", outcome=event)
+    count_outcome(node, exchange, event)
     record_event(
         event,
         request=exchange.facts.id,
         route=exchange.route.name,
         status=status,
+        reason=exchange.reason,
         took_s=round(took, 4),
         sends=exchange.tries.sends,
         target=placed.target.entry.id if placed else "",
@@ -212,6 +221,23 @@
     )
 
 
+def _log_placed(node: GatewayNode, exchange: Exchange, placed: Placement) -> None:
+    target = placed.target
+    record_event(
+        "placed",
+        request=exchange.facts.id,
+        route=exchange.route.name,
+        target=target.entry.id,
+        away=target.region if placed.away else "",
+        expected_s=round(placed.first_s, 4),
+        cached_tokens=placed.cached_tokens,
+        in_flight=target.count_in_flight(node.now()),
+        left_s=round(exchange.deadline - node.now(), 3),
+        version=node.catalog.version,
+        revision=node.catalog.revision,
+    )
+
+
 def _log_sent(
     node: GatewayNode, exchange: Exchange, placed: Placement, sent: Sent
 ) -> None:
--- /dev/null
+++ b/tests/core/explaining/test_causes.py
@@ -0,0 +1,60 @@
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from lycheepath.core.explaining.causes import find_cause, gather_stories, has_failed
+
+
+def make_line(at: float, event: str, **fields: Any) -> dict[str, Any]:
+    return {"at": at, "host": "host-1", "event": event, "request": "r1", **fields}
+
+
+PLACED = make_line(1.0, "placed", target="i-1", expected_s=0.2)
+FAILED_SEND = make_line(
+    1.5, "send-failed", target="i-1", result="lost", reason="the connection broke"
+)
+
+
+@pytest.mark.parametrize(
+    ("lines", "words"),
+    [
+        (
+            [make_line(1.0, "refused", status=503, reason="no target is open")],
+            "no target",
+        ),
+        (
+            [PLACED, FAILED_SEND, make_line(2.0, "refused", status=502)],
+            "connection broke",
+        ),
+        ([PLACED, FAILED_SEND, make_line(2.0, "broken-off")], "connection broke"),
+        (
+            [PLACED, make_line(2.0, "broken-off", reason="the time is over")],
+            "time is over",
+        ),
+        ([PLACED, make_line(2.0, "left", took_s=1.0)], "i-1 had not begun"),
+        ([PLACED, make_line(2.0, "left", took_s=1.0, first_s=0.3)], "midway"),
+        ([PLACED, {"at": 3.0, "host": "host-1", "event": "start"}], "was killed"),
+        ([PLACED, {"at": 3.0, "host": "host-1", "event": "stop"}], "left before"),
+    ],
+)
+def test_cause_is_found(lines: list[dict[str, Any]], words: str) -> None:
+    stories = gather_stories(reversed(lines))
+    story = stories.by_request["r1"]
+    assert has_failed(story)
+    cause = find_cause(story, stories)
+    assert cause.found
+    assert words in cause.text
+
+
+def test_answered_request_has_not_failed() -> None:
+    stories = gather_stories([PLACED, FAILED_SEND, make_line(2.0, "answered")])
+    assert not has_failed(stories.by_request["r1"])
+
+
+def test_missing_lines_are_told_as_such() -> None:
+    stories = gather_stories([PLACED])
+    cause = find_cause(stories.by_request["r1"], stories)
+    assert not cause.found
+    assert "logs nothing more" in cause.text
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -209,3 +209,23 @@
     assert (await site.ask(node, b"GET", "/new/1")).body == b"new"
     assert len(old.seen) == 1
     assert len(new.seen) == 2
+
+
+async def test_metrics_show_what_the_host_did(site: Site) -> None:
+    await site.add_target("books", answer_text(b"done"))
+    site.configure(make_route("books"))
+    node = await site.start_gateway("east")
+    await site.ask(node, b"GET", "/books/1")
+    await site.ask(node, b"GET", "/other")
+    address = node.settings.metrics
+    async with await trio.open_tcp_stream(address.ip, address.port) as stream:
+        await stream.send_all(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n")
+        text = (await read_answer(stream)).body.decode()
+    for line in (
+        'lycheepath_requests_total{outcome="answered"} 1',
+        'lycheepath_refusals_total{status="404"} 1',
+        "lycheepath_ready 1",
+        "lycheepath_request_ms_count 1",
+        "lycheepath_targets_known 1",
+    ):
+        assert line in text
