--- a/src/lycheepath/core/fleet/view.py
+++ b/src/lycheepath/core/fleet/view.py
@@ -20,8 +20,8 @@
     from collections.abc import Iterable
     from random import Random
 
-# A host that tells nothing for this long is gone; over a dozen of its beats.
-SILENCE_S = 1.6
+# A host that tells nothing for this long is gone; eight of its beats.
+SILENCE_S = 0.8
 # Beats of another region come through fewer hosts and over long ways.
 AWAY_SILENCE_S = 3.5
 # A host that is gone is tried again for this long, as it may only be cut off.
--- a/src/lycheepath/gateway/discovery.py
+++ b/src/lycheepath/gateway/discovery.py
@@ -3,7 +3,8 @@
 
 The store is asked about once a second for everything that has changed; a
 refused, lost or slow answer leaves the beliefs as they are. When the store no
-longer has the history, all is read again.
+longer has the history, all is read again. A host that can't read the store
+asks another host for what that one has read.
 """
 
 from __future__ import annotations
@@ -24,8 +25,10 @@
     read_changes,
     read_page,
 )
+from .settings import Address
 
 if TYPE_CHECKING:
+    from ..adapters.http1.downstream import CallerConnection, ReceivedRequest
     from ..core.catalog.catalog import Note
     from ..core.catalog.changes import Entry
     from .node import GatewayNode
@@ -42,6 +45,8 @@
 # Without an answer for this long, entries may have lapsed unseen.
 OUTAGE_S = 2.5
 MOST_BYTES = 32 << 20
+# Between hosts; the revision that the asking one has follows.
+COPY_PATH = "/copy?after="
 
 
 class StoreFailedError(Exception):
@@ -83,12 +88,14 @@
             else:
                 body = await self._call(changes_path(node.catalog.revision, WAIT_S))
                 notes = node.catalog.apply(read_changes(body), node.now(), outage)
+                node.raw_items.put_changes(body)
         except HistoryGoneError:
             self._whole = True
             record_event("store-history-gone", revision=node.catalog.revision)
             return
         except (StoreFailedError, StoreAnswerError) as error:
             self._note_failure(str(error))
+            await self._ask_host()
             return
         self._note_answer()
         apply_notes(node, notes)
@@ -98,21 +105,57 @@
         after = ""
         revision = None
         while True:
-            page, after = read_page(await self._call(page_path(after)))
+            body = await self._call(page_path(after))
+            self._node.raw_items.put_page(body, first=not after)
+            page, after = read_page(body)
             entries.extend(page.entries)
             # Pages are no snapshot: changes since the first one are read again.
             revision = page.revision if revision is None else revision
             if not after:
                 return Snapshot(tuple(entries), revision)
 
+    async def _ask_host(self) -> None:
+        """Take what another host has read, if it is newer than what is held."""
+        node = self._node
+        rows = [row for row in node.peers.view.live(node.now()) if row.ready]
+        near = [row for row in rows if row.region == node.settings.region]
+        if not rows:
+            return
+        row = node.random.choice(near or rows)
+        address = Address(row.ip, node.settings.relay_port)
+        try:
+            status, body = await self._get(
+                address, f"{COPY_PATH}{node.catalog.revision}"
+            )
+            if status != 200:
+                return
+            snapshot, _ = read_page(body)
+        except (StoreFailedError, StoreAnswerError) as error:
+            record_fault("copy-failed", subject=row.id, reason=str(error))
+            return
+        node.raw_items.put_page(body, first=True)
+        notes = node.catalog.replace(snapshot, node.now(), outage=True)
+        # The history since that revision can be asked of the store itself.
+        self._whole = False
+        record_event("copied", subject=row.id, revision=snapshot.revision)
+        apply_notes(node, notes)
+
     async def _call(self, path: str) -> bytes:
         node = self._node
-        store = node.settings.store
         node.metrics.count("store_calls_total")
-        headers = [(b"host", str(store).encode())]
+        status, body = await self._get(node.settings.store, path)
+        if status == HISTORY_GONE:
+            raise HistoryGoneError
+        if status != 200:
+            raise StoreFailedError(f"status {status}")
+        return body
+
+    async def _get(self, address: Address, path: str) -> tuple[int, bytes]:
+        node = self._node
+        headers = [(b"host", str(address).encode())]
         try:
             with trio.fail_after(ANSWER_S + WAIT_S):
-                upstream = await node.pool.take(store, CONNECT_S, node.now())
+                upstream = await node.pool.take(address, CONNECT_S, node.now())
                 try:
                     status, _ = await upstream.request(
                         b"GET", path.encode(), headers, b""
@@ -126,11 +169,7 @@
             raise StoreFailedError("no answer in time") from error
         except (ConnectError, BrokenAnswerError) as error:
             raise StoreFailedError(str(error)) from error
-        if status == HISTORY_GONE:
-            raise HistoryGoneError
-        if status != 200:
-            raise StoreFailedError(f"status {status}")
-        return body
+        return status, body
 
     def _note_failure(self, reason: str) -> None:
         self._node.metrics.count("store_failures_total")
@@ -160,3 +199,15 @@
     node.book.update(node.catalog, node.settings.zone_regions, node.now())
     if node.catalog.routes is not None:
         node.configured.set()
+
+
+async def answer_copy(
+    node: GatewayNode, caller: CallerConnection, request: ReceivedRequest
+) -> None:
+    """Give another host what this one has read, if it is newer than its own."""
+    text = request.target.decode("latin-1").removeprefix(COPY_PATH)
+    held = int(text) if text.isdigit() else 0
+    if node.catalog.routes is None or node.catalog.revision <= held:
+        await caller.answer(404, [], b"")
+        return
+    await caller.answer(200, [], node.raw_items.write_page(node.catalog.revision))
--- a/src/lycheepath/gateway/exchange.py
+++ b/src/lycheepath/gateway/exchange.py
@@ -34,7 +34,8 @@
     is first. ``waited_s`` passed at another host before this one took the
     request. ``begun`` says that the answer has begun, ``relayed`` that another
     host decides over the request, ``committed`` that this one sent it before. ``first_s`` is the time from the request to
-    the first event of its answer, ``longest_gap_s`` the longest pause after it.
+    the first event of its answer, ``longest_gap_s`` the longest pause after it;
+    ``ended`` says that how the request ended is logged.
     """
 
     caller: CallerConnection
@@ -57,6 +58,7 @@
     first_s: float | None = None
     event_at: float = 0.0
     longest_gap_s: float = 0.0
+    ended: bool = False
 
     def __post_init__(self) -> None:
         self.cutter = EventCutter(self.facts.last_event_id)
--- a/src/lycheepath/gateway/listeners.py
+++ b/src/lycheepath/gateway/listeners.py
@@ -12,6 +12,8 @@
 from ..adapters.http1.sockets import bound_silence
 from ..core.catalog.model import CallerLimits
 from ..platform.entry import READY_PATH, read_resolve, write_resolved
+from .discovery import COPY_PATH, answer_copy
+from .relay import is_own_call, serve_relayed
 from .serving import serve_request
 
 if TYPE_CHECKING:
@@ -54,6 +56,16 @@
     await serve_request(node, caller, request)
 
 
+async def serve_host(
+    node: GatewayNode, caller: CallerConnection, request: ReceivedRequest
+) -> None:
+    """Serve another host: a request that it relays, or its wish for a copy."""
+    if request.target.startswith(COPY_PATH.encode()) and is_own_call(request):
+        await answer_copy(node, caller, request)
+        return
+    await serve_relayed(node, caller, request)
+
+
 async def answer_ready(
     node: GatewayNode, caller: CallerConnection, request: ReceivedRequest
 ) -> None:
--- a/src/lycheepath/gateway/node.py
+++ b/src/lycheepath/gateway/node.py
@@ -19,6 +19,7 @@
 from ..core.placement.cold import MOST_SENDERS
 from ..core.retries.window import RetryWindow
 from ..core.serving.suspects import Suspects
+from ..platform.store import RawItems
 from .peers import Peers
 from .silence import SilenceWatch
 
@@ -28,7 +29,7 @@
     from .settings import GatewaySettings
 
 # Callers ask again after this long; a host that leaves is known by then.
-DIRECTORY_TTL_S = 1.5
+DIRECTORY_TTL_S = 0.5
 MOST_NAMED = 64
 # To another region and back, before it is measured.
 FIRST_AWAY_S = 0.16
@@ -44,6 +45,7 @@
     metrics: Metrics = field(default_factory=Metrics)
     pool: Pool = field(default_factory=Pool)
     catalog: Catalog = field(default_factory=Catalog)
+    raw_items: RawItems = field(default_factory=RawItems)
     book: TargetBook = field(default_factory=TargetBook)
     configured: trio.Event = field(default_factory=trio.Event)
     retries: RetryWindow = field(init=False)
--- a/src/lycheepath/gateway/process.py
+++ b/src/lycheepath/gateway/process.py
@@ -19,9 +19,9 @@
     limit_hosts,
     listen,
     serve_caller,
+    serve_host,
 )
 from .node import GatewayNode
-from .relay import serve_relayed
 from .settings import Address
 from .telemetry import watch_node
 
@@ -69,7 +69,7 @@
         (settings.ready, answer_ready, limit_callers),
         (settings.directory, answer_directory, limit_callers),
         (settings.metrics, answer_metrics, limit_callers),
-        (relay, serve_relayed, limit_hosts),
+        (relay, serve_host, limit_hosts),
     ):
         await nursery.start(listen, node, address, partial(answer, node), limits)
 
--- a/src/lycheepath/gateway/relay.py
+++ b/src/lycheepath/gateway/relay.py
@@ -132,6 +132,11 @@
             upstream.close()
 
 
+def is_own_call(request: ReceivedRequest) -> bool:
+    """Whether a request of another host is its own, not one that it relays."""
+    return SERVICE not in dict(request.headers)
+
+
 async def serve_relayed(
     node: GatewayNode, caller: CallerConnection, request: ReceivedRequest
 ) -> None:
--- a/src/lycheepath/gateway/serving.py
+++ b/src/lycheepath/gateway/serving.py
@@ -58,7 +58,7 @@
             await _end_late(node, exchange)
     finally:
         node.serving -= 1
-        if caller.left:
+        if caller.left and not exchange.ended:
             _log(node, exchange, "left", 0)
 
 
@@ -203,6 +203,7 @@
     placed: Placement | None = None,
 ) -> None:
     took = node.now() - exchange.received_at
+    exchange.ended = True
     count_outcome(node, exchange, event)
     record_event(
         event,
--- a/standins/site.py
+++ b/standins/site.py
@@ -269,8 +269,14 @@
         }
         self.store.put("op/config", value)
 
-    async def start_gateway(self, host: str, zone: str = "east-a") -> GatewayNode:
-        """Start a gateway in the test's loop; return it once it is ready."""
+    async def start_gateway(
+        self, host: str, zone: str = "east-a", store: str = ""
+    ) -> GatewayNode:
+        """
+        Start a gateway in the test's loop; return it once it is ready.
+
+        ``store`` is another address at which it is to look for the store.
+        """
         self._hosts += 1
         ip = f"{self._network}.{self._hosts}"
         listen = {name: f"{ip}:{port}" for name, port in PORTS.items()}
@@ -285,7 +291,7 @@
             "seeds": [f"{self._network}.1:{PORTS['control']}"],
             "limits": {"memory_mb": 300, "max_fds": 1024},
             "bounds": self.bounds,
-            "platform": {"address": self.store.address},
+            "platform": {"address": store or self.store.address},
         }
         node = GatewayNode(read_settings(orjson.dumps(fields)))
         await start_tasks(node, self.nursery)
--- a/tests/core/fleet/test_view.py
+++ b/tests/core/fleet/test_view.py
@@ -34,15 +34,15 @@
 def test_view_keeps_a_host_alive_by_what_others_tell() -> None:
     view = make_view()
     view.hear(make_row(1), 0.0, True)
-    view.hear(make_row(1, beat=2), 1.5, False)
-    assert view.live(3.0)
+    view.hear(make_row(1, beat=2), SILENCE_S - 0.1, False)
+    assert view.live(2 * SILENCE_S - 0.2)
 
 
 def test_view_is_not_deceived_by_repeated_beats() -> None:
     view = make_view()
     view.hear(make_row(1), 0.0, True)
-    view.hear(make_row(1), 1.5, False)
-    assert not view.live(2.0)
+    view.hear(make_row(1), SILENCE_S - 0.1, False)
+    assert not view.live(SILENCE_S + 0.1)
 
 
 def test_view_takes_a_new_start_from_the_host_itself() -> None:
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -229,3 +229,18 @@
         "lycheepath_targets_known 1",
     ):
         assert line in text
+
+
+async def test_host_that_cannot_read_the_store_learns_from_another(site: Site) -> None:
+    await site.add_target("books", answer_text(b"done"))
+    site.configure(make_route("books"))
+    first = await site.start_gateway("east-0")
+    second = await site.start_gateway("east-1", store="127.0.0.1:1")
+    assert (await site.ask(second, b"GET", "/books/1")).body == b"done"
+    site.configure(make_route("books"), make_route("books", prefix="/new/"))
+    with trio.fail_after(WITHIN_S):
+        while second.catalog.version != site.version:
+            await trio.sleep(0.02)
+    assert (await site.ask(second, b"GET", "/new/1")).body == b"done"
+    assert second.metrics.counter("store_failures_total")
+    assert not first.metrics.counter("store_failures_total")
