Check settings, entries and headers of the platform; keep tasks running after a fault

A target whose address can't be parsed is unreadable instead of a fault in the request that is sent there; a fault while serving is answered and logged.

--- a/src/lycheepath/adapters/http1/pool.py
+++ b/src/lycheepath/adapters/http1/pool.py
@@ -18,7 +18,7 @@
 from .upstream import Upstream
 
 if TYPE_CHECKING:
-    from ...gateway.settings import Address
+    from ...core.addresses import Address
 
 # Idle connections are left this long before the other side's own limit.
 IDLE_MARGIN_S = 1.0
--- a/src/lycheepath/adapters/http1/sockets.py
+++ b/src/lycheepath/adapters/http1/sockets.py
@@ -9,7 +9,7 @@
 import trio
 
 if TYPE_CHECKING:
-    from ...gateway.settings import Address
+    from ...core.addresses import Address
 
 # Time that sent bytes may stay unacknowledged; several retransmissions on
 # paths of 80 ms each way.
--- a/src/lycheepath/adapters/http1/upstream.py
+++ b/src/lycheepath/adapters/http1/upstream.py
@@ -17,7 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from ...gateway.settings import Address
+    from ...core.addresses import Address
 
     Headers = Sequence[tuple[bytes, bytes]]
 
--- a/src/lycheepath/core/placement/cold.py
+++ b/src/lycheepath/core/placement/cold.py
@@ -8,8 +8,8 @@
 
 from __future__ import annotations
 
-# Hosts that share a cold target; with one request each at hand they stay
-# below the bound's allowance of three at once.
+# Hosts that share a cold target, where the allowance of requests at once is
+# larger; more would each send too rarely to learn of the target's state.
 MOST_SENDERS = 3
 # A target that refused or fell silent may come back cold; what it announces
 # is read within about a second, and twice that to be sure.
--- a/src/lycheepath/gateway/discovery.py
+++ b/src/lycheepath/gateway/discovery.py
@@ -16,6 +16,7 @@
 from ..adapters.events import record_event, record_fault
 from ..adapters.http1.sockets import ConnectError
 from ..adapters.http1.upstream import BrokenAnswerError
+from ..core.addresses import Address
 from ..core.catalog.changes import Snapshot
 from ..platform.store import (
     HISTORY_GONE,
@@ -25,7 +26,6 @@
     read_changes,
     read_page,
 )
-from .settings import Address
 
 if TYPE_CHECKING:
     from ..adapters.http1.downstream import CallerConnection, ReceivedRequest
--- a/src/lycheepath/gateway/listeners.py
+++ b/src/lycheepath/gateway/listeners.py
@@ -20,8 +20,8 @@
     from collections.abc import Awaitable, Callable
 
     from ..adapters.http1.downstream import ReceivedRequest
+    from ..core.addresses import Address
     from .node import GatewayNode
-    from .settings import Address
 
     Serve = Callable[[CallerConnection, ReceivedRequest], Awaitable[None]]
 
--- a/src/lycheepath/gateway/node.py
+++ b/src/lycheepath/gateway/node.py
@@ -134,12 +134,16 @@
         cold = [t for t in self.book.targets.values() if t.cold.is_cold(now)]
         if not cold:
             return {}
+        # Each of them has one request at hand, so that together they may send
+        # as many at once.
+        allowance = int(self.settings.bounds.cold_allowance)
+        most = max(1, min(MOST_SENDERS, allowance))
         view = self.peers.view
         hosts = [row.id for row in view.live(now, self.settings.region)]
         hosts.append(self.settings.host)
         shares: dict[str, int | None] = {}
         for target in cold:
-            senders = rank(target.entry.id, hosts)[:MOST_SENDERS]
+            senders = rank(target.entry.id, hosts)[:most]
             member = self.settings.host in senders
             shares[target.entry.id] = len(senders) if member else None
         return shares
--- a/src/lycheepath/gateway/process.py
+++ b/src/lycheepath/gateway/process.py
@@ -8,8 +8,10 @@
 from typing import TYPE_CHECKING
 
 import trio
+from loguru import logger
 
 from ..adapters.events import record_event, set_up_events
+from ..core.addresses import Address
 from .discovery import StoreFollower
 from .listeners import (
     answer_directory,
@@ -22,13 +24,16 @@
     serve_host,
 )
 from .node import GatewayNode
-from .settings import Address
 from .telemetry import watch_node
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from .settings import GatewaySettings
 
 POLL_S = 0.1
+# Before a task that failed runs again.
+RESTART_S = 0.5
 # Before SIGKILL comes, for the last lines of the log.
 LAST_WORDS_S = 0.5
 # Callers learn from the directory within this time that this host leaves.
@@ -59,10 +64,13 @@
     settings = node.settings
     watch_node(node)
     nursery.start_soon(node.events.run)
-    nursery.start_soon(StoreFollower(node).run)
-    nursery.start_soon(node.peers.run)
-    nursery.start_soon(node.silence.run)
-    nursery.start_soon(_close_idle, node)
+    for name, run in (
+        ("store", StoreFollower(node).run),
+        ("peers", node.peers.run),
+        ("silence", node.silence.run),
+        ("idle connections", partial(_close_idle, node)),
+    ):
+        nursery.start_soon(_keep_running, node, name, run)
     relay = Address(settings.ip, settings.relay_port)
     for address, answer, limits in (
         (settings.callers, serve_caller, limit_callers),
@@ -74,6 +82,19 @@
         await nursery.start(listen, node, address, partial(answer, node), limits)
 
 
+async def _keep_running(
+    node: GatewayNode, name: str, run: Callable[[], Awaitable[None]]
+) -> None:
+    """Run a task for good; a fault in it is logged and doesn't end the process."""
+    while True:
+        try:
+            await run()
+        except Exception:
+            node.metrics.count("task_faults_total", task=name)
+            logger.bind(task=name).exception("task-fault")
+            await trio.sleep(RESTART_S)
+
+
 async def _wait_for_end(node: GatewayNode) -> None:
     with trio.open_signal_receiver(
         signal.SIGTERM, signal.SIGINT, signal.SIGHUP
--- a/src/lycheepath/gateway/relay.py
+++ b/src/lycheepath/gateway/relay.py
@@ -18,6 +18,7 @@
 from ..adapters.events import record_event
 from ..adapters.http1.sockets import ConnectError
 from ..adapters.http1.upstream import BrokenAnswerError
+from ..core.addresses import Address
 from ..core.placement.book import Ending
 from ..core.placement.choice import Surroundings
 from ..core.reasons import Absent
@@ -31,7 +32,6 @@
     pass_on,
     send_to_target,
 )
-from .settings import Address
 from .silence import SilentTargetError
 
 if TYPE_CHECKING:
--- a/src/lycheepath/gateway/sending.py
+++ b/src/lycheepath/gateway/sending.py
@@ -12,13 +12,13 @@
 
 from ..adapters.http1.sockets import ConnectError
 from ..adapters.http1.upstream import BrokenAnswerError
+from ..core.addresses import parse_address
 from ..core.catalog.model import RouteKind
 from ..core.placement.book import Ending
 from ..core.serving.events import END, EventOrderError
 from ..core.serving.requests import Dispatch
 from ..core.serving.retries import Result
 from ..platform.headers import read_answer, write_request
-from ..platform.settings import parse_address
 from .exchange import HeldAnswer
 from .silence import SilentTargetError
 
--- a/src/lycheepath/gateway/serving.py
+++ b/src/lycheepath/gateway/serving.py
@@ -12,8 +12,10 @@
 from typing import TYPE_CHECKING
 
 import trio
+from loguru import logger
 
 from ..adapters.events import record_event
+from ..adapters.http1.downstream import CallerGoneError
 from ..core.catalog.routes import draw_service
 from ..core.reasons import Absent, Reason
 from ..core.serving.retries import Result, may_send_again
@@ -56,6 +58,13 @@
             await _run(node, exchange)
         if scope.cancelled_caught:
             await _end_late(node, exchange)
+    except CallerGoneError:
+        raise
+    except Exception:
+        logger.bind(request=exchange.facts.id).exception("request-fault")
+        node.metrics.count("request_faults_total")
+        exchange.reason = "a fault in the gateway"
+        await _give_up(node, exchange, None)
     finally:
         node.serving -= 1
         if caller.left and not exchange.ended:
--- a/src/lycheepath/gateway/settings.py
+++ b/src/lycheepath/gateway/settings.py
@@ -3,20 +3,12 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-
-class Address(NamedTuple):
-    """An IP address and a port."""
-
-    ip: str
-    port: int
-
-    def __str__(self) -> str:
-        return f"{self.ip}:{self.port}"
+    from ..core.addresses import Address
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,19 +18,14 @@
 
     The defaults are those of the two first deployments. ``retry_ratio`` is
     retries for each request of a window, ``retry_allowance`` the retries of the
-    whole fleet beyond it. A cold target bears its rate times ``cold_factor``
-    plus ``cold_allowance`` requests in a second.
+    whole fleet beyond it. A cold target bears ``cold_allowance`` requests at
+    once beyond its rate. ``grace_s`` is the time from SIGTERM to SIGKILL.
     """
 
-    contact_s: float = 6.0
-    drain_s: float = 4.0
     grace_s: float = 8.0
-    configuration_s: float = 4.0
-    evacuation_s: float = 5.0
     retry_ratio: float = 0.2
     retry_window_s: float = 10.0
     retry_allowance: float = 58.0
-    cold_factor: float = 1.5
     cold_allowance: float = 3.0
     directory_ttl_s: float = 5.0
 
@@ -66,6 +53,4 @@
     relay_port: int
     seeds: tuple[Address, ...]
     store: Address
-    memory_bytes: int
-    descriptors: int
     bounds: RuleBounds
--- a/src/lycheepath/platform/settings.py
+++ b/src/lycheepath/platform/settings.py
@@ -11,7 +11,8 @@
 
 import orjson
 
-from ..gateway.settings import Address, GatewaySettings, RuleBounds
+from ..core.addresses import Address, parse_address
+from ..gateway.settings import GatewaySettings, RuleBounds
 
 SETTINGS_VARIABLE = "LYCHEEPATH_SETTINGS"
 METRICS_PORT = 9464
@@ -57,38 +58,22 @@
         # Addresses of other hosts' control listeners; only the IP is of use.
         seeds=tuple(parse_address(seed) for seed in fields["seeds"]),
         store=parse_address(fields["platform"]["address"]),
-        memory_bytes=int(fields["limits"]["memory_mb"]) << 20,
-        descriptors=int(fields["limits"]["max_fds"]),
         bounds=_decode_bounds(fields.get("bounds") or {}),
     )
 
 
 def _decode_bounds(fields: dict[str, Any]) -> RuleBounds:
-    def seconds(name: str, default: float, unit: float = 1000.0) -> float:
+    def read(name: str, default: float) -> float:
         value = fields.get(name)
-        return default if value is None else float(value) / unit
+        return default if value is None else float(value)
 
     usual = RuleBounds()
     return RuleBounds(
-        contact_s=seconds("contact_ms", usual.contact_s),
-        drain_s=seconds("drain_ms", usual.drain_s),
-        # The time between SIGTERM and SIGKILL.
-        grace_s=seconds("grace_s", usual.grace_s, 1.0),
-        configuration_s=seconds("config_deadline_ms", usual.configuration_s),
-        evacuation_s=seconds("evacuation_ms", usual.evacuation_s),
-        retry_ratio=seconds("retry_budget_ratio", usual.retry_ratio, 1.0),
-        retry_window_s=seconds("budget_window_s", usual.retry_window_s, 1.0),
+        grace_s=read("grace_s", usual.grace_s),
+        retry_ratio=read("retry_budget_ratio", usual.retry_ratio),
+        retry_window_s=read("budget_window_s", usual.retry_window_s),
         # Retries that the whole fleet may make beyond the ratio, per window.
-        retry_allowance=seconds("budget_slack", usual.retry_allowance, 1.0),
-        cold_factor=seconds("cold_over", usual.cold_factor, 1.0),
-        cold_allowance=seconds("cold_slack", usual.cold_allowance, 1.0),
-        directory_ttl_s=seconds("ttl_max_s", usual.directory_ttl_s, 1.0),
+        retry_allowance=read("budget_slack", usual.retry_allowance),
+        cold_allowance=read("cold_slack", usual.cold_allowance),
+        directory_ttl_s=read("ttl_max_s", usual.directory_ttl_s),
     )
-
-
-def parse_address(text: str) -> Address:
-    """Return the address that ``IP:PORT`` names."""
-    ip, _, port = text.rpartition(":")
-    if not ip:
-        raise ValueError(f"{text!r} is not IP:PORT")
-    return Address(ip, int(port))
--- a/src/lycheepath/platform/store.py
+++ b/src/lycheepath/platform/store.py
@@ -14,6 +14,7 @@
 
 import orjson
 
+from ..core.addresses import parse_address
 from ..core.catalog.changes import (
     Delta,
     Evacuation,
@@ -167,7 +168,7 @@
     return TargetEntry(
         id=target,
         service=_text(value, "service"),
-        address=_text(value, "address"),
+        address=str(parse_address(_text(value, "address"))),
         zone=_text(value, "zone"),
         slots=_number(value, "slots"),
         draining=state == "draining",
--- /dev/null
+++ b/tests/platform/test_headers.py
@@ -0,0 +1,103 @@
+from __future__ import annotations
+
+from hypothesis import given, strategies
+
+from lycheepath.core.serving.answers import ReportedLoad
+from lycheepath.core.serving.requests import Dispatch, PromptPart
+from lycheepath.platform.headers import read_answer, read_request, write_request
+
+REQUEST = (
+    (b"host", b"Books.Example:80"),
+    (b"request-id", b"9c41"),
+    (b"model", b"m"),
+    (b"token-usage", b"1460,80"),
+    (b"prompt-prefix", b"5c1e:800,91bd:410,e440:250"),
+    (b"deadline-ms", b"5000"),
+    (b"length-hint", b"60"),
+    (b"connection", b"keep-alive, x-hop"),
+    (b"x-hop", b"1"),
+    (b"x-own", b"1"),
+    (b"hold", b"stolen"),
+)
+
+
+def test_request_is_decoded() -> None:
+    facts = read_request(REQUEST)
+    assert (facts.id, facts.host, facts.deadline_s) == ("9c41", "books.example", 5.0)
+    assert facts.prompt is not None
+    assert (facts.prompt.tokens, facts.prompt.most_answer_tokens) == (1460, 80)
+    assert facts.prompt.expected_answer_tokens == 60
+    assert facts.prompt.parts[1] == PromptPart("91bd", 410)
+
+
+def test_headers_of_one_connection_and_of_the_gateway_are_not_passed_on() -> None:
+    names = {name for name, _ in read_request(REQUEST).headers}
+    assert names == {
+        b"host",
+        b"request-id",
+        b"model",
+        b"token-usage",
+        b"prompt-prefix",
+        b"length-hint",
+        b"x-own",
+    }
+
+
+def test_dispatch_sets_the_gateways_headers() -> None:
+    facts = read_request((*REQUEST, (b"last-event-id", b"4")))
+    dispatch = Dispatch("i-1", "10.0.0.1:80", 1.25, priority=2, last_event_id=9)
+    headers = write_request(facts, dispatch)
+    sent = dict(headers)
+    assert sent[b"expect-instance"] == b"i-1"
+    assert sent[b"deadline-ms"] == b"1250"
+    assert sent[b"request-priority"] == b"2"
+    assert [v for n, v in headers if n == b"last-event-id"] == [b"9"]
+
+
+def test_answer_is_decoded() -> None:
+    facts = read_answer(
+        503,
+        [
+            (b"request-id", b"9c41"),
+            (b"not-executed", b"1"),
+            (b"server-load", b"3,0,8"),
+            (b"keep-alive", b"timeout=5, max=100"),
+            (b"connection", b"close"),
+        ],
+    )
+    assert facts.not_run
+    assert not facts.signed
+    assert facts.closes
+    assert facts.load == ReportedLoad(3, 0, 8)
+    assert facts.idle_s == 5.0
+    assert {name for name, _ in facts.headers} == {
+        b"request-id",
+        b"not-executed",
+        b"server-load",
+    }
+
+
+def test_failure_without_a_word_may_have_run() -> None:
+    assert not read_answer(503, []).not_run
+    assert read_answer(421, []).not_run
+
+
+VALUES = strategies.binary(max_size=20)
+
+
+@given(
+    strategies.lists(
+        strategies.tuples(strategies.sampled_from([n for n, _ in REQUEST]), VALUES)
+    )
+)
+def test_any_values_are_borne(headers: list[tuple[bytes, bytes]]) -> None:
+    read_request(headers)
+    read_answer(200, headers)
+
+
+@given(
+    VALUES.map(lambda value: (b"server-load", value))
+    | VALUES.map(lambda value: (b"keep-alive", value))
+)
+def test_any_words_of_a_target_are_borne(header: tuple[bytes, bytes]) -> None:
+    read_answer(200, [header])
