--- a/src/lycheepath/core/catalog/model.py
+++ b/src/lycheepath/core/catalog/model.py
@@ -74,12 +74,14 @@
     """
     What a service's model engines hold: requests at once and cached tokens.
 
-    An event of a stream holds ``event_tokens``.
+    An event of a stream holds ``event_tokens``. A cached token can be fetched
+    from another engine in ``fetch_token_s`` (0: not at all).
     """
 
     slots: int
     kv_tokens: int
     event_tokens: int = 1
+    fetch_token_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/lycheepath/core/placement/choice.py
+++ b/src/lycheepath/core/placement/choice.py
@@ -42,6 +42,10 @@
 # Preference of one owner for each shared part, the same on all hosts, before
 # anybody knows who has it.
 OWNER_BONUS_S = 0.1
+# Before a transfer between engines begins; both deployments' figure.
+FETCH_SETUP_S = 0.01
+# Fewer tokens are read sooner than fetched.
+LEAST_FETCHED_TOKENS = 1500
 # Shared parts that are shorter are read anywhere.
 LEAST_OWNED_TOKENS = 1000
 # A target is taken for silent when nothing came for this long, and for this
@@ -123,6 +127,7 @@
     cached_tokens: int
     away_s: float
     urgency: int
+    fetch_from: str = ""
 
     @property
     def away(self) -> bool:
@@ -209,10 +214,39 @@
         first_s = speed.service_s * (1.0 + over / slots) + away_s
         return Placement(target, first_s, 0, away_s, urgency)
     cached = target.cache.count_cached(prompt.parts)
-    read = prompt.tokens - cached
+    source, fetched = _find_source(book, wanted, prompt, target, cached)
+    read = prompt.tokens - cached - fetched
     first_s = speed.estimate_read_s(target.count_ahead(urgency, now) + read)
     first_s += target.event_s
-    return Placement(target, first_s + away_s, cached, away_s, urgency)
+    if source is not None:
+        first_s += FETCH_SETUP_S + fetched * _fetch_token_s(target)
+    address = source.entry.address if source else ""
+    cached += fetched
+    return Placement(target, first_s + away_s, cached, away_s, urgency, address)
+
+
+def _find_source(
+    book: TargetBook, wanted: Wanted, prompt: Prompt, target: TargetState, cached: int
+) -> tuple[TargetState | None, int]:
+    """Return a target of the region that has more of a prompt, and how much more."""
+    if _fetch_token_s(target) == 0.0 or _count_shared(prompt) < LEAST_OWNED_TOKENS:
+        return None, 0
+    best = None
+    most = cached + LEAST_FETCHED_TOKENS
+    for other in book.of_service(wanted.service):
+        if other is target or other.region != target.region:
+            continue
+        held = other.cache.count_cached(prompt.parts)
+        if held >= most:
+            best, most = other, held + 1
+    return best, most - 1 - cached if best else 0
+
+
+def _fetch_token_s(target: TargetState) -> float:
+    service = target.service
+    if service is None or service.engine is None:
+        return 0.0
+    return service.engine.fetch_token_s
 
 
 def _score(book: TargetBook, wanted: Wanted, placed: Placement) -> float:
--- a/src/lycheepath/gateway/sending.py
+++ b/src/lycheepath/gateway/sending.py
@@ -117,6 +117,7 @@
         left_s=exchange.deadline - node.now(),
         priority=placed.urgency if exchange.facts.prompt else None,
         last_event_id=exchange.cutter.last_id,
+        fetch_from=placed.fetch_from,
     )
     headers = write_request(exchange.facts, dispatch)
     body = exchange.request.body
--- a/src/lycheepath/platform/configuration.py
+++ b/src/lycheepath/platform/configuration.py
@@ -79,9 +79,18 @@
         int(entry["kv_cache_tokens"]),
         # Tokens in one event of a stream.
         max(1, int(entry.get("stride") or 1)),
+        _read_fetch_time(entry),
     )
 
 
+def _read_fetch_time(entry: dict[str, Any]) -> float:
+    """Return the seconds in which one token's cache moves between engines."""
+    link_mbps = float(entry.get("link_mbps") or 0.0)
+    if link_mbps <= 0.0:
+        return 0.0
+    return int(entry.get("kv_token_bytes") or 0) * 8.0 / (link_mbps * 1e6)
+
+
 def _read_limits(entry: dict[str, Any]) -> CallerLimits:
     usual = CallerLimits()
     return CallerLimits(
--- a/tests/core/placement/test_choice.py
+++ b/tests/core/placement/test_choice.py
@@ -238,3 +238,21 @@
     assert target.count_ahead(0, 0.1) == 5000
     assert target.count_ahead(0, 1.0) == 0
     assert book.own_loads() == {}
+
+
+def test_target_without_a_shared_part_fetches_it_from_one_that_has_it() -> None:
+    book = make_book(make_entry(1), make_entry(2), make_entry(3, "west-a"))
+    engine = EngineFacts(128, 400_000, 7, fetch_token_s=1.7e-6)
+    for target in book.targets.values():
+        target.service = replace(POOL, engine=engine)
+    book.read_parts(book.targets["i-1"], make_prompt().parts[:1])
+    for key in range(6):
+        book.started(key, book.targets["i-1"], 0, 9000, 0.0)
+    placed = choose(book)
+    assert chosen_id(placed) == "i-2"
+    assert isinstance(placed, Placement)
+    assert placed.fetch_from == book.targets["i-1"].entry.address
+    assert placed.cached_tokens == 6000
+    alone = choose(book, make_wanted(make_prompt("another")))
+    assert isinstance(alone, Placement)
+    assert alone.fetch_from == ""
