--- a/src/lycheepath/gateway/serving.py
+++ b/src/lycheepath/gateway/serving.py
@@ -149,7 +149,7 @@
 ) -> None:
     """Answer a request that no target answered."""
     caller = exchange.caller
-    if exchange.begun:
+    if exchange.begun or caller.answering:
         _log(node, exchange, "broken-off", 0)
         caller.break_off()
         return
@@ -170,7 +170,7 @@
 async def _end_late(node: GatewayNode, exchange: Exchange) -> None:
     """Answer a request whose time is over."""
     exchange.reason = "the time is over"
-    if exchange.begun:
+    if exchange.begun or exchange.caller.answering:
         _log(node, exchange, "broken-off", 0)
         exchange.caller.break_off()
         return
--- /dev/null
+++ b/tests/gateway/test_late_answers.py
@@ -0,0 +1,52 @@
+from __future__ import annotations
+
+from functools import partial
+from typing import TYPE_CHECKING, cast
+
+import trio
+
+from lycheepath.adapters.http1.downstream import CallerConnection
+from lycheepath.gateway.listeners import limit_callers
+from lycheepath.gateway.serving import serve_request
+from standins.site import HOST, Site, make_route
+
+if TYPE_CHECKING:
+    from lycheepath.gateway.node import GatewayNode
+
+
+class StalledStream:
+    """A caller's connection that brings one request and takes no byte back."""
+
+    def __init__(self, request: bytes) -> None:
+        self._requests = [request]
+        self.socket = self
+        self.closed = False
+        self.tries = 0
+
+    async def receive_some(self, most: int) -> bytes:
+        if self._requests:
+            return self._requests.pop()
+        await trio.sleep_forever()
+        raise AssertionError
+
+    async def send_all(self, data: bytes) -> None:
+        self.tries += 1
+        await trio.sleep_forever()
+
+    def close(self) -> None:
+        self.closed = True
+
+
+async def test_refusal_that_the_caller_does_not_take_is_not_followed_by_another(
+    site: Site,
+) -> None:
+    site.configure(make_route("books", timeout_ms=200))
+    node: GatewayNode = await site.start_gateway("east")
+    head = f"GET /books/1 HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: r1\r\n\r\n"
+    stream = StalledStream(head.encode())
+    caller = CallerConnection(cast("trio.SocketStream", stream), limit_callers(node))
+    with trio.fail_after(2.0):
+        await caller.run(partial(serve_request, node, caller))
+    assert stream.closed
+    assert stream.tries == 1
+    assert not node.metrics.counter("request_faults_total")
