--- a/src/lycheepath/adapters/events.py
+++ b/src/lycheepath/adapters/events.py
@@ -12,7 +12,6 @@
 from __future__ import annotations
 
 import os
-import sys
 from collections import Counter, deque
 from typing import TYPE_CHECKING, Any
 
@@ -23,6 +22,7 @@
 if TYPE_CHECKING:
     from loguru import Message
 
+STANDARD_OUTPUT = 1
 # Of one kind of event; three times what one host's peak of requests needs.
 LINES_PER_S = 100
 # About ten seconds of the lines of a busy host.
@@ -32,9 +32,14 @@
 
 
 class EventLog:
-    """State: the lines that wait to be written, and what was left out."""
+    """
+    State: the lines that wait to be written, and what was left out.
 
-    def __init__(self) -> None:
+    They are written to ``descriptor``, standard output where not said otherwise.
+    """
+
+    def __init__(self, descriptor: int = STANDARD_OUTPUT) -> None:
+        self._descriptor = descriptor
         self.omitted: Counter[str] = Counter()
         self.written = 0
         self._lines: deque[bytes] = deque()
@@ -64,25 +69,22 @@
 
     async def run(self) -> None:
         """Write lines as standard output takes them, until cancelled."""
-        descriptor = sys.stdout.fileno()
-        os.set_blocking(descriptor, False)
+        os.set_blocking(self._descriptor, False)
         while True:
             await trio.sleep(FLUSH_S)
-            while self._lines and self._write_some(descriptor):
-                pass
+            self.flush()
 
     def flush(self) -> None:
-        """Write what standard output takes at once; for the end of a process."""
-        descriptor = sys.stdout.fileno()
-        while self._lines and self._write_some(descriptor):
+        """Write what the reader takes at once, and keep the rest."""
+        while self._lines and self._write_some():
             pass
 
-    def _write_some(self, descriptor: int) -> bool:
+    def _write_some(self) -> bool:
         lines = [self._lines.popleft() for _ in range(min(64, len(self._lines)))]
         data = b"".join(lines)
         self._size -= len(data)
         try:
-            taken = os.write(descriptor, data)
+            taken = os.write(self._descriptor, data)
         except BlockingIOError:
             taken = 0
         except OSError:
--- a/src/lycheepath/adapters/http1/downstream.py
+++ b/src/lycheepath/adapters/http1/downstream.py
@@ -71,7 +71,6 @@
         self.serving: trio.CancelScope | None = None
         self.left = False
         self.answering = False
-        self.requests = 0
         self._h11 = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.head_bytes
         )
@@ -86,7 +85,6 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._receive)
                 while (request := await self._read_request()) is not None:
-                    self.requests += 1
                     await self._serve(request, serve)
                     if self.left or not self._start_next():
                         break
--- a/src/lycheepath/core/catalog/catalog.py
+++ b/src/lycheepath/core/catalog/catalog.py
@@ -49,7 +49,6 @@
         self.targets: dict[str, TargetEntry] = {}
         self.evacuated: set[str] = set()
         self.revision = 0
-        self.heard_at: dict[str, float] = {}
         self._dubious: dict[str, float] = {}
 
     @property
@@ -63,7 +62,7 @@
             return []
         seen = {e.id for e in snapshot.entries if isinstance(e, TargetEntry)}
         zones = {e.zone for e in snapshot.entries if isinstance(e, Evacuation)}
-        notes = self._take(snapshot.entries, now)
+        notes = self._take(snapshot.entries)
         for target in [t for t in self.targets if t not in seen]:
             notes += self._remove_target(target, now, outage)
         for zone in self.evacuated - zones:
@@ -84,7 +83,7 @@
                 self.evacuated.discard(change.zone)
                 notes.append(Note("evacuation-ended", change.zone))
             else:
-                notes += self._take((change,), now)
+                notes += self._take((change,))
         self.revision = delta.revision
         return notes
 
@@ -97,11 +96,11 @@
             notes += self._remove_target(target, now, outage=False)
         return notes
 
-    def _take(self, entries: Iterable[Change], now: float) -> list[Note]:
+    def _take(self, entries: Iterable[Change]) -> list[Note]:
         notes: list[Note] = []
         for entry in entries:
             if isinstance(entry, TargetEntry):
-                notes += self._put_target(entry, now)
+                notes += self._put_target(entry)
             elif isinstance(entry, Configuration):
                 notes += self._put_configuration(entry)
             elif isinstance(entry, Evacuation):
@@ -120,10 +119,9 @@
         detail = f"from {before}, {len(configuration.routes)} routes"
         return [Note("configuration", str(configuration.version), detail)]
 
-    def _put_target(self, entry: TargetEntry, now: float) -> list[Note]:
+    def _put_target(self, entry: TargetEntry) -> list[Note]:
         held = self.targets.get(entry.id)
         self._dubious.pop(entry.id, None)
-        self.heard_at[entry.id] = now
         self.targets[entry.id] = entry
         if held is None:
             return [Note("target", entry.id, f"{entry.service} at {entry.address}")]
@@ -141,7 +139,6 @@
             return [Note("target-lapsed", target)]
         del self.targets[target]
         self._dubious.pop(target, None)
-        self.heard_at.pop(target, None)
         return [Note("target-gone", target)]
 
 
--- a/src/lycheepath/core/placement/book.py
+++ b/src/lycheepath/core/placement/book.py
@@ -26,7 +26,6 @@
 
     from ..catalog.catalog import Catalog
     from ..catalog.model import Service, TargetEntry
-    from ..serving.answers import ReportedLoad
     from ..serving.requests import PromptPart
 
 # What a peer told of its sending is dropped after this long; eight of its
@@ -112,8 +111,6 @@
     health: TargetHealth = field(default_factory=TargetHealth)
     flights: dict[int, Flight] = field(default_factory=dict)
     peers: dict[str, PeerLoad] = field(default_factory=dict)
-    reported: ReportedLoad | None = None
-    reported_at: float = float("-inf")
     evacuated: bool = False
     contact_at: float = float("-inf")
     event_s: float = FIRST_EVENT_S
@@ -258,11 +255,6 @@
             if health.record_failure(wrong) and self._may_eject(target, now):
                 health.eject(now)
 
-    def note_load(self, target: TargetState, load: ReportedLoad, now: float) -> None:
-        """Take what a target reported with an answer."""
-        target.reported = load
-        target.reported_at = now
-
     def note_peer(
         self, host: str, loads: Mapping[str, TargetLoad], of_region: bool, now: float
     ) -> None:
--- a/src/lycheepath/core/serving/answers.py
+++ b/src/lycheepath/core/serving/answers.py
@@ -27,7 +27,6 @@
     request_id: str
     signed: bool
     not_run: bool
-    retry_after_s: float | None
     load: ReportedLoad | None
     idle_s: float | None
     closes: bool
--- a/src/lycheepath/gateway/exchange.py
+++ b/src/lycheepath/gateway/exchange.py
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     from ..adapters.http1.downstream import CallerConnection, ReceivedRequest
     from ..core.catalog.model import Route
+    from ..core.serving.answers import ReportedLoad
     from ..core.serving.requests import RequestFacts
 
 
@@ -32,7 +33,8 @@
 
     ``deadline`` is on the loop's clock: the caller's or the route's, whichever
     is first. ``waited_s`` passed at another host before this one took the
-    request. ``begun`` says that the answer has begun, ``relayed`` that another
+    request. ``load`` is what the last target told of itself,
+    ``begun`` says that the answer has begun, ``relayed`` that another
     host decides over the request, ``committed`` that this one sent it before. ``first_s`` is the time from the request to
     the first event of its answer, ``longest_gap_s`` the longest pause after it;
     ``ended`` says that how the request ended is logged.
@@ -50,6 +52,7 @@
     cutter: EventCutter = field(init=False)
     fingerprint: int = field(init=False)
     held: HeldAnswer | None = None
+    load: ReportedLoad | None = None
     begun: bool = False
     reason: str = ""
     waited_s: float = 0.0
--- a/src/lycheepath/gateway/sending.py
+++ b/src/lycheepath/gateway/sending.py
@@ -133,8 +133,7 @@
             exchange.facts.id.encode("latin-1"),
         )
     facts = read_answer(status, answered)
-    if facts.load is not None:
-        node.book.note_load(target, facts.load, node.now())
+    exchange.load = facts.load
     return facts
 
 
--- a/src/lycheepath/gateway/serving.py
+++ b/src/lycheepath/gateway/serving.py
@@ -223,6 +223,8 @@
         took_s=round(took, 4),
         sends=exchange.tries.sends,
         target=placed.target.entry.id if placed else "",
+        target_running=exchange.load and exchange.load.running,
+        target_waiting=exchange.load and exchange.load.waiting,
         urgency=placed.urgency if placed else None,
         expected_s=round(placed.first_s, 4) if placed else None,
         first_s=exchange.first_s and round(exchange.first_s, 4),
--- a/src/lycheepath/platform/headers.py
+++ b/src/lycheepath/platform/headers.py
@@ -97,7 +97,6 @@
         request_id=fields.get(b"request-id", b"").decode("latin-1"),
         signed=b"response-signature" in fields,
         not_run=status == NOT_RUN_STATUS or b"not-executed" in fields,
-        retry_after_s=_read_seconds(fields.get(b"retry-after")),
         load=_read_load(fields.get(b"server-load")),
         idle_s=_read_keep_alive(fields.get(b"keep-alive")),
         closes=b"close" in connection,
@@ -126,13 +125,6 @@
         return None
 
 
-def _read_seconds(text: bytes | None) -> float | None:
-    try:
-        return None if text is None else max(0.0, float(text))
-    except ValueError:
-        return None
-
-
 def _read_count(text: bytes | None) -> int | None:
     return int(text) if text is not None and text.isdigit() else None
 
--- a/standins/site.py
+++ b/standins/site.py
@@ -14,6 +14,7 @@
 from __future__ import annotations
 
 import base64
+import os
 import random
 from dataclasses import dataclass, field
 from functools import partial
@@ -24,6 +25,7 @@
 import orjson
 import trio
 
+from lycheepath.adapters.events import EventLog
 from lycheepath.gateway.node import GatewayNode
 from lycheepath.gateway.process import start_tasks
 from lycheepath.platform.settings import read_settings
@@ -293,7 +295,10 @@
             "bounds": self.bounds,
             "platform": {"address": store or self.store.address},
         }
-        node = GatewayNode(read_settings(orjson.dumps(fields)))
+        settings = read_settings(orjson.dumps(fields))
+        # Lines of the tests' gateways go nowhere.
+        nowhere = os.open(os.devnull, os.O_WRONLY)
+        node = GatewayNode(settings, events=EventLog(nowhere))
         await start_tasks(node, self.nursery)
         with trio.fail_after(READY_WITHIN_S):
             while not node.ready:
