Pass no failure on that would promise a request has not run

Cause (found in reading): a target's 503 without a word that it did not run the request was passed on; callers of requests that may run once would repeat it.

--- a/src/lycheepath/gateway/serving.py
+++ b/src/lycheepath/gateway/serving.py
@@ -35,6 +35,9 @@
 UNKNOWN = 502
 TOO_LATE = 504
 NOT_FOUND = 404
+# Callers take these for a promise that the request has not run, which a target
+# that says so by its status alone has not made.
+PROMISES = frozenset({408, 421, 429, 503})
 # A host that has just started reads the store within this time; less than a
 # caller loses by coming again.
 FIRST_READING_S = 0.6
@@ -153,8 +156,8 @@
         _log(node, exchange, "broken-off", 0)
         caller.break_off()
         return
-    if exchange.held is not None:
-        held = exchange.held
+    held = exchange.held
+    if held is not None and held.status not in PROMISES:
         exchange.begun = True
         _log(node, exchange, "failure-passed-on", held.status)
         await caller.answer(held.status, held.headers, held.body)
--- a/tests/gateway/test_serving.py
+++ b/tests/gateway/test_serving.py
@@ -300,3 +300,14 @@
             await trio.sleep(0.02)
     assert (await site.ask(node, b"GET", "/books/1")).status == 503
     assert len(target.seen) == 1
+
+
+async def test_failure_that_would_promise_too_much_is_not_passed_on(site: Site) -> None:
+    ran = answer_text(b"", 503, "Response-Signature: s.9")
+    await site.add_target("books", ran)
+    site.configure(make_route("books", "unsafe"))
+    node = await site.start_gateway("host-1")
+    answer = await site.ask(node, b"POST", "/books/1", b"x")
+    assert answer.status == 502
+    assert "response-signature" not in answer.headers
+    assert "retry-after" not in answer.headers
