--- a/src/lycheepath/gateway/relay.py
+++ b/src/lycheepath/gateway/relay.py
@@ -43,7 +43,6 @@
     from .node import GatewayNode
 
 SERVICE = b"lycheepath-service"
-TARGET = b"lycheepath-target"
 LEFT_MS = b"lycheepath-left-ms"
 WAITED_MS = b"lycheepath-waited-ms"
 LAST_EVENT = b"lycheepath-last-event"
@@ -51,7 +50,7 @@
 RESULT = b"lycheepath-result"
 REASON = b"lycheepath-reason"
 OWN_HEADERS = frozenset(
-    {SERVICE, TARGET, LEFT_MS, WAITED_MS, LAST_EVENT, COMMITTED, RESULT, REASON}
+    {SERVICE, LEFT_MS, WAITED_MS, LAST_EVENT, COMMITTED, RESULT, REASON}
 )
 
 FAILED = Result.FAILED.value.encode()
@@ -72,7 +71,6 @@
     """What the first host says of a request that it relays."""
 
     service: str
-    target: str
     left_s: float
     waited_s: float
     last_event_id: int | None
@@ -111,7 +109,7 @@
             status, headers = await upstream.request(
                 exchange.request.method,
                 exchange.request.target,
-                _write_headers(node, exchange, placed),
+                _write_headers(node, exchange),
                 exchange.request.body,
             )
         fields = dict(headers)
@@ -141,6 +139,7 @@
     node: GatewayNode, caller: CallerConnection, request: ReceivedRequest
 ) -> None:
     """Serve a request that another host relays: send it once, here."""
+    caller.closing = caller.closing or node.leaving
     work = _read_work(request)
     facts = read_request(tuple(h for h in request.headers if h[0] not in OWN_HEADERS))
     table = node.catalog.routes
@@ -220,15 +219,12 @@
     await caller.answer(503, headers, b"")
 
 
-def _write_headers(
-    node: GatewayNode, exchange: Exchange, placed: Placement
-) -> list[tuple[bytes, bytes]]:
+def _write_headers(node: GatewayNode, exchange: Exchange) -> list[tuple[bytes, bytes]]:
     now = node.now()
     waited_s = now - exchange.received_at
     headers = [h for h in exchange.facts.headers if h[0] not in OWN_HEADERS]
     headers += [
         (SERVICE, exchange.service.encode()),
-        (TARGET, placed.target.entry.id.encode()),
         (LEFT_MS, b"%d" % int((exchange.deadline - now) * 1000)),
         (WAITED_MS, b"%d" % int(waited_s * 1000)),
     ]
@@ -247,7 +243,6 @@
         last = fields.get(LAST_EVENT)
         return RelayedWork(
             fields[SERVICE].decode(),
-            fields[TARGET].decode(),
             int(fields[LEFT_MS]) / 1000.0,
             int(fields[WAITED_MS]) / 1000.0,
             None if last is None else int(last),
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -244,3 +244,27 @@
     assert (await site.ask(second, b"GET", "/new/1")).body == b"done"
     assert second.metrics.counter("store_failures_total")
     assert not first.metrics.counter("store_failures_total")
+
+
+async def test_connection_to_a_host_that_leaves_is_not_kept(site: Site) -> None:
+    await site.add_target("books", answer_text(b"done"), "west-a")
+    site.configure(make_route("books", "unsafe"))
+    nodes = [
+        await site.start_gateway("east"),
+        await site.start_gateway("west", "west-a"),
+    ]
+    await wait_until_live(*nodes)
+    west = nodes[1].settings.ip
+
+    def kept() -> list[str]:
+        return [address.ip for address in nodes[0].pool._idle if address.ip == west]
+
+    assert (await site.ask(nodes[0], b"POST", "/books/1", b"x")).status == 200
+    assert kept()
+    nodes[1].leaving = True
+    assert (await site.ask(nodes[0], b"POST", "/books/1", b"x")).status == 200
+    assert not any(
+        nodes[0].pool._idle.get(address)
+        for address in nodes[0].pool._idle
+        if address.ip == west
+    )
