--- a/src/lycheepath/console/application.py
+++ b/src/lycheepath/console/application.py
@@ -13,7 +13,6 @@
 from .commands.promote import PromoteCommand
 from .commands.serve import ServeCommand
 from .commands.status import StatusCommand
-from .commands.story import StoryCommand
 
 COMMANDS = (
     AuditCommand,
@@ -24,7 +23,6 @@
     PromoteCommand,
     ServeCommand,
     StatusCommand,
-    StoryCommand,
 )
 
 
--- a/src/lycheepath/console/commands/explain.py
+++ b/src/lycheepath/console/commands/explain.py
@@ -1,4 +1,4 @@
-"""The command that says why a target was chosen or refused for a request."""
+"""The command that says what became of a request, and why."""
 
 from __future__ import annotations
 
@@ -7,24 +7,53 @@
 from urllib.parse import quote
 
 from cleo.commands.command import Command
-from cleo.helpers import argument
+from cleo.helpers import argument, option
 
+from ...core.explaining.causes import gather_stories
 from ..documents import print_text
 from ..operator_pages import PageProblem, fetch_page
+from ..request_logs import LogError, read_log_lines
+from ..stories import print_drawn_causes, print_story
 
 
 class ExplainCommand(Command):
-    """Prints the decisions of a host about one request."""
+    """
+    Prints the decisions about one request.
+
+    They come from a host's operators' page, or from the logs of any hosts::
+
+        lycheepath explain 10.0.0.1:8000 REQUEST
+        lycheepath explain REQUEST --log east.log --log west.log
+        lycheepath explain --draw 30 --log - < all.log
+    """
 
     name = "explain"
-    description = "Says why a target was chosen or refused for a request."
+    description = "Says what became of a request, and why."
     arguments: ClassVar = [
-        argument("host", "The host as IP:port."),
-        argument("request", "The request's id, from X-Request-Id."),
+        argument("host", "The host as IP:port; with --log the request's id.", True),
+        argument("request", "The request's id, from X-Request-Id.", True),
+    ]
+    options: ClassVar = [
+        option(
+            "log",
+            "l",
+            "A log file, or - for standard input.",
+            flag=False,
+            multiple=True,
+        ),
+        option("draw", "d", "Failed requests to draw from the logs.", flag=False),
+        option("seed", None, "The seed of the draw.", flag=False, default="1"),
     ]
 
     def handle(self) -> int:
-        """Return 0 when the host knows the request, else 1."""
+        """Return 0 when the request is known and its cause found, else 1."""
+        if self.option("log"):
+            return self._read_logs(list(self.option("log")))
+        if not self.argument("host") or not self.argument("request"):
+            self.line_error(
+                "<error>Name a host and a request, or a request and --log FILE.</error>"
+            )
+            return 2
         request = quote(self.argument("request"), safe="")
         page = fetch_page(self.argument("host"), f"/operator/explain/{request}")
         if isinstance(page, PageProblem):
@@ -32,3 +61,18 @@
             return 1
         print_text(self, json.dumps(page, indent=2))
         return 0
+
+    def _read_logs(self, paths: list[str]) -> int:
+        request = self.argument("request") or self.argument("host")
+        draw = self.option("draw") or ""
+        if not request and not draw.isdigit():
+            self.line_error("<error>Name a request, or --draw NUMBER.</error>")
+            return 2
+        try:
+            stories = gather_stories(read_log_lines(paths))
+        except LogError as error:
+            self.line_error(f"<error>{error}</error>")
+            return 2
+        if request:
+            return print_story(self, str(request), stories)
+        return print_drawn_causes(self, int(draw), int(self.option("seed")), stories)
--- a/src/lycheepath/console/request_logs.py
+++ b/src/lycheepath/console/request_logs.py
@@ -18,15 +18,15 @@
 
 def read_log_lines(paths: Iterable[str]) -> Iterator[dict[str, Any]]:
     """
-    Return the JSON lines of the named files, or of standard input without any.
+    Return the JSON lines of the named files; ``-`` names standard input.
 
     What stands before the first brace of a line is ignored, since collectors
     put a time or a host there; lines without JSON are skipped.
     """
-    named = list(paths)
-    if not named:
-        yield from _read_lines(sys.stdin)
-    for path in named:
+    for path in paths:
+        if path == "-":
+            yield from _read_lines(sys.stdin)
+            continue
         try:
             with Path(path).open(encoding="utf-8", errors="replace") as file:
                 yield from _read_lines(file)
--- /dev/null
+++ b/src/lycheepath/console/stories.py
@@ -0,0 +1,49 @@
+"""Prints the stories of requests that hosts' logs tell."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+from ..core.explaining.causes import find_cause, has_failed
+from .documents import print_text
+
+if TYPE_CHECKING:
+    from cleo.commands.command import Command
+
+    from ..core.explaining.causes import Stories
+
+HIDDEN = frozenset({"at", "host", "event", "level", "request"})
+
+
+def print_story(command: Command, request: str, stories: Stories) -> int:
+    """Print a request's lines and the cause of its failure; 1 if none is found."""
+    story = stories.by_request.get(request)
+    if story is None:
+        command.line_error(f"<error>No line names the request {request}.</error>")
+        return 1
+    for line in story:
+        fields = " ".join(f"{k}={v}" for k, v in line.items() if k not in HIDDEN)
+        moment = f"{float(line.get('at', 0.0)):.3f} {line.get('host', '')}"
+        print_text(command, f"{moment} {line['event']} {fields}")
+    if not has_failed(story):
+        return 0
+    cause = find_cause(story, stories)
+    print_text(command, f"cause: {cause.text}")
+    return 0 if cause.found else 1
+
+
+def print_drawn_causes(
+    command: Command, count: int, seed: int, stories: Stories
+) -> int:
+    """Draw failed requests and print their causes; 1 if one isn't found."""
+    failed = sorted(r for r, s in stories.by_request.items() if has_failed(s))
+    drawn = random.Random(seed).sample(failed, min(count, len(failed)))
+    found = 0
+    for request in drawn:
+        cause = find_cause(stories.by_request[request], stories)
+        found += cause.found
+        print_text(command, f"{request} {cause.text}")
+    share = f"{found} of {len(drawn)} causes found"
+    print_text(command, f"{share}; {len(failed)} requests failed")
+    return 0 if found == len(drawn) else 1
--- a/tests/console/test_commands.py
+++ b/tests/console/test_commands.py
@@ -11,8 +11,8 @@
 from cleo.testers.command_tester import CommandTester
 
 from lycheepath.console.application import build_application
+from lycheepath.console.commands.explain import ExplainCommand
 from lycheepath.console.commands.gateway import GatewayCommand
-from lycheepath.console.commands.story import StoryCommand
 from lycheepath.console.operator_pages import KEY_VARIABLE
 
 if TYPE_CHECKING:
@@ -160,17 +160,19 @@
     assert "listen" in tester.io.fetch_error()
 
 
-def test_story_tells_the_cause_of_a_failed_request(tmp_path: Path) -> None:
+def test_explain_tells_the_cause_of_a_failed_request(tmp_path: Path) -> None:
     log = tmp_path / "host.log"
     log.write_text(
         'noise\n12.5 host-1 {"at":1.0,"host":"host-1","event":"refused",'
         '"request":"r1","status":503,"reason":"no target is open"}\n',
         encoding="utf-8",
     )
-    tester = CommandTester(StoryCommand())
+    tester = CommandTester(ExplainCommand())
     assert tester.execute(f"r1 --log {log}") == 0
     assert "cause: refused with 503: no target is open" in tester.io.fetch_output()
     assert tester.execute(f"--draw 5 --log {log}") == 0
     assert "1 of 1 causes found" in tester.io.fetch_output()
     assert tester.execute(f"r2 --log {log}") == 1
     assert tester.execute(f"r1 --log {tmp_path / 'none'}") == 2
+    assert tester.execute(f"--log {log}") == 2
+    assert tester.execute("r1") == 2
