--- a/src/lycheepath/core/placement/book.py
+++ b/src/lycheepath/core/placement/book.py
@@ -15,7 +15,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from ..catalog.catalog import has_restarted
+from ..catalog.catalog import Note, has_restarted
 from ..routing.health import TargetHealth, may_eject
 from .cold import ColdGate
 from .prompts import PromptCache
@@ -149,6 +149,14 @@
                 return now - flight.sent_at
         return 0.0
 
+    def describe_trust(self, now: float) -> str:
+        """Return in a word how the target is thought of."""
+        if self.health.is_ejected(now):
+            return "ejected"
+        if now < self.health.paused_until:
+            return "paused"
+        return "on probation" if self.health.on_probation else "trusted"
+
     @property
     def open(self) -> bool:
         """Whether the operator and the target let new requests come."""
@@ -156,11 +164,16 @@
 
 
 class TargetBook:
-    """State: all targets, and the requests that this host has under way."""
+    """
+    State: all targets, and the requests that this host has under way.
+
+    ``notes`` are changed beliefs about targets that nobody has logged yet.
+    """
 
     def __init__(self) -> None:
         self.targets: dict[str, TargetState] = {}
         self.speeds: dict[str, SpeedModel] = {}
+        self.notes: list[Note] = []
         self._by_service: dict[str, list[TargetState]] = {}
         self._flights: dict[int, Flight] = {}
 
@@ -241,6 +254,17 @@
             return
         target = flight.target
         target.flights.pop(key, None)
+        before = target.describe_trust(now)
+        self._judge(target, flight, ending, now)
+        after = target.describe_trust(now)
+        if before != after:
+            detail = f"{before} to {after} after {ending.value}"
+            self.notes.append(Note("target-trust", target.entry.id, detail))
+
+    def _judge(
+        self, target: TargetState, flight: Flight, ending: Ending, now: float
+    ) -> None:
+        """Let an ending change what is thought of a target's health."""
         health = target.health
         if ending is Ending.WHOLE:
             health.record_success()
--- a/src/lycheepath/gateway/relay.py
+++ b/src/lycheepath/gateway/relay.py
@@ -90,6 +90,7 @@
         upstream = await node.pool.take(address, CONNECT_S, started)
     except ConnectError as error:
         node.avoided[host.id] = node.now() + AVOID_S
+        record_event("host-avoided", subject=host.id, reason=str(error), for_s=AVOID_S)
         return Sent(Result.NOT_RUN, Ending.NOT_RUN, f"{host.id} not reached: {error}")
     if upstream.exchanges == 0:
         _note_away(node, placed.target.region, node.now() - started)
--- a/src/lycheepath/gateway/sending.py
+++ b/src/lycheepath/gateway/sending.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from ..adapters.events import record_event
 from ..adapters.http1.sockets import ConnectError
 from ..adapters.http1.upstream import BrokenAnswerError
 from ..core.addresses import parse_address
@@ -71,9 +72,17 @@
         sent = await _exchange(node, exchange, placed)
     finally:
         node.book.ended(key, sent.ending, node.now())
+        _log_beliefs(node)
     return sent
 
 
+def _log_beliefs(node: GatewayNode) -> None:
+    """Log what has changed in the beliefs about targets."""
+    for note in node.book.notes:
+        record_event(note.event, subject=note.subject, detail=note.detail)
+    node.book.notes.clear()
+
+
 async def _exchange(node: GatewayNode, exchange: Exchange, placed: Placement) -> Sent:
     address = parse_address(placed.target.entry.address)
     try:
--- a/tests/core/placement/test_choice.py
+++ b/tests/core/placement/test_choice.py
@@ -256,3 +256,15 @@
     alone = choose(book, make_wanted(make_prompt("another")))
     assert isinstance(alone, Placement)
     assert alone.fetch_from == ""
+
+
+def test_changed_trust_in_a_target_is_noted_once() -> None:
+    book = make_book(make_entry(1), make_entry(2), make_entry(3))
+    target = book.targets["i-1"]
+    for key in range(4):
+        book.started(key, target, 0, 0, 0.0)
+        book.ended(key, Ending.FAILED, 0.1)
+    assert [note.detail for note in book.notes] == ["trusted to ejected after failed"]
+    book.started(9, target, 0, 0, 60.0)
+    book.ended(9, Ending.WHOLE, 60.0)
+    assert book.notes[-1].detail == "on probation to trusted after whole"
