Replace the copy for other hosts only by a whole reading

Cause (found in reading): a reading that broke off after its first page left a part of the items as the copy that other hosts take, which would have dropped targets there.

--- a/src/lycheepath/gateway/discovery.py
+++ b/src/lycheepath/gateway/discovery.py
@@ -102,17 +102,19 @@
 
     async def _read_all(self) -> Snapshot:
         entries: list[Entry] = []
+        bodies: list[bytes] = []
         after = ""
         revision = None
-        while True:
-            body = await self._call(page_path(after))
-            self._node.raw_items.put_page(body, first=not after)
-            page, after = read_page(body)
+        while revision is None or after:
+            bodies.append(await self._call(page_path(after)))
+            page, after = read_page(bodies[-1])
             entries.extend(page.entries)
             # Pages are no snapshot: changes since the first one are read again.
             revision = page.revision if revision is None else revision
-            if not after:
-                return Snapshot(tuple(entries), revision)
+        # Only a whole reading replaces the copy that other hosts may take.
+        for number, body in enumerate(bodies):
+            self._node.raw_items.put_page(body, first=number == 0)
+        return Snapshot(tuple(entries), revision)
 
     async def _ask_host(self) -> None:
         """Take what another host has read, if it is newer than what is held."""
--- a/standins/site.py
+++ b/standins/site.py
@@ -146,6 +146,8 @@
     revision: int = 1
     oldest: int = 0
     failing: int = 0
+    fail_later_pages: bool = False
+    page_items: int = 500
     calls: int = 0
 
     def put(self, key: str, value: Any) -> None:
@@ -186,8 +188,7 @@
         if self.failing:
             return self.failing, {}
         if path.endswith("kv-range"):
-            items = [self._item(key) for key in sorted(self.items)]
-            return 200, {"items": items, "has_more": False, "as_of": self.revision}
+            return self._answer_page(fields.get("after", [""])[0])
         after = int(fields["after"][0])
         if after < self.oldest:
             return 410, {}
@@ -197,6 +198,15 @@
         events = [event for event in self.history if event["revision"] > after]
         return 200, {"events": events, "as_of": self.revision}
 
+    def _answer_page(self, after: str) -> tuple[int, Any]:
+        keys = [key for key in sorted(self.items) if key > after]
+        if after and self.fail_later_pages:
+            return 503, {}
+        page = keys[: self.page_items]
+        more = len(keys) > len(page)
+        items = [self._item(key) for key in page]
+        return 200, {"items": items, "has_more": more, "as_of": self.revision}
+
     def _item(self, key: str) -> dict[str, Any]:
         value, revision = self.items[key]
         return {
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -268,3 +268,22 @@
         for address in nodes[0].pool._idle
         if address.ip == west
     )
+
+
+async def test_reading_that_breaks_off_leaves_the_copy_for_others_whole(
+    site: Site,
+) -> None:
+    for _ in range(3):
+        await site.add_target("books", answer_text(b"done"))
+    site.configure(make_route("books"))
+    site.store.page_items = 2
+    first = await site.start_gateway("east-0")
+    assert len(first.catalog.targets) == 3
+    site.store.fail_later_pages = True
+    site.announce(site.targets[0], seq=2)
+    site.store.compact()
+    with trio.fail_after(WITHIN_S):
+        while not first.metrics.counter("store_failures_total"):
+            await trio.sleep(0.02)
+    second = await site.start_gateway("east-1", store="127.0.0.1:1")
+    assert len(second.catalog.targets) == 3
