Derive what was kept twice in the gateway, and drop what nobody reads

Cause (found in reading the whole change): whether an answer has begun was kept by the exchange and by the caller's connection; hosts told a leaving flag that their ready flag implies, and four places filtered by both; a region's loads were summed again for each host of another region that is told at a beat; the bound on another run stood twice in the sending; a test gateway's settings stood twice; a pool option, a request's relayed flag, a dispatch's address and a wrapper of the callers' listener had no reader. Change: one place for each; no bound, check or expectation changes, tests are edited only where a constructor or call lost the dropped value.

--- a/bench/gateway_cost.py
+++ b/bench/gateway_cost.py
@@ -29,6 +29,7 @@
     Site,
     answer_text,
     make_route,
+    make_settings,
     read_answer,
 )
 
@@ -56,17 +57,7 @@
 def write_settings(folder: Path, store: str) -> Path:
     """Write the settings of the measured gateway."""
     path = folder / "settings.json"
-    fields = {
-        "node_name": "measured",
-        "ip": IP,
-        "zone": "east-a",
-        "region": "east",
-        "zones": {"east-a": "east"},
-        "listen": {name: f"{IP}:{port}" for name, port in PORTS.items()},
-        "port_range": [20_010, 20_020],
-        "seeds": [],
-        "platform": {"address": store},
-    }
+    fields = make_settings("measured", IP, "east-a", store)
     path.write_bytes(orjson.dumps(fields))
     return path
 
--- a/src/lycheepath/adapters/beats.py
+++ b/src/lycheepath/adapters/beats.py
@@ -90,12 +90,11 @@
 
 
 def _encode_row(row: HostRow) -> list[Any]:
-    flags = row.leaving | row.ready << 1
-    return [row.id, row.start, row.beat, row.ip, row.zone, row.region, flags]
+    return [row.id, row.start, row.beat, row.ip, row.zone, row.region, row.ready]
 
 
 def _decode_row(fields: Any) -> HostRow:
-    name, start, beat, ip, zone, region, flags = fields
+    name, start, beat, ip, zone, region, ready = fields
     return HostRow(
         str(name),
         int(start),
@@ -103,6 +102,5 @@
         str(ip),
         str(zone),
         str(region),
-        bool(flags & 1),
-        bool(flags & 2),
+        bool(ready),
     )
--- a/src/lycheepath/adapters/http1/pool.py
+++ b/src/lycheepath/adapters/http1/pool.py
@@ -34,15 +34,9 @@
         self._idle: dict[Address, list[Upstream]] = {}
         self.counters: Counter[str] = Counter()
 
-    async def take(
-        self, address: Address, connect_s: float, now: float, fresh: bool = False
-    ) -> Upstream:
-        """
-        Return a kept connection, or a new one; raises ConnectError.
-
-        ``fresh`` asks for a new one.
-        """
-        kept = None if fresh else self._take_kept(address, now)
+    async def take(self, address: Address, connect_s: float, now: float) -> Upstream:
+        """Return a kept connection, or a new one; raises ConnectError."""
+        kept = self._take_kept(address, now)
         if kept is not None:
             self.counters["reused"] += 1
             return kept
@@ -71,11 +65,6 @@
             else:
                 del self._idle[address]
 
-    def close_address(self, address: Address) -> None:
-        """Close all idle connections to an address."""
-        for upstream in self._idle.pop(address, ()):
-            upstream.close()
-
     def _take_kept(self, address: Address, now: float) -> Upstream | None:
         idle = self._idle.get(address, [])
         while idle:
--- a/src/lycheepath/core/fleet/view.py
+++ b/src/lycheepath/core/fleet/view.py
@@ -43,7 +43,7 @@
     What a host says of itself.
 
     ``start`` is drawn anew by each process, ``beat`` grows while it runs. A
-    leaving host takes no new callers, one that isn't ready can't serve yet.
+    host that isn't ``ready`` can't serve yet, or takes no new callers any more.
     """
 
     id: str
@@ -52,7 +52,6 @@
     ip: str
     zone: str
     region: str
-    leaving: bool = False
     ready: bool = False
 
 
@@ -72,12 +71,10 @@
         self._heard: dict[str, _Heard] = {}
         self._beats = 0
 
-    def beat(self, leaving: bool, ready: bool) -> HostRow:
+    def beat(self, ready: bool) -> HostRow:
         """Count a beat of this host and return its row."""
         self._beats += 1
-        self.own = replace(
-            self.own, beat=self.own.beat + 1, leaving=leaving, ready=ready
-        )
+        self.own = replace(self.own, beat=self.own.beat + 1, ready=ready)
         return self.own
 
     def hear(self, row: HostRow, now: float, direct: bool) -> bool:
@@ -124,6 +121,10 @@
             and (region is None or held.row.region == region)
         ]
 
+    def serving(self, now: float, region: str | None = None) -> list[HostRow]:
+        """Return the other hosts that take callers, of one region or of all."""
+        return [row for row in self.live(now, region) if row.ready]
+
     def count_known(self) -> int:
         """Return the number of hosts, with those gone lately and this one."""
         return len(self._heard) + 1
--- a/src/lycheepath/core/placement/book.py
+++ b/src/lycheepath/core/placement/book.py
@@ -4,8 +4,8 @@
 The book records what this host sends and what comes of it, what peers tell of
 their own sending, and what targets report. Estimates follow from these::
 
-    book.started(key, target, work, now)
-    book.first_event(key, now)
+    book.started(key, target, urgency, tokens, now)
+    book.next_events(key, 1, now)
     book.ended(key, Ending.WHOLE, now)
 """
 
--- a/src/lycheepath/core/serving/requests.py
+++ b/src/lycheepath/core/serving/requests.py
@@ -56,7 +56,6 @@
     """
 
     target: str
-    address: str
     left_s: float
     priority: int | None = None
     last_event_id: int | None = None
--- a/src/lycheepath/core/serving/retries.py
+++ b/src/lycheepath/core/serving/retries.py
@@ -47,6 +47,11 @@
             self.runs += 1
 
 
+def may_run_once_more(route: Route, tries: Tries) -> bool:
+    """Tell whether another run may follow one that is under way, not yet noted."""
+    return route.repeatable and tries.runs + 1 < route.max_attempts
+
+
 def may_send_again(route: Route, tries: Tries, result: Result) -> bool:
     """Tell whether the route allows another sending after ``result``."""
     if tries.sends >= MOST_SENDS or result is Result.ANSWERED:
--- a/src/lycheepath/gateway/discovery.py
+++ b/src/lycheepath/gateway/discovery.py
@@ -119,7 +119,7 @@
     async def _ask_host(self) -> None:
         """Take what another host has read, if it is newer than what is held."""
         node = self._node
-        rows = [row for row in node.peers.view.live(node.now()) if row.ready]
+        rows = node.peers.view.serving(node.now())
         near = [row for row in rows if row.region == node.settings.region]
         if not rows:
             return
--- a/src/lycheepath/gateway/exchange.py
+++ b/src/lycheepath/gateway/exchange.py
@@ -33,11 +33,10 @@
 
     ``deadline`` is on the loop's clock: the caller's or the route's, whichever
     is first. ``waited_s`` passed at another host before this one took the
-    request. ``load`` is what the last target told of itself,
-    ``begun`` says that the answer has begun, ``relayed`` that another
-    host decides over the request, ``committed`` that this one sent it before. ``first_s`` is the time from the request to
-    the first event of its answer, ``longest_gap_s`` the longest pause after it;
-    ``ended`` says that how the request ended is logged.
+    request, ``committed`` says that the other one sent it before. ``load`` is
+    what the last target told of itself. ``first_s`` is the time from the request
+    to the first event of its answer, ``longest_gap_s`` the longest pause after
+    it; ``ended`` says that how the request ended is logged.
     """
 
     caller: CallerConnection
@@ -53,10 +52,8 @@
     fingerprint: int = field(init=False)
     held: HeldAnswer | None = None
     load: ReportedLoad | None = None
-    begun: bool = False
     reason: str = ""
     waited_s: float = 0.0
-    relayed: bool = False
     committed: bool = False
     first_s: float | None = None
     event_at: float = 0.0
@@ -70,6 +67,11 @@
             request.method, request.target, request.body
         )
 
+    @property
+    def begun(self) -> bool:
+        """Whether an answer to the caller has begun."""
+        return self.caller.answering
+
     @property
     def received_at(self) -> float:
         """When the request's head came to the first host."""
--- a/src/lycheepath/gateway/listeners.py
+++ b/src/lycheepath/gateway/listeners.py
@@ -14,7 +14,6 @@
 from ..platform.entry import READY_PATH, read_resolve, write_resolved
 from .discovery import COPY_PATH, answer_copy
 from .relay import is_own_call, serve_relayed
-from .serving import serve_request
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -49,13 +48,6 @@
     await trio.serve_listeners(handler, listeners, task_status=task_status)
 
 
-async def serve_caller(
-    node: GatewayNode, caller: CallerConnection, request: ReceivedRequest
-) -> None:
-    """Serve a request of a caller."""
-    await serve_request(node, caller, request)
-
-
 async def serve_host(
     node: GatewayNode, caller: CallerConnection, request: ReceivedRequest
 ) -> None:
--- a/src/lycheepath/gateway/node.py
+++ b/src/lycheepath/gateway/node.py
@@ -101,8 +101,8 @@
         """Return where this host stands, for the choice of a target."""
         own = self.settings.region
         away = {}
-        for row in self.peers.view.live(self.now()):
-            if row.region != own and row.ready and not row.leaving:
+        for row in self.peers.view.serving(self.now()):
+            if row.region != own:
                 away[row.region] = self.away_s.get(row.region, FIRST_AWAY_S)
         return Surroundings(own, away, self.share_cold_targets())
 
@@ -113,8 +113,7 @@
         Hosts of the caller's region go before others. This host is named where
         no other is known to serve.
         """
-        rows = [r for r in self.peers.view.live(self.now()) if r.ready]
-        rows = [row for row in rows if not row.leaving]
+        rows = self.peers.view.serving(self.now())
         if self.ready:
             rows.append(self.peers.view.own)
         near = [row for row in rows if row.region == region]
--- a/src/lycheepath/gateway/peers.py
+++ b/src/lycheepath/gateway/peers.py
@@ -78,7 +78,7 @@
                 self.view.forgive(now - woken)
                 record_event("paused", for_s=round(now - woken, 3))
             woken = now
-            self.view.beat(node.leaving, node.ready)
+            self.view.beat(node.ready)
             await self._send_beat(plain, now)
             self._note_changes(now)
 
@@ -93,17 +93,17 @@
             (number, tuple(targets))
             for number, targets in node.suspects.to_tell(now, SUSPECT_TOLD_S)
         )[:MOST_SUSPECTS]
-        loads = node.book.own_loads()
-        near = encode_beat(Beat(own, rows, loads, False, parts, suspects))
-        away = None
+        near = away = b""
         for ip, region in view.next_receivers(now):
             if region == own.region:
+                if not near:
+                    loads = node.book.own_loads()
+                    near = encode_beat(Beat(own, rows, loads, False, parts, suspects))
                 data = near
             else:
-                loads = node.book.region_loads(own.region, now)
-                away = away or encode_beat(
-                    Beat(own, rows, loads, True, parts, suspects)
-                )
+                if not away:
+                    loads = node.book.region_loads(own.region, now)
+                    away = encode_beat(Beat(own, rows, loads, True, parts, suspects))
                 data = away
             try:
                 await plain.sendto(data, (ip, node.settings.peer_port))
--- a/src/lycheepath/gateway/process.py
+++ b/src/lycheepath/gateway/process.py
@@ -20,10 +20,10 @@
     limit_callers,
     limit_hosts,
     listen,
-    serve_caller,
     serve_host,
 )
 from .node import GatewayNode
+from .serving import serve_request
 from .telemetry import watch_node
 
 if TYPE_CHECKING:
@@ -73,7 +73,7 @@
         nursery.start_soon(_keep_running, node, name, run)
     relay = Address(settings.ip, settings.relay_port)
     for address, answer, limits in (
-        (settings.callers, serve_caller, limit_callers),
+        (settings.callers, serve_request, limit_callers),
         (settings.ready, answer_ready, limit_callers),
         (settings.directory, answer_directory, limit_callers),
         (settings.metrics, answer_metrics, limit_callers),
--- a/src/lycheepath/gateway/relay.py
+++ b/src/lycheepath/gateway/relay.py
@@ -158,7 +158,6 @@
     )
     exchange.waited_s = work.waited_s
     exchange.cutter.last_id = work.last_event_id
-    exchange.relayed = True
     exchange.committed = work.committed
     node.serving += 1
     try:
@@ -264,8 +263,8 @@
     now = node.now()
     hosts = [
         row
-        for row in node.peers.view.live(now, region)
-        if row.ready and not row.leaving and node.avoided.get(row.id, 0.0) <= now
+        for row in node.peers.view.serving(now, region)
+        if node.avoided.get(row.id, 0.0) <= now
     ]
     return node.random.choice(hosts) if hosts else None
 
--- a/src/lycheepath/gateway/sending.py
+++ b/src/lycheepath/gateway/sending.py
@@ -18,7 +18,7 @@
 from ..core.placement.book import Ending
 from ..core.serving.events import END, EventOrderError
 from ..core.serving.requests import Dispatch
-from ..core.serving.retries import Result
+from ..core.serving.retries import Result, may_run_once_more
 from ..platform.headers import read_answer, write_request
 from .exchange import HeldAnswer
 from .silence import SilentTargetError
@@ -122,7 +122,6 @@
     target = placed.target
     dispatch = Dispatch(
         target=target.entry.id,
-        address=target.entry.address,
         left_s=exchange.deadline - node.now(),
         priority=placed.urgency if exchange.facts.prompt else None,
         last_event_id=exchange.cutter.last_id,
@@ -149,7 +148,7 @@
 def bound_first_silence(exchange: Exchange) -> float:
     """Return how long a target may be silent before the answer begins."""
     route = exchange.route
-    if not route.repeatable or exchange.tries.runs + 1 >= route.max_attempts:
+    if not may_run_once_more(route, exchange.tries):
         return float("inf")
     return SILENT_SHARE[route.kind] * route.aim_s
 
@@ -193,14 +192,12 @@
         if size > HELD_BYTES:
             await _pass_large(exchange, upstream, facts, b"".join(parts))
             return
-    exchange.begun = True
     await exchange.caller.answer(facts.status, facts.headers, b"".join(parts))
 
 
 async def _pass_large(
     exchange: Exchange, upstream: Upstream, facts: AnswerFacts, first: bytes
 ) -> None:
-    exchange.begun = True
     head = await exchange.caller.start_answer(facts.status, facts.headers)
     await exchange.caller.send_data(first, head)
     while (data := await upstream.read_body()) is not None:
@@ -229,7 +226,6 @@
         if not events:
             continue
         if not exchange.begun:
-            exchange.begun = True
             head = await caller.start_answer(facts.status, facts.headers)
         exchange.note_events(node.now())
         node.book.next_events(exchange.number, events.count(END), node.now())
@@ -238,7 +234,6 @@
     if not cutter.complete:
         raise BrokenAnswerError("the stream ended within an event")
     if not exchange.begun:
-        exchange.begun = True
         head = await caller.start_answer(facts.status, facts.headers)
     await caller.end_answer(head)
 
@@ -246,7 +241,7 @@
 def _gap_s(exchange: Exchange) -> float:
     """Return how long a stream may pause before it goes on elsewhere."""
     route = exchange.route
-    if not route.repeatable or exchange.tries.runs + 1 >= route.max_attempts:
+    if not may_run_once_more(route, exchange.tries):
         return float("inf")
     if not exchange.begun:
         return route.aim_s
--- a/src/lycheepath/gateway/serving.py
+++ b/src/lycheepath/gateway/serving.py
@@ -152,13 +152,11 @@
 ) -> None:
     """Answer a request that no target answered."""
     caller = exchange.caller
-    if exchange.begun or caller.answering:
-        _log(node, exchange, "broken-off", 0)
-        caller.break_off()
+    if exchange.begun:
+        _break_off(node, exchange)
         return
     held = exchange.held
     if held is not None and held.status not in PROMISES:
-        exchange.begun = True
         _log(node, exchange, "failure-passed-on", held.status)
         await caller.answer(held.status, held.headers, held.body)
         return
@@ -173,14 +171,19 @@
 async def _end_late(node: GatewayNode, exchange: Exchange) -> None:
     """Answer a request whose time is over."""
     exchange.reason = "the time is over"
-    if exchange.begun or exchange.caller.answering:
-        _log(node, exchange, "broken-off", 0)
-        exchange.caller.break_off()
+    if exchange.begun:
+        _break_off(node, exchange)
         return
     request_id = exchange.facts.id
     await _refuse(node, exchange.caller, request_id, TOO_LATE, None, exchange.reason)
 
 
+def _break_off(node: GatewayNode, exchange: Exchange) -> None:
+    """End an answer that has begun and will not become whole."""
+    _log(node, exchange, "broken-off", 0)
+    exchange.caller.break_off()
+
+
 async def _refuse(
     node: GatewayNode,
     caller: CallerConnection,
--- a/standins/site.py
+++ b/standins/site.py
@@ -148,7 +148,6 @@
     failing: int = 0
     fail_later_pages: bool = False
     page_items: int = 500
-    calls: int = 0
 
     def put(self, key: str, value: Any) -> None:
         """Write an item; bytes are taken as they are."""
@@ -174,7 +173,6 @@
             while (
                 seen := await _read_request(h11.Connection(h11.SERVER), stream)
             ) is not None:
-                self.calls += 1
                 status, answer = await self._answer(seen.target)
                 body = orjson.dumps(answer)
                 head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n"
@@ -225,8 +223,6 @@
         self.nursery = nursery
         self.store = FakeStore()
         self.targets: list[FakeTarget] = []
-        self.routes: list[dict[str, Any]] = []
-        self.services: list[dict[str, Any]] = []
         self.version = 0
         self.bounds: dict[str, float] = {}
         self._hosts = 0
@@ -291,20 +287,9 @@
         """
         self._hosts += 1
         ip = f"{self._network}.{self._hosts}"
-        listen = {name: f"{ip}:{port}" for name, port in PORTS.items()}
-        fields = {
-            "node_name": host,
-            "ip": ip,
-            "zone": zone,
-            "region": REGIONS[zone],
-            "zones": REGIONS,
-            "listen": listen,
-            "port_range": [20_010, 20_020],
-            "seeds": [f"{self._network}.1:{PORTS['control']}"],
-            "limits": {"memory_mb": 300, "max_fds": 1024},
-            "bounds": self.bounds,
-            "platform": {"address": store or self.store.address},
-        }
+        fields = make_settings(host, ip, zone, store or self.store.address)
+        fields["seeds"] = [f"{self._network}.1:{PORTS['control']}"]
+        fields["bounds"] = self.bounds
         settings = read_settings(orjson.dumps(fields))
         # Lines of the tests' gateways go nowhere.
         nowhere = os.open(os.devnull, os.O_WRONLY)
@@ -367,6 +352,22 @@
             return answer
 
 
+def make_settings(host: str, ip: str, zone: str, store: str) -> dict[str, Any]:
+    """Return the settings of a gateway as the platform lays them down."""
+    return {
+        "node_name": host,
+        "ip": ip,
+        "zone": zone,
+        "region": REGIONS[zone],
+        "zones": REGIONS,
+        "listen": {name: f"{ip}:{port}" for name, port in PORTS.items()},
+        "port_range": [20_010, 20_020],
+        "seeds": [],
+        "limits": {"memory_mb": 300, "max_fds": 1024},
+        "platform": {"address": store},
+    }
+
+
 def make_route(
     service: str, kind: str = "safe", prefix: str = "/books/", **fields: Any
 ) -> dict[str, Any]:
--- a/tests/adapters/test_beats.py
+++ b/tests/adapters/test_beats.py
@@ -11,15 +11,7 @@
 TEXT = strategies.text(max_size=12)
 COUNT = strategies.integers(0, 2**52)
 ROWS = strategies.builds(
-    HostRow,
-    TEXT,
-    COUNT,
-    COUNT,
-    TEXT,
-    TEXT,
-    TEXT,
-    strategies.booleans(),
-    strategies.booleans(),
+    HostRow, TEXT, COUNT, COUNT, TEXT, TEXT, TEXT, strategies.booleans()
 )
 LOADS = strategies.builds(
     TargetLoad,
--- a/tests/core/fleet/test_fleet_machine.py
+++ b/tests/core/fleet/test_fleet_machine.py
@@ -81,7 +81,7 @@
             assert live == running - {view.own.id}
 
     def tell(self, ip: str, view: FleetView, loss: float) -> None:
-        own = view.beat(False, True)
+        own = view.beat(True)
         rows = view.rows_to_tell(self.now)
         for to, _ in view.next_receivers(self.now):
             if (ip, to) in self.cut or self.random.random() < loss:
--- a/tests/core/fleet/test_view.py
+++ b/tests/core/fleet/test_view.py
@@ -62,12 +62,12 @@
 
 def test_view_tells_seeds_until_they_are_live() -> None:
     view = make_view("10.0.0.1")
-    view.beat(False, True)
+    view.beat(True)
     for _ in range(AWAY_EVERY):
         receivers = view.next_receivers(0.0)
         if receivers:
             break
-        view.beat(False, True)
+        view.beat(True)
     assert receivers == [("10.0.0.1", "")]
     view.hear(make_row(1), 0.0, True)
     assert view.next_receivers(0.1) == [("10.0.0.1", "east")]
@@ -101,7 +101,7 @@
     for round_number in range(60):
         now = round_number * 0.1
         for view in views.values():
-            own = view.beat(False, True)
+            own = view.beat(True)
             rows = view.rows_to_tell(now)
             for ip, _ in view.next_receivers(now):
                 views[ip].hear(own, now, True)
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -45,7 +45,7 @@
 
 def test_dispatch_sets_the_gateways_headers() -> None:
     facts = read_request((*REQUEST, (b"last-event-id", b"4")))
-    dispatch = Dispatch("i-1", "10.0.0.1:80", 1.25, 2, 9, "10.0.0.2:80")
+    dispatch = Dispatch("i-1", 1.25, 2, 9, "10.0.0.2:80")
     headers = write_request(facts, dispatch)
     sent = dict(headers)
     assert sent[b"expect-instance"] == b"i-1"
