Count an announced cold time once, not each second

Cause: the book is brought up after each reading, also while the store is away, and counted the last announcement anew each time, so that a cold target stayed at its small rate for a whole outage. Ruled out: the catalog, which keeps one entry for each announcement. Change: an announcement counts when its entry is a new one.

--- a/src/lycheepath/core/placement/book.py
+++ b/src/lycheepath/core/placement/book.py
@@ -330,18 +330,22 @@
     def _put(
         self, entry: TargetEntry, region: str, service: Service | None, now: float
     ) -> None:
-        state = self.targets.get(entry.id)
-        if state is None:
+        known = self.targets.get(entry.id)
+        if known is None:
             engine = service.engine if service else None
             capacity = int(engine.kv_tokens * CACHE_SHARE) if engine else 0
             cold = ColdGate(service.cold_per_s if service else 0.0)
             state = TargetState(entry, region, service, PromptCache(capacity), cold)
             self.targets[entry.id] = state
-        elif has_restarted(state.entry, entry):
+        else:
+            state = known
+        if has_restarted(state.entry, entry):
             state.cache.clear()
             state.health = TargetHealth()
             state.peers.clear()
-        state.cold.announce(entry.cold_s, now)
+        if known is None or entry is not known.entry:
+            # What is announced counts once, from when it came.
+            state.cold.announce(entry.cold_s, now)
         state.entry = entry
         state.region = region
         state.service = service
