Have few hosts of a region read the store, and the others follow them

Ruled out: raw copies of what the store wrote (each heartbeat of a target would go to each host, 12 KB a second at 37 targets) and copies of large configurations (0.5 MB to 30 hosts over a 10 Mbit/s link takes 13 s). Change: two computed readers a region; beats tell how far knowledge goes and how old it is; changes are copied decoded, the configuration is read from the store by each host. A host without news reads by itself, in order of rank. RawItems in platform/ goes, with the second parsing of each answer.

--- a/src/lycheepath/adapters/beats.py
+++ b/src/lycheepath/adapters/beats.py
@@ -13,12 +13,15 @@
 
 import orjson
 
+from ..core.catalog.freshness import NO_KNOWLEDGE, Knowledge
 from ..core.fleet.view import HostRow
 from ..core.placement.book import TargetLoad
 from ..core.serving.requests import PromptPart
 
-FORMAT = 1
+FORMAT = 2
 MOST_BYTES = 16_384
+# Knowledge that is older is of no use to anybody.
+MOST_AGE_S = 60.0
 
 
 class BeatError(ValueError):
@@ -33,6 +36,7 @@
     ``loads`` are the sender's own towards hosts of its region, and those of
     its whole region towards others, as ``of_region`` says. ``suspects`` are
     fingerprints of requests that broke off, with the targets where they did.
+    ``knowledge`` is how far the sender follows the platform's store.
     """
 
     sender: HostRow
@@ -41,6 +45,7 @@
     of_region: bool = False
     parts: tuple[tuple[str, tuple[PromptPart, ...]], ...] = ()
     suspects: tuple[tuple[int, tuple[str, ...]], ...] = ()
+    knowledge: Knowledge = NO_KNOWLEDGE
 
 
 def encode_beat(beat: Beat) -> bytes:
@@ -57,6 +62,7 @@
             beat.of_region,
             [[name, [[p.id, p.tokens] for p in parts]] for name, parts in beat.parts],
             [[number, list(targets)] for number, targets in beat.suspects],
+            _encode_knowledge(beat.knowledge),
         ]
     )
 
@@ -66,9 +72,10 @@
     if len(data) > MOST_BYTES:
         raise BeatError("the datagram is too large")
     try:
-        form, sender, rows, loads, of_region, parts, suspects = orjson.loads(data)
+        form, *fields = orjson.loads(data)
         if form != FORMAT:
             raise BeatError(f"the format {form!r} is unknown")
+        sender, rows, loads, of_region, parts, suspects, knowledge = fields
         return Beat(
             _decode_row(sender),
             tuple(_decode_row(row) for row in rows),
@@ -84,6 +91,7 @@
                 for name, held in parts
             ),
             tuple((int(n), tuple(str(t) for t in held)) for n, held in suspects),
+            _decode_knowledge(knowledge),
         )
     except (ValueError, TypeError) as error:
         raise BeatError(f"the datagram can't be read: {error}") from error
@@ -104,3 +112,13 @@
         str(region),
         bool(ready),
     )
+
+
+def _encode_knowledge(knowledge: Knowledge) -> list[Any]:
+    age_s = min(knowledge.age_s, MOST_AGE_S)
+    return [knowledge.version, knowledge.revision, round(age_s, 3)]
+
+
+def _decode_knowledge(fields: Any) -> Knowledge:
+    version, revision, age_s = fields
+    return Knowledge(int(version), int(revision), min(float(age_s), MOST_AGE_S))
--- a/src/lycheepath/core/catalog/catalog.py
+++ b/src/lycheepath/core/catalog/catalog.py
@@ -15,10 +15,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 from .changes import Evacuation, EvacuationEnded, TargetRemoved, Unreadable
+from .history import History
 from .model import Configuration, TargetEntry
 from .routes import RouteTable
 
@@ -27,6 +28,7 @@
 
     from .changes import Change, Delta, Snapshot
 
+CONFIGURATION = "configuration"
 # Lapsed entries are back about two seconds after the store's return, by its
 # documentation; half a second for the reading itself.
 LAPSE_GRACE_S = 2.5
@@ -42,9 +44,14 @@
 
 
 class Catalog:
-    """State: the configuration in force, targets and evacuated zones."""
+    """
+    State: the configuration in force, targets and evacuated zones.
+
+    ``history`` has what changed, for hosts that ask for it.
+    """
 
     def __init__(self) -> None:
+        self.history = History()
         self.routes: RouteTable | None = None
         self.targets: dict[str, TargetEntry] = {}
         self.evacuated: set[str] = set()
@@ -60,31 +67,29 @@
         """Take everything as of a revision; what it lacks is gone."""
         if snapshot.revision < self.revision:
             return []
+        self.revision = snapshot.revision
         seen = {e.id for e in snapshot.entries if isinstance(e, TargetEntry)}
         zones = {e.zone for e in snapshot.entries if isinstance(e, Evacuation)}
         notes = self._take(snapshot.entries)
         for target in [t for t in self.targets if t not in seen]:
             notes += self._remove_target(target, now, outage)
         for zone in self.evacuated - zones:
-            self.evacuated.discard(zone)
-            notes.append(Note("evacuation-ended", zone))
-        self.revision = snapshot.revision
+            notes += self._end_evacuation(zone)
         return notes
 
     def apply(self, delta: Delta, now: float, outage: bool) -> list[Note]:
         """Take the changes since the revision that is held."""
         if delta.revision < self.revision:
             return []
+        self.revision = delta.revision
         notes: list[Note] = []
         for change in delta.changes:
             if isinstance(change, TargetRemoved):
                 notes += self._remove_target(change.id, now, outage)
             elif isinstance(change, EvacuationEnded):
-                self.evacuated.discard(change.zone)
-                notes.append(Note("evacuation-ended", change.zone))
+                notes += self._end_evacuation(change.zone)
             else:
                 notes += self._take((change,))
-        self.revision = delta.revision
         return notes
 
     def expire(self, now: float) -> list[Note]:
@@ -104,9 +109,7 @@
             elif isinstance(entry, Configuration):
                 notes += self._put_configuration(entry)
             elif isinstance(entry, Evacuation):
-                if entry.zone not in self.evacuated:
-                    self.evacuated.add(entry.zone)
-                    notes.append(Note("evacuation", entry.zone))
+                notes += self._begin_evacuation(entry)
             elif isinstance(entry, Unreadable):
                 notes.append(Note("entry-unreadable", entry.key, entry.reason))
         return notes
@@ -116,26 +119,56 @@
             return []
         before = self.version
         self.routes = RouteTable(configuration)
+        self.history.note(CONFIGURATION, configuration, self.revision)
         detail = f"from {before}, {len(configuration.routes)} routes"
         return [Note("configuration", str(configuration.version), detail)]
 
+    def _begin_evacuation(self, evacuation: Evacuation) -> list[Note]:
+        zone = evacuation.zone
+        if zone in self.evacuated:
+            return []
+        self.evacuated.add(zone)
+        self.history.note(f"evacuation {zone}", evacuation, self.revision)
+        return [Note("evacuation", zone)]
+
+    def _end_evacuation(self, zone: str) -> list[Note]:
+        if zone not in self.evacuated:
+            return []
+        self.evacuated.discard(zone)
+        change = EvacuationEnded(zone)
+        self.history.note(f"evacuation {zone}", change, self.revision)
+        return [Note("evacuation-ended", zone)]
+
     def _put_target(self, entry: TargetEntry) -> list[Note]:
         held = self.targets.get(entry.id)
-        self._dubious.pop(entry.id, None)
+        lapsed = self._dubious.pop(entry.id, None) is not None
+        subject = f"target {entry.id}"
+        restarted = held is not None and has_restarted(held, entry)
+        if restarted or (held is None and subject in self.history):
+            entry = replace(entry, restarted_at=self.revision)
+        elif held is not None and held.restarted_at > entry.restarted_at:
+            entry = replace(entry, restarted_at=held.restarted_at)
         self.targets[entry.id] = entry
+        if held is not None and not lapsed and _says_the_same(held, entry):
+            self.history.refresh(subject, entry)
+            return []
+        self.history.note(subject, entry, self.revision)
         if held is None:
             return [Note("target", entry.id, f"{entry.service} at {entry.address}")]
-        if has_restarted(held, entry):
+        if restarted:
             return [Note("target-restarted", entry.id, entry.address)]
         if held.draining != entry.draining:
             return [Note("target-draining", entry.id, str(entry.draining))]
         return []
 
     def _remove_target(self, target: str, now: float, outage: bool) -> list[Note]:
-        if target not in self.targets:
+        if target not in self.targets or (outage and target in self._dubious):
             return []
+        if target not in self._dubious:
+            change = TargetRemoved(target)
+            self.history.note(f"target {target}", change, self.revision)
         if outage:
-            self._dubious.setdefault(target, now + LAPSE_GRACE_S)
+            self._dubious[target] = now + LAPSE_GRACE_S
             return [Note("target-lapsed", target)]
         del self.targets[target]
         self._dubious.pop(target, None)
@@ -143,7 +176,19 @@
 
 
 def has_restarted(before: TargetEntry, after: TargetEntry) -> bool:
-    """Tell whether a target has started anew under the id that it had."""
-    if before.born_ms != after.born_ms:
+    """
+    Tell whether a target has started anew under the id that it had.
+
+    A host that hears of targets from others misses most counts, so the note of
+    one that saw the count fall stands beside them.
+    """
+    if before.born_ms != after.born_ms or after.restarted_at > before.restarted_at:
         return True
     return after.sequence < before.sequence
+
+
+def _says_the_same(before: TargetEntry, after: TargetEntry) -> bool:
+    """Whether an announcement only counts on from the one before."""
+    if has_restarted(before, after):
+        return False
+    return replace(before, sequence=after.sequence) == after
--- a/src/lycheepath/core/catalog/model.py
+++ b/src/lycheepath/core/catalog/model.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 from typing import TYPE_CHECKING
 
@@ -127,6 +127,8 @@
     ``born_ms`` tells two starts under one id apart (0: not told).
     ``sequence`` grows with each announcement of a start. ``leaves_in_s`` is
     the time until a target that is taken away at short notice is gone.
+    ``restarted_at`` is a host's own note: the store's revision at which it saw
+    the target start anew under its id (0: never).
     """
 
     id: str
@@ -139,3 +141,4 @@
     sequence: int
     born_ms: int
     leaves_in_s: float | None = None
+    restarted_at: int = field(default=0, compare=False)
--- /dev/null
+++ b/src/lycheepath/gateway/copying.py
@@ -0,0 +1,89 @@
+"""Copies of what the store holds, from one host to another."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from urllib.parse import parse_qs
+
+import trio
+
+from ..adapters.copies import Copy, CopyError, decode_copy, encode_copy
+from ..adapters.http1.sockets import ConnectError
+from ..adapters.http1.upstream import BrokenAnswerError
+from ..core.addresses import Address
+
+if TYPE_CHECKING:
+    from ..adapters.http1.downstream import CallerConnection, ReceivedRequest
+    from ..core.fleet.view import HostRow
+    from .node import GatewayNode
+
+# Between hosts; the revision that the asking one has, and whether it wants the
+# configuration too, follow.
+COPY_PATH = "/copy?"
+NOTHING_NEWER = 404
+MOST_BYTES = 32 << 20
+CONNECT_S = 0.8
+ANSWER_S = 2.5
+
+
+class CallFailedError(Exception):
+    """A call to the store or to another host brought no usable answer."""
+
+
+async def fetch(node: GatewayNode, address: Address, path: str) -> tuple[int, bytes]:
+    """Return the status and the whole body of a GET; raises CallFailedError."""
+    headers = [(b"host", str(address).encode())]
+    try:
+        with trio.fail_after(ANSWER_S):
+            upstream = await node.pool.take(address, CONNECT_S, node.now())
+            try:
+                status, _ = await upstream.request(b"GET", path.encode(), headers, b"")
+                body = await upstream.read_whole(MOST_BYTES)
+            except BaseException:
+                upstream.close()
+                raise
+            node.pool.give_back(upstream, None, node.now())
+    except trio.TooSlowError as error:
+        raise CallFailedError("no answer in time") from error
+    except (ConnectError, BrokenAnswerError) as error:
+        raise CallFailedError(str(error)) from error
+    return status, body
+
+
+async def fetch_copy(
+    node: GatewayNode, row: HostRow, with_configuration: bool
+) -> Copy | None:
+    """
+    Return what another host knows and this one doesn't; None if it is nothing.
+
+    Raises CallFailedError.
+    """
+    address = Address(row.ip, node.settings.relay_port)
+    wanted = f"after={node.catalog.revision}&configuration={int(with_configuration)}"
+    status, body = await fetch(node, address, COPY_PATH + wanted)
+    if status == NOTHING_NEWER:
+        return None
+    if status != 200:
+        raise CallFailedError(f"status {status}")
+    try:
+        return decode_copy(body)
+    except CopyError as error:
+        raise CallFailedError(str(error)) from error
+
+
+async def answer_copy(
+    node: GatewayNode, caller: CallerConnection, request: ReceivedRequest
+) -> None:
+    """Give another host what this one has read, if it is newer than its own."""
+    query = request.target.decode("latin-1").removeprefix(COPY_PATH)
+    fields = {name: values[0] for name, values in parse_qs(query).items()}
+    after = fields.get("after", "")
+    held = int(after) if after.isdigit() else 0
+    catalog = node.catalog
+    if catalog.routes is None or catalog.revision <= held:
+        await caller.answer(NOTHING_NEWER, [], b"")
+        return
+    content = catalog.history.since(held, catalog.revision)
+    copy = Copy(content, node.store.knowledge(node.now()).age_s)
+    with_configuration = fields.get("configuration") == "1"
+    await caller.answer(200, [], encode_copy(copy, with_configuration))
--- a/src/lycheepath/gateway/discovery.py
+++ b/src/lycheepath/gateway/discovery.py
@@ -1,10 +1,11 @@
 """
 Follows the platform's store: all of it once, then what changes.
 
-The store is asked about once a second for everything that has changed; a
-refused, lost or slow answer leaves the beliefs as they are. When the store no
-longer has the history, all is read again. A host that can't read the store
-asks another host for what that one has read.
+Few hosts of a region read the store (see ``core/catalog/freshness``); the
+others hear from their peers what is new, and copy it from the host that told
+them. A new configuration is large, so each host reads it from the store itself
+and asks a peer only if that fails. A refused, lost or slow answer leaves the
+beliefs as they are.
 """
 
 from __future__ import annotations
@@ -14,10 +15,14 @@
 import trio
 
 from ..adapters.events import record_event, record_fault
-from ..adapters.http1.sockets import ConnectError
-from ..adapters.http1.upstream import BrokenAnswerError
-from ..core.addresses import Address
 from ..core.catalog.changes import Snapshot
+from ..core.catalog.freshness import (
+    OUTAGE_S,
+    Freshness,
+    Knowledge,
+    News,
+    rank_reader,
+)
 from ..platform.store import (
     HISTORY_GONE,
     StoreAnswerError,
@@ -26,31 +31,20 @@
     read_changes,
     read_page,
 )
+from .copying import CallFailedError, fetch, fetch_copy
 
 if TYPE_CHECKING:
-    from ..adapters.http1.downstream import CallerConnection, ReceivedRequest
+    from ..adapters.copies import Copy
     from ..core.catalog.catalog import Note
     from ..core.catalog.changes import Entry
+    from ..core.fleet.view import HostRow
     from .node import GatewayNode
 
-# Between two questions; a quarter of the shortest bound on acting on an answer.
-INTERVAL_S = 1.0
-# After a start and after the store's return, when entries come back.
-EAGER_INTERVAL_S = 0.3
-EAGER_S = 4.0
-CONNECT_S = 0.8
-ANSWER_S = 2.0
 # An answer waits for at least one change up to this long.
 WAIT_S = 0.5
-# Without an answer for this long, entries may have lapsed unseen.
-OUTAGE_S = 2.5
-MOST_BYTES = 32 << 20
-# Between hosts; the revision that the asking one has follows.
-COPY_PATH = "/copy?after="
-
-
-class StoreFailedError(Exception):
-    """The store gave no usable answer."""
+# Between two looks at what is due, and between two questions.
+LEAST_PAUSE_S = 0.05
+LONGEST_PAUSE_S = 0.25
 
 
 class HistoryGoneError(Exception):
@@ -58,29 +52,72 @@
 
 
 class StoreFollower:
-    """State: when the store last answered."""
+    """State: how fresh the knowledge is, and what a peer told of newer."""
 
     def __init__(self, node: GatewayNode) -> None:
         self._node = node
+        self._fresh = Freshness(node.now())
+        self._told: tuple[HostRow, News] | None = None
+        self._woken = trio.Event()
         self._answered_at = node.now()
-        self._eager_until = node.now() + EAGER_S
         self._failing = False
         self._whole = True
 
+    def knowledge(self, now: float) -> Knowledge:
+        """Return how far this host's knowledge goes."""
+        catalog = self._node.catalog
+        age_s = self._fresh.age_s(now)
+        return Knowledge(catalog.version, catalog.history.revision, age_s)
+
+    def hear(self, sender: HostRow, told: Knowledge, now: float) -> None:
+        """Take what a peer tells of its knowledge."""
+        catalog = self._node.catalog
+        held = Knowledge(catalog.version, catalog.revision, 0.0)
+        news = self._fresh.hear(held, told, now)
+        if news is not News.NONE and (self._told is None or news is News.CONFIGURATION):
+            self._told = sender, news
+            self._woken.set()
+
     async def run(self) -> None:
         """Follow the store until cancelled."""
+        node = self._node
         while True:
-            started = self._node.now()
-            await self._ask()
-            apply_notes(self._node, self._node.catalog.expire(self._node.now()))
-            soon = self._node.now() < self._eager_until
-            interval = EAGER_INTERVAL_S if soon else INTERVAL_S
-            await trio.sleep(max(0.05, started + interval - self._node.now()))
-
-    async def _ask(self) -> None:
+            told, self._told = self._told, None
+            if told is not None and told[1] is News.CHANGES:
+                await self._copy(told[0], False)
+            elif self._wait_s() <= 0.0 or (
+                told is not None and self._fresh.may_read_news(node.now())
+            ):
+                await self._read()
+            apply_notes(node, node.catalog.expire(node.now()), "time")
+            await trio.sleep(LEAST_PAUSE_S)
+            await self._pause()
+
+    async def _pause(self) -> None:
+        """Wait until a reading is due or a peer has news."""
+        if self._told is not None:
+            return
+        self._woken = trio.Event()
+        pause_s = min(max(self._wait_s(), 0.0), LONGEST_PAUSE_S)
+        with trio.move_on_after(pause_s):
+            await self._woken.wait()
+
+    def _wait_s(self) -> float:
+        node = self._node
+        now = node.now()
+        own = node.peers.view.own
+        hosts = [row.id for row in node.peers.view.serving(now, own.region)]
+        if node.ready:
+            hosts.append(own.id)
+        return self._fresh.wait_s(rank_reader(own.id, hosts, own.region), now)
+
+    async def _read(self) -> None:
+        """Read the store, or ask a peer where that fails."""
         node = self._node
+        started = node.now()
+        outage = self._fresh.age_s(started) > OUTAGE_S
+        self._fresh.note_reading(started)
         try:
-            outage = node.now() - self._answered_at > OUTAGE_S
             if self._whole:
                 snapshot = await self._read_all()
                 notes = node.catalog.replace(snapshot, node.now(), outage)
@@ -88,91 +125,73 @@
             else:
                 body = await self._call(changes_path(node.catalog.revision, WAIT_S))
                 notes = node.catalog.apply(read_changes(body), node.now(), outage)
-                node.raw_items.put_changes(body)
         except HistoryGoneError:
             self._whole = True
             record_event("store-history-gone", revision=node.catalog.revision)
             return
-        except (StoreFailedError, StoreAnswerError) as error:
+        except (CallFailedError, StoreAnswerError) as error:
             self._note_failure(str(error))
-            await self._ask_host()
+            row = self._pick_peer()
+            if row is not None:
+                await self._copy(row, True)
             return
         self._note_answer()
-        apply_notes(node, notes)
+        self._fresh.note_known(started)
+        apply_notes(node, notes, "store")
 
     async def _read_all(self) -> Snapshot:
         entries: list[Entry] = []
-        bodies: list[bytes] = []
         after = ""
         revision = None
         while revision is None or after:
-            bodies.append(await self._call(page_path(after)))
-            page, after = read_page(bodies[-1])
+            page, after = read_page(await self._call(page_path(after)))
             entries.extend(page.entries)
             # Pages are no snapshot: changes since the first one are read again.
             revision = page.revision if revision is None else revision
-        # Only a whole reading replaces the copy that other hosts may take.
-        for number, body in enumerate(bodies):
-            self._node.raw_items.put_page(body, first=number == 0)
         return Snapshot(tuple(entries), revision)
 
-    async def _ask_host(self) -> None:
-        """Take what another host has read, if it is newer than what is held."""
+    async def _copy(self, row: HostRow, with_configuration: bool) -> None:
+        """Take what another host knows and this one doesn't."""
         node = self._node
-        rows = node.peers.view.serving(node.now())
-        near = [row for row in rows if row.region == node.settings.region]
-        if not rows:
-            return
-        row = node.random.choice(near or rows)
-        address = Address(row.ip, node.settings.relay_port)
+        started = node.now()
+        outage = self._fresh.age_s(started) > OUTAGE_S
         try:
-            status, body = await self._get(
-                address, f"{COPY_PATH}{node.catalog.revision}"
-            )
-            if status != 200:
-                return
-            snapshot, _ = read_page(body)
-        except (StoreFailedError, StoreAnswerError) as error:
+            copy = await fetch_copy(node, row, with_configuration)
+        except CallFailedError as error:
             record_fault("copy-failed", subject=row.id, reason=str(error))
             return
-        node.raw_items.put_page(body, first=True)
-        notes = node.catalog.replace(snapshot, node.now(), outage=True)
+        if copy is not None:
+            notes = self._take_copy(copy, outage)
+            self._fresh.note_known(started - copy.age_s)
+            apply_notes(node, notes, row.id)
+
+    def _take_copy(self, copy: Copy, outage: bool) -> list[Note]:
+        node = self._node
+        node.metrics.count("copies_total")
+        if not isinstance(copy.content, Snapshot):
+            return node.catalog.apply(copy.content, node.now(), outage)
+        notes = node.catalog.replace(copy.content, node.now(), outage)
         # The history since that revision can be asked of the store itself.
-        self._whole = False
-        record_event("copied", subject=row.id, revision=snapshot.revision)
-        apply_notes(node, notes)
+        self._whole = node.catalog.routes is None
+        return notes
+
+    def _pick_peer(self) -> HostRow | None:
+        """Return a host that serves, of this region if there is one."""
+        node = self._node
+        rows = node.peers.view.serving(node.now())
+        near = [row for row in rows if row.region == node.settings.region]
+        return node.random.choice(near or rows) if rows else None
 
     async def _call(self, path: str) -> bytes:
         node = self._node
         node.metrics.count("store_calls_total")
-        status, body = await self._get(node.settings.store, path)
+        status, body = await fetch(node, node.settings.store, path)
         if status == HISTORY_GONE:
             raise HistoryGoneError
         if status != 200:
-            raise StoreFailedError(f"status {status}")
+            raise CallFailedError(f"status {status}")
         return body
 
-    async def _get(self, address: Address, path: str) -> tuple[int, bytes]:
-        node = self._node
-        headers = [(b"host", str(address).encode())]
-        try:
-            with trio.fail_after(ANSWER_S + WAIT_S):
-                upstream = await node.pool.take(address, CONNECT_S, node.now())
-                try:
-                    status, _ = await upstream.request(
-                        b"GET", path.encode(), headers, b""
-                    )
-                    body = await upstream.read_whole(MOST_BYTES)
-                except BaseException:
-                    upstream.close()
-                    raise
-                node.pool.give_back(upstream, None, node.now())
-        except trio.TooSlowError as error:
-            raise StoreFailedError("no answer in time") from error
-        except (ConnectError, BrokenAnswerError) as error:
-            raise StoreFailedError(str(error)) from error
-        return status, body
-
     def _note_failure(self, reason: str) -> None:
         self._node.metrics.count("store_failures_total")
         if not self._failing:
@@ -183,33 +202,26 @@
         node = self._node
         if self._failing:
             self._failing = False
-            self._eager_until = node.now() + EAGER_S
+            self._fresh.hurry(node.now())
             silent = round(node.now() - self._answered_at, 3)
             record_event("store-regained", silent_s=silent)
         self._answered_at = node.now()
 
 
-def apply_notes(node: GatewayNode, notes: list[Note]) -> None:
-    """Log changed beliefs and pass them on to who depends on them."""
+def apply_notes(node: GatewayNode, notes: list[Note], source: str) -> None:
+    """
+    Log changed beliefs and pass them on to who depends on them.
+
+    ``source`` is the store, the host that told them, or the passing of time.
+    """
     for note in notes:
         record_event(
             note.event,
             subject=note.subject,
             detail=note.detail,
+            source=source,
             revision=node.catalog.revision,
         )
     node.book.update(node.catalog, node.settings.zone_regions, node.now())
     if node.catalog.routes is not None:
         node.configured.set()
-
-
-async def answer_copy(
-    node: GatewayNode, caller: CallerConnection, request: ReceivedRequest
-) -> None:
-    """Give another host what this one has read, if it is newer than its own."""
-    text = request.target.decode("latin-1").removeprefix(COPY_PATH)
-    held = int(text) if text.isdigit() else 0
-    if node.catalog.routes is None or node.catalog.revision <= held:
-        await caller.answer(404, [], b"")
-        return
-    await caller.answer(200, [], node.raw_items.write_page(node.catalog.revision))
--- a/src/lycheepath/gateway/listeners.py
+++ b/src/lycheepath/gateway/listeners.py
@@ -12,7 +12,7 @@
 from ..adapters.http1.sockets import bound_silence
 from ..core.catalog.model import CallerLimits
 from ..platform.entry import READY_PATH, read_resolve, write_resolved
-from .discovery import COPY_PATH, answer_copy
+from .copying import COPY_PATH, answer_copy
 from .relay import is_own_call, serve_relayed
 
 if TYPE_CHECKING:
--- a/src/lycheepath/gateway/node.py
+++ b/src/lycheepath/gateway/node.py
@@ -19,7 +19,7 @@
 from ..core.placement.cold import MOST_SENDERS
 from ..core.retries.window import RetryWindow
 from ..core.serving.suspects import Suspects
-from ..platform.store import RawItems
+from .discovery import StoreFollower
 from .peers import Peers
 from .silence import SilenceWatch
 
@@ -45,11 +45,11 @@
     metrics: Metrics = field(default_factory=Metrics)
     pool: Pool = field(default_factory=Pool)
     catalog: Catalog = field(default_factory=Catalog)
-    raw_items: RawItems = field(default_factory=RawItems)
     book: TargetBook = field(default_factory=TargetBook)
     configured: trio.Event = field(default_factory=trio.Event)
     retries: RetryWindow = field(init=False)
     peers: Peers = field(init=False)
+    store: StoreFollower = field(init=False)
     suspects: Suspects = field(default_factory=Suspects)
     silence: SilenceWatch = field(default_factory=SilenceWatch)
     away_s: dict[str, float] = field(default_factory=dict)
@@ -64,6 +64,7 @@
             bounds.retry_ratio, bounds.retry_allowance, bounds.retry_window_s
         )
         self.peers = Peers(self)
+        self.store = StoreFollower(self)
 
     @property
     def ready(self) -> bool:
--- a/src/lycheepath/gateway/peers.py
+++ b/src/lycheepath/gateway/peers.py
@@ -93,17 +93,22 @@
             (number, tuple(targets))
             for number, targets in node.suspects.to_tell(now, SUSPECT_TOLD_S)
         )[:MOST_SUSPECTS]
+        knowledge = node.store.knowledge(now)
         near = away = b""
         for ip, region in view.next_receivers(now):
             if region == own.region:
                 if not near:
                     loads = node.book.own_loads()
-                    near = encode_beat(Beat(own, rows, loads, False, parts, suspects))
+                    near = encode_beat(
+                        Beat(own, rows, loads, False, parts, suspects, knowledge)
+                    )
                 data = near
             else:
                 if not away:
                     loads = node.book.region_loads(own.region, now)
-                    away = encode_beat(Beat(own, rows, loads, True, parts, suspects))
+                    away = encode_beat(
+                        Beat(own, rows, loads, True, parts, suspects, knowledge)
+                    )
                 data = away
             try:
                 await plain.sendto(data, (ip, node.settings.peer_port))
@@ -129,6 +134,7 @@
         self.view.hear(beat.sender, now, direct=True)
         for row in beat.rows:
             self.view.hear(row, now, direct=False)
+        node.store.hear(beat.sender, beat.knowledge, now)
         sender = f"region {beat.sender.region}" if beat.of_region else beat.sender.id
         node.book.note_peer(sender, beat.loads, beat.of_region, now)
         for number, targets in beat.suspects:
--- a/src/lycheepath/gateway/process.py
+++ b/src/lycheepath/gateway/process.py
@@ -12,7 +12,6 @@
 
 from ..adapters.events import record_event, set_up_events
 from ..core.addresses import Address
-from .discovery import StoreFollower
 from .listeners import (
     answer_directory,
     answer_metrics,
@@ -65,7 +64,7 @@
     watch_node(node)
     nursery.start_soon(node.events.run)
     for name, run in (
-        ("store", StoreFollower(node).run),
+        ("store", node.store.run),
         ("peers", node.peers.run),
         ("silence", node.silence.run),
         ("idle connections", partial(_close_idle, node)),
--- a/src/lycheepath/platform/store.py
+++ b/src/lycheepath/platform/store.py
@@ -72,45 +72,6 @@
     return Delta(changes, _read_revision(answer))
 
 
-class RawItems:
-    """
-    State: the items as the store wrote them, for hosts that can't read it.
-
-    Only what this package decodes is kept.
-    """
-
-    def __init__(self) -> None:
-        self._items: dict[str, dict[str, Any]] = {}
-
-    def put_page(self, body: bytes, first: bool) -> None:
-        """Take a page; the first one of a reading replaces what is held."""
-        if first:
-            self._items.clear()
-        for item in _load(body).get("items", ()):
-            self._put(item)
-
-    def put_changes(self, body: bytes) -> None:
-        """Take changes."""
-        for event in _load(body).get("events", ()):
-            if isinstance(event, dict) and event.get("tombstone"):
-                self._items.pop(str(event.get("key")), None)
-            else:
-                self._put(event)
-
-    def write_page(self, revision: int) -> bytes:
-        """Return all items as one page, as of a revision."""
-        items = list(self._items.values())
-        return orjson.dumps({"items": items, "has_more": False, "as_of": revision})
-
-    def _put(self, item: Any) -> None:
-        if isinstance(item, dict) and _is_known(str(item.get("key"))):
-            self._items[str(item["key"])] = item
-
-
-def _is_known(key: str) -> bool:
-    return key == CONFIGURATION or key.startswith((SERVERS, EVACUATIONS))
-
-
 def _load(body: bytes) -> dict[str, Any]:
     try:
         answer = orjson.loads(body)
--- a/tests/adapters/test_beats.py
+++ b/tests/adapters/test_beats.py
@@ -3,7 +3,8 @@
 import pytest
 from hypothesis import given, strategies
 
-from lycheepath.adapters.beats import Beat, BeatError, decode_beat, encode_beat
+from lycheepath.adapters.beats import FORMAT, Beat, BeatError, decode_beat, encode_beat
+from lycheepath.core.catalog.freshness import Knowledge
 from lycheepath.core.fleet.view import HostRow
 from lycheepath.core.placement.book import TargetLoad
 from lycheepath.core.serving.requests import PromptPart
@@ -22,6 +23,9 @@
 PARTS = strategies.lists(strategies.builds(PromptPart, TEXT, COUNT), max_size=3).map(
     tuple
 )
+KNOWLEDGE = strategies.builds(
+    Knowledge, COUNT, COUNT, strategies.integers(0, 59_999).map(lambda ms: ms / 1000)
+)
 BEATS = strategies.builds(
     Beat,
     ROWS,
@@ -33,6 +37,7 @@
         strategies.tuples(COUNT, strategies.lists(TEXT, max_size=3).map(tuple)),
         max_size=3,
     ).map(tuple),
+    KNOWLEDGE,
 )
 
 
@@ -60,7 +65,7 @@
 @given(
     strategies.recursive(
         strategies.none() | strategies.booleans() | strategies.integers() | TEXT,
-        lambda inner: strategies.lists(inner, max_size=7),
+        lambda inner: strategies.lists(inner, max_size=8),
         max_leaves=30,
     )
 )
@@ -68,7 +73,7 @@
     import orjson
 
     try:
-        data = orjson.dumps([1, *value] if isinstance(value, list) else value)
+        data = orjson.dumps([FORMAT, *value] if isinstance(value, list) else value)
     except TypeError:
         return
     try:
--- /dev/null
+++ b/tests/adapters/test_copies.py
@@ -0,0 +1,75 @@
+from __future__ import annotations
+
+from dataclasses import replace
+
+import orjson
+import pytest
+from hypothesis import given, strategies
+
+from lycheepath.adapters.copies import Copy, CopyError, decode_copy, encode_copy
+from lycheepath.core.catalog.changes import (
+    Delta,
+    Evacuation,
+    EvacuationEnded,
+    Snapshot,
+    TargetRemoved,
+)
+from lycheepath.core.catalog.model import (
+    CallerLimits,
+    Configuration,
+    EngineFacts,
+    RouteKind,
+    Service,
+    TargetEntry,
+)
+from tests.core.catalog.test_catalog import TARGET
+from tests.core.catalog.test_routes import make_route
+
+ROUTE = replace(
+    make_route("/a/"), kind=RouteKind.STREAM, home_regions=frozenset({"b", "a"})
+)
+SERVICES = {
+    "pool": Service("pool", 100, 3.5, EngineFacts(128, 400_000, 7, 1e-7)),
+    "books": Service("books", 100, 0.0, None),
+}
+CONFIGURATION = Configuration(7, (ROUTE,), SERVICES, CallerLimits(idle_s=3.0))
+STARTED = replace(TARGET, restarted_at=12, leaves_in_s=2.5)
+
+
+def test_copy_of_everything_comes_back_as_it_was_sent() -> None:
+    copy = Copy(Snapshot((CONFIGURATION, STARTED, Evacuation("z")), 20), 0.25)
+    found = decode_copy(encode_copy(copy, True))
+    assert found == copy
+    assert isinstance(found.content, Snapshot)
+    target = found.content.entries[1]
+    assert isinstance(target, TargetEntry)
+    assert target.restarted_at == 12
+
+
+def test_copy_of_changes_leaves_the_configuration_out_if_asked_to() -> None:
+    changes = (STARTED, TargetRemoved("i-2"), EvacuationEnded("z"))
+    copy = Copy(Delta((CONFIGURATION, *changes), 20), 1.0)
+    assert decode_copy(encode_copy(copy, False)) == Copy(Delta(changes, 20), 1.0)
+
+
+@given(strategies.data())
+def test_copy_that_is_cut_short_is_told_so(data: strategies.DataObject) -> None:
+    whole = encode_copy(Copy(Snapshot((CONFIGURATION, STARTED), 20), 0.0), True)
+    with pytest.raises(CopyError):
+        decode_copy(whole[: data.draw(strategies.integers(0, len(whole) - 1))])
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        {},
+        [9, True, 20, 0.0, []],
+        [1, False, 20, 0.0, [[9, "x"]]],
+        [1, False, 20, 0.0, [[0, {"id": "i-1"}]]],
+        [1, False, "x", 0.0, []],
+        [1, False, 20, 0.0, [[4, {"version": 1}]]],
+    ],
+)
+def test_other_json_is_told_so(value: object) -> None:
+    with pytest.raises(CopyError):
+        decode_copy(orjson.dumps(value))
--- /dev/null
+++ b/tests/core/catalog/test_history.py
@@ -0,0 +1,96 @@
+from __future__ import annotations
+
+from dataclasses import replace
+
+from lycheepath.core.catalog.catalog import LAPSE_GRACE_S, Catalog
+from lycheepath.core.catalog.changes import (
+    Delta,
+    Evacuation,
+    EvacuationEnded,
+    Snapshot,
+    TargetRemoved,
+)
+from lycheepath.core.catalog.history import MOST_REMOVALS, History
+from tests.core.catalog.test_catalog import TARGET, make_configuration
+
+
+def follow(reader: Catalog, copier: Catalog, now: float = 0.0) -> None:
+    """Give a host what another one has read and it hasn't."""
+    content = reader.history.since(copier.revision, reader.revision)
+    if isinstance(content, Snapshot):
+        copier.replace(content, now, False)
+    else:
+        copier.apply(content, now, False)
+
+
+def make_pair() -> tuple[Catalog, Catalog]:
+    reader = Catalog()
+    snapshot = Snapshot((make_configuration(7), TARGET, Evacuation("b")), 10)
+    reader.replace(snapshot, 0.0, False)
+    copier = Catalog()
+    follow(reader, copier)
+    return reader, copier
+
+
+def test_copy_makes_a_host_know_what_the_reader_knows() -> None:
+    reader, copier = make_pair()
+    second = replace(TARGET, id="i-2", address="10.0.0.2:80")
+    changes = (second, TargetRemoved("i-1"), EvacuationEnded("b"))
+    reader.apply(Delta(changes, 14), 1.0, False)
+    follow(reader, copier)
+    assert copier.targets == reader.targets == {"i-2": second}
+    assert copier.version == 7
+    assert not copier.evacuated
+    assert copier.revision == 14
+
+
+def test_announcement_that_only_counts_on_is_no_news() -> None:
+    reader, _ = make_pair()
+    reader.apply(Delta((replace(TARGET, sequence=6),), 11), 1.0, False)
+    assert reader.history.revision == 10
+    assert reader.history.since(10, 11) == Delta((), 11)
+    late = Catalog()
+    follow(reader, late)
+    assert late.targets["i-1"].sequence == 6
+
+
+def test_copier_learns_of_a_restart_whose_count_it_cannot_tell() -> None:
+    reader, copier = make_pair()
+    reader.apply(Delta((replace(TARGET, sequence=40),), 12), 1.0, False)
+    reader.apply(Delta((replace(TARGET, sequence=6),), 13), 2.0, False)
+    content = reader.history.since(copier.revision, reader.revision)
+    assert isinstance(content, Delta)
+    notes = copier.apply(content, 2.0, False)
+    assert [note.event for note in notes] == ["target-restarted"]
+
+
+def test_copier_learns_of_a_restart_between_two_copies() -> None:
+    reader, copier = make_pair()
+    reader.apply(Delta((TargetRemoved("i-1"),), 12), 1.0, False)
+    reader.apply(Delta((replace(TARGET, sequence=9),), 13), 2.0, False)
+    content = reader.history.since(copier.revision, reader.revision)
+    assert isinstance(content, Delta)
+    notes = copier.apply(content, 2.0, False)
+    assert [note.event for note in notes] == ["target-restarted"]
+
+
+def test_entry_that_lapsed_and_came_back_is_news_both_times() -> None:
+    reader, copier = make_pair()
+    reader.apply(Delta((TargetRemoved("i-1"),), 12), 1.0, True)
+    assert reader.history.since(10, 12) == Delta((TargetRemoved("i-1"),), 12)
+    follow(reader, copier, 1.0)
+    back = replace(TARGET, sequence=6)
+    reader.apply(Delta((back,), 13), 2.0, False)
+    follow(reader, copier, 2.0)
+    assert reader.targets == copier.targets == {"i-1": back}
+    assert not reader.expire(2.0 + LAPSE_GRACE_S)
+
+
+def test_host_that_lacks_dropped_removals_gets_everything() -> None:
+    history = History()
+    history.note("target i-1", TARGET, 5)
+    for number in range(MOST_REMOVALS + 1):
+        history.note(f"target x-{number}", TargetRemoved(f"x-{number}"), 6 + number)
+    as_of = 6 + MOST_REMOVALS
+    assert history.since(4, as_of) == Snapshot((TARGET,), as_of)
+    assert isinstance(history.since(6, as_of), Delta)
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -5,6 +5,7 @@
 import orjson
 import trio
 
+from lycheepath.core.catalog.freshness import EAGER_S, READERS
 from lycheepath.core.serving.retries import Result
 from lycheepath.gateway.process import drain
 from standins.site import (
@@ -287,3 +288,29 @@
             await trio.sleep(0.02)
     second = await site.start_gateway("east-1", store="127.0.0.1:1")
     assert len(second.catalog.targets) == 3
+
+
+async def test_few_hosts_read_the_store_and_all_follow_it(site: Site) -> None:
+    await site.add_target("books", answer_text(b"done"))
+    site.configure(make_route("books"))
+    nodes = [await site.start_gateway(f"east-{n}") for n in range(6)]
+    await wait_until_live(*nodes)
+    await trio.sleep(EAGER_S)
+
+    def calls() -> list[int]:
+        return [node.metrics.counter("store_calls_total") for node in nodes]
+
+    before = calls()
+    second = await site.add_target("books", answer_text(b"done"))
+    with trio.fail_after(2.0):
+        while not all(second.id in node.catalog.targets for node in nodes):
+            await trio.sleep(0.02)
+    for count in range(2, 6):
+        site.announce(second, seq=count)
+        await trio.sleep(0.5)
+    grown = [after - held for after, held in zip(calls(), before, strict=True)]
+    assert sum(1 for count in grown if count) <= READERS
+    site.configure(make_route("books"), make_route("books", prefix="/new/"))
+    with trio.fail_after(2.0):
+        while not all(node.catalog.version == site.version for node in nodes):
+            await trio.sleep(0.02)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -15,7 +15,6 @@
 )
 from lycheepath.core.catalog.model import Configuration, RouteKind, TargetEntry
 from lycheepath.platform.store import (
-    RawItems,
     StoreAnswerError,
     page_path,
     read_changes,
@@ -158,16 +157,3 @@
 def test_entries_of_other_writers_never_raise(change: dict[str, Any]) -> None:
     page, _ = read_page(make_page(make_item("servers/i-1", ENTRY | change)))
     assert len(page.entries) == 1
-
-
-def test_copy_holds_what_was_read_and_changed() -> None:
-    raw = RawItems()
-    raw.put_page(make_page(make_item("servers/i-1", ENTRY), make_item("x", b"")), True)
-    raw.put_page(make_page(make_item("servers/i-2", ENTRY)), False)
-    removed = {"key": "servers/i-1", "revision": 5, "tombstone": True}
-    events = [removed, make_item("op/config", CONFIGURATION)]
-    raw.put_changes(orjson.dumps({"events": events, "as_of": 20}))
-    page, after = read_page(raw.write_page(20))
-    assert after == ""
-    assert page.revision == 20
-    assert {type(entry) for entry in page.entries} == {TargetEntry, Configuration}
