Sum peers' loads as they come, look for cached parts once a choice

Change: PeerLoads keeps the sums; the richest target of each region is found once. What peers told counts until they fall silent, or for 6 s, where it counted for 1.5 s: in a region of a hundred hosts each is heard of every three seconds.

--- a/src/lycheepath/adapters/beats.py
+++ b/src/lycheepath/adapters/beats.py
@@ -15,7 +15,7 @@
 
 from ..core.catalog.freshness import NO_KNOWLEDGE, Knowledge
 from ..core.fleet.view import HostRow
-from ..core.placement.book import TargetLoad
+from ..core.placement.loads import TargetLoad
 from ..core.serving.requests import PromptPart
 
 FORMAT = 2
--- a/src/lycheepath/core/placement/book.py
+++ b/src/lycheepath/core/placement/book.py
@@ -18,6 +18,7 @@
 from ..catalog.catalog import Note, has_restarted
 from ..routing.health import TargetHealth, may_eject
 from .cold import ColdGate
+from .loads import PeerLoads, TargetLoad
 from .prompts import PromptCache
 from .speed import SpeedModel
 
@@ -28,9 +29,9 @@
     from ..catalog.model import Service, TargetEntry
     from ..serving.requests import PromptPart
 
-# What a peer told of its sending is dropped after this long; eight of its
-# intervals in a region.
-PEER_LOAD_S = 1.5
+# What a peer told of its sending counts this long; in a region of a hundred
+# hosts each is heard of about every three seconds.
+PEER_LOAD_S = 6.0
 # A relayed request is told of by the hosts of the other region after this long.
 RELAYED_S = 0.6
 # Between two events of a stream, before any was seen.
@@ -77,28 +78,6 @@
         return not self.relayed or now - self.sent_at < RELAYED_S
 
 
-@dataclass(frozen=True, slots=True)
-class TargetLoad:
-    """
-    What a host, or all hosts of a region, have under way at a target.
-
-    ``tokens`` are those still to be read, by urgency; ``event_s`` is the time
-    between two events of its streams.
-    """
-
-    in_flight: int
-    tokens: Mapping[int, int]
-    event_s: float
-
-
-@dataclass(slots=True)
-class PeerLoad:
-    """What a peer told of a target, and when."""
-
-    load: TargetLoad
-    told_at: float
-
-
 @dataclass(slots=True)
 class TargetState:
     """One target: its announcement and what this host makes of it."""
@@ -110,7 +89,7 @@
     cold: ColdGate
     health: TargetHealth = field(default_factory=TargetHealth)
     flights: dict[int, Flight] = field(default_factory=dict)
-    peers: dict[str, PeerLoad] = field(default_factory=dict)
+    peers: PeerLoads = field(default_factory=PeerLoads)
     evacuated: bool = False
     contact_at: float = float("-inf")
     event_s: float = FIRST_EVENT_S
@@ -118,10 +97,7 @@
     def count_in_flight(self, now: float) -> int:
         """Return the requests under way here, those of peers included."""
         count = sum(flight.counts(now) for flight in self.flights.values())
-        for told in self.peers.values():
-            if now - told.told_at < PEER_LOAD_S:
-                count += told.load.in_flight
-        return count
+        return count + self.peers.in_flight
 
     def count_ahead(self, urgency: int, now: float) -> int:
         """Return the tokens that are read before those of a new request."""
@@ -130,17 +106,12 @@
             waits = flight.first_at is None and flight.urgency <= urgency
             if waits and flight.counts(now):
                 tokens += flight.tokens
-        for told in self.peers.values():
-            if now - told.told_at < PEER_LOAD_S:
-                tokens += sum(n for u, n in told.load.tokens.items() if u <= urgency)
-        return tokens
+        return tokens + self.peers.count_tokens(urgency)
 
     def urgencies(self) -> list[int]:
         """Return the urgencies of what is under way here, most urgent first."""
         found = {flight.urgency for flight in self.flights.values()}
-        for told in self.peers.values():
-            found.update(told.load.tokens)
-        return sorted(found)
+        return sorted(found | self.peers.urgencies())
 
     def oldest_wait_s(self, now: float) -> float:
         """Return how long a request sent from here has waited for a sign."""
@@ -176,6 +147,7 @@
         self.notes: list[Note] = []
         self._by_service: dict[str, list[TargetState]] = {}
         self._flights: dict[int, Flight] = {}
+        self._told: dict[str, tuple[float, tuple[str, ...]]] = {}
 
     def update(
         self, catalog: Catalog, zone_regions: Mapping[str, str], now: float
@@ -288,14 +260,28 @@
         ``of_region`` says that it speaks for all hosts of its region, which
         alone see how fast the streams of that region's targets are.
         """
-        for target in self.targets.values():
-            load = loads.get(target.entry.id)
-            if load is None:
-                target.peers.pop(host, None)
-                continue
-            target.peers[host] = PeerLoad(load, now)
+        self.drop_peer(host)
+        known = [target for target in loads if target in self.targets]
+        for target_id in known:
+            target = self.targets[target_id]
+            target.peers.put(host, loads[target_id])
             if of_region:
-                target.event_s = load.event_s
+                target.event_s = loads[target_id].event_s
+        self._told[host] = now, tuple(known)
+
+    def drop_peer(self, host: str) -> None:
+        """Forget what a peer has under way; it has told anew, or is gone."""
+        _, targets = self._told.pop(host, (0.0, ()))
+        for target_id in targets:
+            target = self.targets.get(target_id)
+            if target is not None:
+                target.peers.drop(host)
+
+    def expire_peers(self, now: float) -> None:
+        """Forget what peers told that have been silent for long."""
+        for host, (told_at, _) in list(self._told.items()):
+            if now - told_at > PEER_LOAD_S:
+                self.drop_peer(host)
 
     def own_loads(self) -> dict[str, TargetLoad]:
         """Return what this host has under way, for its peers."""
--- a/src/lycheepath/core/placement/choice.py
+++ b/src/lycheepath/core/placement/choice.py
@@ -22,6 +22,7 @@
     from ..catalog.model import Route
     from ..serving.requests import Prompt
     from .book import TargetBook, TargetState
+    from .speed import SpeedModel
 
 # What a request to another region costs beyond its way there and back, as
 # time: its bytes are priced, and it depends on more.
@@ -135,6 +136,24 @@
         return self.away_s > 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class _Look:
+    """
+    What one choice looks up once, not for each candidate.
+
+    ``cached`` are the tokens of the prompt that each target has; ``richest``
+    is the target of each region that has most.
+    """
+
+    book: TargetBook
+    wanted: Wanted
+    around: Surroundings
+    now: float
+    speed: SpeedModel
+    cached: Mapping[str, int]
+    richest: Mapping[str, TargetState]
+
+
 def choose_target(
     book: TargetBook,
     wanted: Wanted,
@@ -149,17 +168,18 @@
     resort: Placement | None = None
     homes = wanted.route.home_regions
     service = book.of_service(wanted.service)
+    look = _look_up(book, wanted, around, now)
     for target in service:
         if homes and target.region not in homes:
             continue
         if not _can_reach(target, around, tried, now):
             continue
-        placed = _estimate(book, wanted, target, around, now)
+        placed = _estimate(look, target)
         if _is_doubtful(target, now) or _is_overdue(book, target, now):
             if resort is None or placed.first_s < resort.first_s:
                 resort = placed
             continue
-        score = _score(book, wanted, placed) + TIE_S * random.random()
+        score = _score(look, placed) + TIE_S * random.random()
         if target.entry.id in tried.failed:
             score += FAILED_COST_S
         if score < best_score:
@@ -171,6 +191,24 @@
     return _admit(wanted, best)
 
 
+def _look_up(
+    book: TargetBook, wanted: Wanted, around: Surroundings, now: float
+) -> _Look:
+    cached: dict[str, int] = {}
+    richest: dict[str, TargetState] = {}
+    prompt = wanted.prompt
+    if prompt is not None:
+        shares = _count_shared(prompt) >= LEAST_OWNED_TOKENS
+        for target in book.of_service(wanted.service):
+            held = target.cache.count_cached(prompt.parts)
+            cached[target.entry.id] = held
+            most = richest.get(target.region)
+            if shares and (most is None or held > cached[most.entry.id]):
+                richest[target.region] = target
+    speed = book.speed(wanted.service)
+    return _Look(book, wanted, around, now, speed, cached, richest)
+
+
 def _can_reach(
     target: TargetState, around: Surroundings, tried: Tried, now: float
 ) -> bool:
@@ -197,26 +235,20 @@
     return Absent(Reason.OVERLOADED, max(MIN_RETRY_AFTER_S, over_s), detail)
 
 
-def _estimate(
-    book: TargetBook,
-    wanted: Wanted,
-    target: TargetState,
-    around: Surroundings,
-    now: float,
-) -> Placement:
-    away_s = around.away_s.get(target.region, 0.0)
-    speed = book.speed(wanted.service)
+def _estimate(look: _Look, target: TargetState) -> Placement:
+    away_s = look.around.away_s.get(target.region, 0.0)
+    wanted, now = look.wanted, look.now
     prompt = wanted.prompt
     urgency = min(wanted.route.urgency, LEAST_URGENCY)
     if prompt is None:
         slots = max(1, target.entry.slots)
         over = max(0, target.count_in_flight(now) + 1 - slots)
-        first_s = speed.service_s * (1.0 + over / slots) + away_s
+        first_s = look.speed.service_s * (1.0 + over / slots) + away_s
         return Placement(target, first_s, 0, away_s, urgency)
-    cached = target.cache.count_cached(prompt.parts)
-    source, fetched = _find_source(book, wanted, prompt, target, cached)
+    cached = look.cached[target.entry.id]
+    source, fetched = _find_source(look, target, cached)
     read = prompt.tokens - cached - fetched
-    first_s = speed.estimate_read_s(target.count_ahead(urgency, now) + read)
+    first_s = look.speed.estimate_read_s(target.count_ahead(urgency, now) + read)
     first_s += target.event_s
     if source is not None:
         first_s += FETCH_SETUP_S + fetched * _fetch_token_s(target)
@@ -226,20 +258,14 @@
 
 
 def _find_source(
-    book: TargetBook, wanted: Wanted, prompt: Prompt, target: TargetState, cached: int
+    look: _Look, target: TargetState, cached: int
 ) -> tuple[TargetState | None, int]:
     """Return a target of the region that has more of a prompt, and how much more."""
-    if _fetch_token_s(target) == 0.0 or _count_shared(prompt) < LEAST_OWNED_TOKENS:
+    source = look.richest.get(target.region)
+    if source is None or source is target or _fetch_token_s(target) == 0.0:
         return None, 0
-    best = None
-    most = cached + LEAST_FETCHED_TOKENS
-    for other in book.of_service(wanted.service):
-        if other is target or other.region != target.region:
-            continue
-        held = other.cache.count_cached(prompt.parts)
-        if held >= most:
-            best, most = other, held + 1
-    return best, most - 1 - cached if best else 0
+    more = look.cached[source.entry.id] - cached
+    return (source, more) if more >= LEAST_FETCHED_TOKENS else (None, 0)
 
 
 def _fetch_token_s(target: TargetState) -> float:
@@ -249,13 +275,14 @@
     return service.engine.fetch_token_s
 
 
-def _score(book: TargetBook, wanted: Wanted, placed: Placement) -> float:
+def _score(look: _Look, placed: Placement) -> float:
     """
     Return what a placement costs all callers, as seconds.
 
     Time of an engine is dear, since whoever comes later waits for it; time on
     the way costs little while the caller's aim isn't at risk.
     """
+    wanted = look.wanted
     aim_s = wanted.route.aim_s
     expected_s = wanted.elapsed_s + placed.first_s
     late_s = max(0.0, expected_s - SAFE_SHARE * aim_s)
@@ -264,7 +291,7 @@
         score += AWAY_COST_S - AWAY_DISCOUNT * placed.away_s
     if wanted.prompt is not None:
         read = wanted.prompt.tokens - placed.cached_tokens
-        score += ENGINE_WEIGHT * read * book.speed(wanted.service).token_s
+        score += ENGINE_WEIGHT * read * look.speed.token_s
         rest_s = _estimate_rest_s(wanted.prompt, placed.target)
         score += REST_WEIGHT * rest_s
         over_s = placed.first_s + rest_s - REST_SHARE * wanted.left_s
--- a/src/lycheepath/gateway/peers.py
+++ b/src/lycheepath/gateway/peers.py
@@ -151,5 +151,7 @@
             record_event("host-live", subject=host, hosts=len(live) + 1)
         for host in self._live - live:
             record_event("host-silent", subject=host, hosts=len(live) + 1)
+            self._node.book.drop_peer(host)
         self._live = live
         self.view.expire(now)
+        self._node.book.expire_peers(now)
--- a/tests/adapters/test_beats.py
+++ b/tests/adapters/test_beats.py
@@ -6,7 +6,7 @@
 from lycheepath.adapters.beats import FORMAT, Beat, BeatError, decode_beat, encode_beat
 from lycheepath.core.catalog.freshness import Knowledge
 from lycheepath.core.fleet.view import HostRow
-from lycheepath.core.placement.book import TargetLoad
+from lycheepath.core.placement.loads import TargetLoad
 from lycheepath.core.serving.requests import PromptPart
 
 TEXT = strategies.text(max_size=12)
