Look around once a beat, not for each request

Cause: each request went through all hosts and, while any target was cold, ranked all hosts of the region for each of them. Change: the surroundings are kept for 0.1 s, the time between two beats. A cold target that isn't among them is left to others, where it was open to all, so that one that turns cold meanwhile gets no more than before. The test of that names another target, as the mapping has no None any more.

--- a/src/lycheepath/core/placement/choice.py
+++ b/src/lycheepath/core/placement/choice.py
@@ -88,13 +88,13 @@
     Where this host stands.
 
     ``away_s`` is the time to and from each other region that can be reached.
-    ``cold_senders`` are the hosts that share a cold target here, ``None`` for
-    targets that this host leaves to others.
+    ``cold_senders`` are the hosts that share a cold target with this one; cold
+    targets that it doesn't name are left to others.
     """
 
     region: str
     away_s: Mapping[str, float]
-    cold_senders: Mapping[str, int | None]
+    cold_senders: Mapping[str, int]
 
 
 @dataclass(frozen=True, slots=True)
@@ -325,7 +325,7 @@
 
 
 def _may_send(target: TargetState, around: Surroundings, now: float) -> bool:
-    senders = around.cold_senders.get(target.entry.id, 1)
+    senders = around.cold_senders.get(target.entry.id)
     if senders is None:
         return not target.cold.is_cold(now)
     return target.cold.may_send(senders, now)
--- a/src/lycheepath/gateway/node.py
+++ b/src/lycheepath/gateway/node.py
@@ -32,6 +32,8 @@
 # leaves waits for them (LEAVE_S).
 DIRECTORY_TTL_S = 1.0
 MOST_NAMED = 64
+# Who is live and which targets are cold changes with beats and readings.
+SURROUNDINGS_S = 0.1
 # To another region and back, before it is measured.
 FIRST_AWAY_S = 0.16
 
@@ -53,6 +55,10 @@
     store: StoreFollower = field(init=False)
     suspects: Suspects = field(default_factory=Suspects)
     silence: SilenceWatch = field(default_factory=SilenceWatch)
+    _around: tuple[float, Surroundings] = (
+        float("-inf"),
+        Surroundings("", {}, {}),
+    )
     away_s: dict[str, float] = field(default_factory=dict)
     avoided: dict[str, float] = field(default_factory=dict)
     _numbers: count[int] = field(default_factory=lambda: count(1))
@@ -101,12 +107,18 @@
 
     def surroundings(self) -> Surroundings:
         """Return where this host stands, for the choice of a target."""
+        now = self.now()
+        held_at, around = self._around
+        if now - held_at < SURROUNDINGS_S:
+            return around
         own = self.settings.region
         away = {}
-        for row in self.peers.view.serving(self.now()):
+        for row in self.peers.view.serving(now):
             if row.region != own:
                 away[row.region] = self.away_s.get(row.region, FIRST_AWAY_S)
-        return Surroundings(own, away, self.share_cold_targets())
+        around = Surroundings(own, away, self.share_cold_targets())
+        self._around = now, around
+        return around
 
     def hosts_for(self, region: str, zone: str) -> list[str]:
         """
@@ -129,8 +141,12 @@
         """Return how long a caller may keep the directory's answer."""
         return min(DIRECTORY_TTL_S, self.settings.bounds.directory_ttl_s)
 
-    def share_cold_targets(self) -> dict[str, int | None]:
-        """Return for each cold target how many hosts share it, if this does."""
+    def forget_surroundings(self) -> None:
+        """Look around anew at the next choice: a target may have turned cold."""
+        self._around = float("-inf"), self._around[1]
+
+    def share_cold_targets(self) -> dict[str, int]:
+        """Return for each cold target that this host shares how many do."""
         now = self.now()
         cold = [t for t in self.book.targets.values() if t.cold.is_cold(now)]
         if not cold:
@@ -142,9 +158,9 @@
         view = self.peers.view
         hosts = [row.id for row in view.live(now, self.settings.region)]
         hosts.append(self.settings.host)
-        shares: dict[str, int | None] = {}
+        shares: dict[str, int] = {}
         for target in cold:
             senders = rank(target.entry.id, hosts)[:most]
-            member = self.settings.host in senders
-            shares[target.entry.id] = len(senders) if member else None
+            if self.settings.host in senders:
+                shares[target.entry.id] = len(senders)
         return shares
--- a/src/lycheepath/gateway/relay.py
+++ b/src/lycheepath/gateway/relay.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -20,7 +20,6 @@
 from ..adapters.http1.upstream import BrokenAnswerError
 from ..core.addresses import Address
 from ..core.placement.book import Ending
-from ..core.placement.choice import Surroundings
 from ..core.reasons import Absent
 from ..core.serving.events import EventOrderError
 from ..core.serving.retries import Result
@@ -170,7 +169,7 @@
 
 
 async def _send_here(node: GatewayNode, exchange: Exchange) -> None:
-    around = Surroundings(node.settings.region, {}, node.share_cold_targets())
+    around = replace(node.surroundings(), away_s={})
     placed = node.place(exchange, around)
     if isinstance(placed, Absent):
         await _answer_result(
--- a/src/lycheepath/gateway/sending.py
+++ b/src/lycheepath/gateway/sending.py
@@ -72,6 +72,8 @@
         sent = await _exchange(node, exchange, placed)
     finally:
         node.book.ended(key, sent.ending, node.now())
+        if sent.ending is Ending.REFUSED:
+            node.forget_surroundings()
         _log_beliefs(node)
     return sent
 
--- a/tests/core/placement/test_choice.py
+++ b/tests/core/placement/test_choice.py
@@ -191,7 +191,7 @@
 def test_cold_target_gets_nothing_from_hosts_that_do_not_share_it() -> None:
     book = make_book(replace(make_entry(1), cold_s=10.0))
     assert isinstance(
-        choose(book, around=replace(EAST, cold_senders={"i-1": None})), Absent
+        choose(book, around=replace(EAST, cold_senders={"i-2": 3})), Absent
     )
     west = Surroundings("west", {"east": 0.16}, {})
     assert isinstance(choose(book, around=west), Absent)
