Read a new configuration by its key

Ruled out: late readers (the hosts that kept version 15 had read the store). Change: a host that hears of a newer configuration reads it by its key, whatever its revision; the copy that stands in for that holds everything. Before and after: the new test in tests/gateway/test_fleet.py fails and passes.

--- a/src/lycheepath/core/catalog/freshness.py
+++ b/src/lycheepath/core/catalog/freshness.py
@@ -70,6 +70,7 @@
     def __init__(self, now: float) -> None:
         self.known_at = float("-inf")
         self._read_at = float("-inf")
+        self._news_at = float("-inf")
         self._eager_until = now + EAGER_S
 
     def age_s(self, now: float) -> float:
@@ -100,7 +101,7 @@
     def wait_s(self, rank: int | None, now: float) -> float:
         """Return how long this host may wait before it reads; ``None``: no rank."""
         interval_s = EAGER_INTERVAL_S if now < self._eager_until else INTERVAL_S
-        next_s = interval_s - self._since_read_s(now)
+        next_s = interval_s - (now - self._read_at)
         if rank is not None and rank < READERS:
             return next_s
         behind_s = MOST_RANK_WAIT_S
@@ -108,12 +109,12 @@
             behind_s = min((rank - READERS) * RANK_STEP_S, MOST_RANK_WAIT_S)
         return max(STALE_S + behind_s - self.age_s(now), next_s)
 
-    def may_read_news(self, now: float) -> bool:
-        """Whether the last reading is long enough ago for one beside the others."""
-        return self._since_read_s(now) >= EAGER_INTERVAL_S
-
-    def _since_read_s(self, now: float) -> float:
-        return now - self._read_at
+    def take_news(self, now: float) -> bool:
+        """Whether news may be looked after now; not again at once if so."""
+        if now - self._news_at < EAGER_INTERVAL_S:
+            return False
+        self._news_at = now
+        return True
 
 
 def rank_reader(host: str, hosts: Iterable[str], region: str) -> int | None:
--- a/src/lycheepath/gateway/copying.py
+++ b/src/lycheepath/gateway/copying.py
@@ -17,8 +17,9 @@
     from ..core.fleet.view import HostRow
     from .node import GatewayNode
 
-# Between hosts; the revision that the asking one has, and whether it wants the
-# configuration too, follow.
+# Between hosts; the revision that the asking one has follows, and whether it
+# wants the configuration: then it gets everything, as a copy without it may have
+# taken the host past the configuration's revision.
 COPY_PATH = "/copy?"
 NOTHING_NEWER = 404
 MOST_BYTES = 32 << 20
@@ -59,7 +60,8 @@
     Raises CallFailedError.
     """
     address = Address(row.ip, node.settings.relay_port)
-    wanted = f"after={node.catalog.revision}&configuration={int(with_configuration)}"
+    after = 0 if with_configuration else node.catalog.revision
+    wanted = f"after={after}&configuration={int(with_configuration)}"
     status, body = await fetch(node, address, COPY_PATH + wanted)
     if status == NOTHING_NEWER:
         return None
--- a/src/lycheepath/gateway/discovery.py
+++ b/src/lycheepath/gateway/discovery.py
@@ -4,7 +4,7 @@
 Few hosts of a region read the store (see ``core/catalog/freshness``); the
 others hear from their peers what is new, and copy it from the host that told
 them. A new configuration is large, so each host reads it from the store itself
-and asks a peer only if that fails. A refused, lost or slow answer leaves the
+and asks a peer for it only if that fails. A refused, lost or slow answer leaves the
 beliefs as they are.
 """
 
@@ -15,7 +15,7 @@
 import trio
 
 from ..adapters.events import record_event, record_fault
-from ..core.catalog.changes import Snapshot
+from ..core.catalog.changes import Delta, Snapshot
 from ..core.catalog.freshness import (
     OUTAGE_S,
     Freshness,
@@ -27,8 +27,10 @@
     HISTORY_GONE,
     StoreAnswerError,
     changes_path,
+    configuration_path,
     page_path,
     read_changes,
+    read_configuration_item,
     read_page,
 )
 from .copying import CallFailedError, fetch, fetch_copy
@@ -85,9 +87,9 @@
             told, self._told = self._told, None
             if told is not None and told[1] is News.CHANGES:
                 await self._copy(told[0], False)
-            elif self._wait_s() <= 0.0 or (
-                told is not None and self._fresh.may_read_news(node.now())
-            ):
+            elif told is not None and self._fresh.take_news(node.now()):
+                await self._read_configuration(told[0])
+            elif self._wait_s() <= 0.0:
                 await self._read()
             apply_notes(node, node.catalog.expire(node.now()), "time")
             await trio.sleep(LEAST_PAUSE_S)
@@ -133,7 +135,7 @@
             self._note_failure(str(error))
             row = self._pick_peer()
             if row is not None:
-                await self._copy(row, True)
+                await self._copy(row, node.catalog.routes is None)
             return
         self._note_answer()
         self._fresh.note_known(started)
@@ -150,6 +152,18 @@
             revision = page.revision if revision is None else revision
         return Snapshot(tuple(entries), revision)
 
+    async def _read_configuration(self, row: HostRow) -> None:
+        """Read the configuration that another host has, or ask that host for it."""
+        node = self._node
+        try:
+            found = read_configuration_item(await self._call(configuration_path()))
+        except (CallFailedError, StoreAnswerError) as error:
+            self._note_failure(str(error))
+            await self._copy(row, True)
+            return
+        delta = Delta((found,), node.catalog.revision)
+        apply_notes(node, node.catalog.apply(delta, node.now(), False), "store")
+
     async def _copy(self, row: HostRow, with_configuration: bool) -> None:
         """Take what another host knows and this one doesn't."""
         node = self._node
--- a/src/lycheepath/platform/store.py
+++ b/src/lycheepath/platform/store.py
@@ -23,7 +23,7 @@
     TargetRemoved,
     Unreadable,
 )
-from ..core.catalog.model import TargetEntry
+from ..core.catalog.model import Configuration, TargetEntry
 from .configuration import read_configuration
 
 if TYPE_CHECKING:
@@ -51,6 +51,19 @@
     return f"/lycheepath/kv-watch?prefix=&after={revision}&wait_ms={wait_ms}"
 
 
+def configuration_path() -> str:
+    """Return the call that reads the configuration alone."""
+    return f"/lycheepath/kv-key?key={quote(CONFIGURATION, safe='')}"
+
+
+def read_configuration_item(body: bytes) -> Configuration:
+    """Return the configuration that an answer to ``configuration_path`` holds."""
+    entry = _read_item(_load(body))
+    if not isinstance(entry, Configuration):
+        raise StoreAnswerError(f"the answer holds no configuration: {entry}")
+    return entry
+
+
 def read_page(body: bytes) -> tuple[Snapshot, str]:
     """Return a page of entries, and the key after which the next one begins."""
     answer = _load(body)
--- a/standins/site.py
+++ b/standins/site.py
@@ -185,6 +185,11 @@
         fields = parse_qs(query)
         if self.failing:
             return self.failing, {}
+        if path.endswith("kv-key"):
+            key = fields["key"][0]
+            if key not in self.items:
+                return 404, {}
+            return 200, self._item(key) | {"as_of": self.revision}
         if path.endswith("kv-range"):
             return self._answer_page(fields.get("after", [""])[0])
         after = int(fields["after"][0])
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -17,6 +17,8 @@
 )
 
 if TYPE_CHECKING:
+    import pytest
+
     from lycheepath.gateway.node import GatewayNode
 
 WITHIN_S = 5.0
@@ -314,3 +316,28 @@
     with trio.fail_after(2.0):
         while not all(node.catalog.version == site.version for node in nodes):
             await trio.sleep(0.02)
+
+
+async def test_configuration_is_read_though_later_changes_were_copied(
+    site: Site, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A copy leaves the configuration out and goes past its revision."""
+    target = await site.add_target("books", answer_text(b"done"))
+    site.configure(make_route("books"))
+    nodes = [await site.start_gateway(f"east-{n}") for n in range(2)]
+    await wait_until_live(*nodes)
+    first, second = nodes
+    with monkeypatch.context() as patch:
+        patch.setattr(second.store._fresh, "wait_s", lambda *_: 1.0)
+        patch.setattr(second.store, "hear", lambda *_: None)
+        await trio.sleep(1.0)
+        site.configure(make_route("books"), make_route("books", prefix="/new/"))
+        site.announce(target, seq=2, state="draining")
+        with trio.fail_after(WITHIN_S):
+            while first.catalog.revision < site.store.revision:
+                await trio.sleep(0.02)
+        await second.store._copy(first.peers.view.own, False)
+        assert second.catalog.targets[target.id].draining
+    with trio.fail_after(2.0):
+        while second.catalog.version != site.version:
+            await trio.sleep(0.02)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -18,6 +18,7 @@
     StoreAnswerError,
     page_path,
     read_changes,
+    read_configuration_item,
     read_page,
 )
 
@@ -157,3 +158,13 @@
 def test_entries_of_other_writers_never_raise(change: dict[str, Any]) -> None:
     page, _ = read_page(make_page(make_item("servers/i-1", ENTRY | change)))
     assert len(page.entries) == 1
+
+
+def test_configuration_is_read_alone() -> None:
+    item = make_item("op/config", CONFIGURATION) | {"as_of": 40}
+    found = read_configuration_item(orjson.dumps(item))
+    assert found.version == CONFIGURATION["version"]
+    with pytest.raises(StoreAnswerError):
+        read_configuration_item(orjson.dumps(item | {"value": "%"}))
+    with pytest.raises(StoreAnswerError):
+        read_configuration_item(b"{}")
