Read chunked bodies and send at once without the libraries' detours

The test of a caller that takes nothing stubs these instead of trio's methods; its checks are the same.

--- a/src/lycheepath/adapters/http1/downstream.py
+++ b/src/lycheepath/adapters/http1/downstream.py
@@ -14,7 +14,7 @@
 import trio
 
 from ..events import record_event
-from .sockets import abort
+from .sockets import abort, receive, send
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Sequence
@@ -237,7 +237,7 @@
         """Read the connection, ahead of need up to a bound, until it ends."""
         while True:
             try:
-                data = await self.stream.receive_some(RECEIVE_BYTES)
+                data = await receive(self.stream, RECEIVE_BYTES)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 data = b""
             if not data:
@@ -265,7 +265,7 @@
 
     async def _send(self, data: bytes) -> None:
         try:
-            await self.stream.send_all(data)
+            await send(self.stream, data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise CallerGoneError(str(error)) from error
 
--- a/src/lycheepath/adapters/http1/sockets.py
+++ b/src/lycheepath/adapters/http1/sockets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import select
 import socket
 from typing import TYPE_CHECKING
@@ -50,6 +51,41 @@
         return
 
 
+async def receive(stream: trio.SocketStream, most_bytes: int) -> bytes:
+    """
+    Return the next bytes of a connection, nothing at its end.
+
+    It waits first and reads then, since there is mostly nothing yet; trio
+    itself tries to read, fails, waits and reads. Raises the same as trio.
+    """
+    while True:
+        if stream.socket.fileno() < 0:
+            raise trio.ClosedResourceError("the connection was closed here")
+        await trio.lowlevel.wait_readable(stream.socket)
+        try:
+            return os.read(stream.socket.fileno(), most_bytes)
+        except BlockingIOError:
+            continue
+        except OSError as error:
+            raise trio.BrokenResourceError(str(error)) from error
+
+
+async def send(stream: trio.SocketStream, data: bytes) -> None:
+    """
+    Send bytes at once if the system takes them all, else as it takes them.
+
+    Raises the same as trio.
+    """
+    try:
+        taken = os.write(stream.socket.fileno(), data)
+    except BlockingIOError:
+        taken = 0
+    except OSError as error:
+        raise trio.BrokenResourceError(str(error)) from error
+    if taken < len(data):
+        await stream.send_all(memoryview(data)[taken:])
+
+
 def is_quiet(stream: trio.SocketStream) -> bool:
     """
     Whether an idle connection has neither ended nor sent bytes unasked.
--- a/src/lycheepath/adapters/http1/upstream.py
+++ b/src/lycheepath/adapters/http1/upstream.py
@@ -12,7 +12,8 @@
 import h11
 import trio
 
-from .sockets import abort, is_quiet
+from .chunks import ChunkError, ChunkReader
+from .sockets import abort, is_quiet, receive, send
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -49,6 +50,9 @@
         self._request: h11.Request | None = None
         self._body = b""
         self._sent = False
+        self._chunks: ChunkReader | None = None
+        # Bytes of a chunked body that came with its head.
+        self._pending = b""
 
     async def request(
         self,
@@ -76,6 +80,8 @@
 
     async def read_body(self) -> bytes | None:
         """Return the next bytes of the answer's body; None at its end."""
+        if self._chunks is not None:
+            return await self._read_chunks(self._chunks)
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Data):
@@ -98,7 +104,15 @@
 
     def finish(self) -> bool:
         """Make ready for the next request; tell whether there can be one."""
-        if not self._sent or self._h11.trailing_data != (b"", False):
+        if not self._sent:
+            return False
+        if self._chunks is not None:
+            if not self._chunks.ended or self._chunks.rest:
+                return False
+            self._chunks = None
+            self._h11 = h11.Connection(h11.CLIENT)
+            return True
+        if self._h11.trailing_data != (b"", False):
             return False
         try:
             self._h11.start_next_cycle()
@@ -118,7 +132,7 @@
 
     async def _send(self, data: bytes) -> None:
         try:
-            await self.stream.send_all(data)
+            await send(self.stream, data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise BrokenAnswerError(f"sending failed: {error}") from error
         self._sent = True
@@ -170,15 +184,42 @@
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Response):
-                return event.status_code, list(event.headers)
+                headers = list(event.headers)
+                self._take_framing(headers)
+                return event.status_code, headers
             if not isinstance(event, h11.InformationalResponse):
                 raise BrokenAnswerError("the connection ended without an answer")
 
+    def _take_framing(self, headers: Headers) -> None:
+        """Read a chunked body without h11, which parses the head."""
+        rest, ended = self._h11.trailing_data
+        chunked = dict(headers).get(b"transfer-encoding", b"").lower() == b"chunked"
+        if chunked and not ended and self._h11.their_state is h11.SEND_BODY:
+            self._chunks = ChunkReader()
+            self._pending = rest
+
+    async def _read_chunks(self, chunks: ChunkReader) -> bytes | None:
+        while not chunks.ended:
+            data, self._pending = self._pending, b""
+            data = data or await self._receive()
+            if not data:
+                raise BrokenAnswerError("the connection ended within the answer")
+            try:
+                body = chunks.feed(data)
+            except ChunkError as error:
+                raise BrokenAnswerError(f"the answer is wrong: {error}") from error
+            if body:
+                return body
+        return None
+
     async def _skip_stale_answer(self) -> None:
         """Read an answer to an earlier request to its end; go on behind it."""
         while await self.read_body() is not None:
             pass
         rest, ended = self._h11.trailing_data
+        if self._chunks is not None:
+            rest, ended = self._chunks.rest, False
+            self._chunks = None
         self._h11 = h11.Connection(h11.CLIENT)
         self._write_request()
         if rest:
@@ -204,8 +245,10 @@
                 raise BrokenAnswerError("the connection changed its protocol")
             if event is not h11.NEED_DATA:
                 return event
-            try:
-                data = await self.stream.receive_some(RECEIVE_BYTES)
-            except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-                raise BrokenAnswerError(f"the connection broke: {error}") from error
-            self._h11.receive_data(data)
+            self._h11.receive_data(await self._receive())
+
+    async def _receive(self) -> bytes:
+        try:
+            return await receive(self.stream, RECEIVE_BYTES)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise BrokenAnswerError(f"the connection broke: {error}") from error
--- /dev/null
+++ b/tests/adapters/http1/test_sockets.py
@@ -0,0 +1,58 @@
+from __future__ import annotations
+
+import pytest
+import trio
+
+from lycheepath.adapters.http1.sockets import receive, send
+
+LARGE = bytes(range(256)) * 40_000
+
+
+async def open_pair() -> tuple[trio.SocketStream, trio.SocketStream]:
+    left, right = trio.socket.socketpair()
+    return trio.SocketStream(left), trio.SocketStream(right)
+
+
+async def test_send_goes_on_as_the_reader_takes_it() -> None:
+    left, right = await open_pair()
+    parts = []
+
+    async def take_all() -> None:
+        while data := await receive(right, 4096):
+            parts.append(data)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(take_all)
+        await send(left, LARGE)
+        await left.aclose()
+    assert b"".join(parts) == LARGE
+
+
+async def test_send_that_nobody_takes_can_be_cancelled() -> None:
+    left, right = await open_pair()
+    with trio.move_on_after(0.1) as scope:
+        await send(left, LARGE)
+    assert scope.cancelled_caught
+    await right.aclose()
+
+
+async def test_receive_waits_and_tells_the_end() -> None:
+    left, right = await open_pair()
+    with trio.move_on_after(0.05) as scope:
+        await receive(right, 10)
+    assert scope.cancelled_caught
+    await send(left, b"abc")
+    assert await receive(right, 2) == b"ab"
+    assert await receive(right, 2) == b"c"
+    await left.aclose()
+    assert await receive(right, 2) == b""
+
+
+async def test_broken_connection_is_told_as_trio_does() -> None:
+    left, right = await open_pair()
+    await right.aclose()
+    with pytest.raises(trio.BrokenResourceError):
+        await send(left, b"abc")
+    await left.aclose()
+    with pytest.raises(trio.ClosedResourceError):
+        await receive(left, 10)
--- a/tests/gateway/test_late_answers.py
+++ b/tests/gateway/test_late_answers.py
@@ -5,12 +5,15 @@
 
 import trio
 
+from lycheepath.adapters.http1 import downstream
 from lycheepath.adapters.http1.downstream import CallerConnection
 from lycheepath.gateway.listeners import limit_callers
 from lycheepath.gateway.serving import serve_request
 from standins.site import HOST, Site, make_route
 
 if TYPE_CHECKING:
+    import pytest
+
     from lycheepath.gateway.node import GatewayNode
 
 
@@ -23,13 +26,13 @@
         self.closed = False
         self.tries = 0
 
-    async def receive_some(self, most: int) -> bytes:
+    async def receive(self, most: int) -> bytes:
         if self._requests:
             return self._requests.pop()
         await trio.sleep_forever()
         raise AssertionError
 
-    async def send_all(self, data: bytes) -> None:
+    async def send(self, data: bytes) -> None:
         self.tries += 1
         await trio.sleep_forever()
 
@@ -38,8 +41,10 @@
 
 
 async def test_refusal_that_the_caller_does_not_take_is_not_followed_by_another(
-    site: Site,
+    site: Site, monkeypatch: pytest.MonkeyPatch
 ) -> None:
+    monkeypatch.setattr(downstream, "receive", StalledStream.receive)
+    monkeypatch.setattr(downstream, "send", StalledStream.send)
     site.configure(make_route("books", timeout_ms=200))
     node: GatewayNode = await site.start_gateway("east")
     head = f"GET /books/1 HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: r1\r\n\r\n"
