Leave a region alone for a moment whose hosts say that nothing is open

Ruled out: stale announcements (both hosts had the same revision). Change: that answer says so, and the asking host leaves the service in that region out for 0.5 s.

--- a/src/lycheepath/core/placement/choice.py
+++ b/src/lycheepath/core/placement/choice.py
@@ -89,12 +89,14 @@
 
     ``away_s`` is the time to and from each other region that can be reached.
     ``cold_senders`` are the hosts that share a cold target with this one; cold
-    targets that it doesn't name are left to others.
+    targets that it doesn't name are left to others. ``closed`` are services
+    that have no open target in a region, as hosts there said a moment ago.
     """
 
     region: str
     away_s: Mapping[str, float]
     cold_senders: Mapping[str, int]
+    closed: frozenset[tuple[str, str]] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -217,9 +219,11 @@
         return False
     if target.region == around.region:
         return _may_send(target, around, now)
-    if target.cold.is_cold(now):
+    if target.cold.is_cold(now) or target.region in tried.regions:
         return False
-    return target.region in around.away_s and target.region not in tried.regions
+    if (target.entry.service, target.region) in around.closed:
+        return False
+    return target.region in around.away_s
 
 
 def _admit(wanted: Wanted, best: Placement) -> Placement | Absent:
--- a/src/lycheepath/gateway/node.py
+++ b/src/lycheepath/gateway/node.py
@@ -9,7 +9,7 @@
 
 import trio
 
-from ..adapters.events import EventLog
+from ..adapters.events import EventLog, record_event
 from ..adapters.http1.pool import Pool
 from ..adapters.metrics import Metrics
 from ..core.catalog.catalog import Catalog
@@ -34,6 +34,9 @@
 MOST_NAMED = 64
 # Who is live and which targets are cold changes with beats and readings.
 SURROUNDINGS_S = 0.1
+# A region that had no open target for a service is asked again after this long:
+# a cold target that three hosts share bears a request about as often.
+CLOSED_S = 0.5
 # To another region and back, before it is measured.
 FIRST_AWAY_S = 0.16
 
@@ -60,6 +63,7 @@
         Surroundings("", {}, {}),
     )
     away_s: dict[str, float] = field(default_factory=dict)
+    _closed: dict[tuple[str, str], float] = field(default_factory=dict)
     avoided: dict[str, float] = field(default_factory=dict)
     _numbers: count[int] = field(default_factory=lambda: count(1))
     leaving: bool = False
@@ -116,7 +120,9 @@
         for row in self.peers.view.serving(now):
             if row.region != own:
                 away[row.region] = self.away_s.get(row.region, FIRST_AWAY_S)
-        around = Surroundings(own, away, self.share_cold_targets())
+        self._closed = {key: at for key, at in self._closed.items() if now < at}
+        closed = frozenset(self._closed)
+        around = Surroundings(own, away, self.share_cold_targets(), closed)
         self._around = now, around
         return around
 
@@ -145,6 +151,12 @@
         """Look around anew at the next choice: a target may have turned cold."""
         self._around = float("-inf"), self._around[1]
 
+    def note_closed(self, service: str, region: str) -> None:
+        """Note that no target of a region is open for a service."""
+        self._closed[service, region] = self.now() + CLOSED_S
+        record_event("region-closed", subject=region, detail=service, for_s=CLOSED_S)
+        self.forget_surroundings()
+
     def share_cold_targets(self) -> dict[str, int]:
         """Return for each cold target that this host shares how many do."""
         now = self.now()
--- a/src/lycheepath/gateway/relay.py
+++ b/src/lycheepath/gateway/relay.py
@@ -20,7 +20,7 @@
 from ..adapters.http1.upstream import BrokenAnswerError
 from ..core.addresses import Address
 from ..core.placement.book import Ending
-from ..core.reasons import Absent
+from ..core.reasons import Absent, Reason
 from ..core.serving.events import EventOrderError
 from ..core.serving.retries import Result
 from ..platform.headers import read_answer, read_request
@@ -48,8 +48,9 @@
 COMMITTED = b"lycheepath-committed"
 RESULT = b"lycheepath-result"
 REASON = b"lycheepath-reason"
+CLOSED = b"lycheepath-closed"
 OWN_HEADERS = frozenset(
-    {SERVICE, LEFT_MS, WAITED_MS, LAST_EVENT, COMMITTED, RESULT, REASON}
+    {SERVICE, LEFT_MS, WAITED_MS, LAST_EVENT, COMMITTED, RESULT, REASON, CLOSED}
 )
 
 FAILED = Result.FAILED.value.encode()
@@ -115,6 +116,8 @@
         fields = dict(headers)
         if RESULT in fields and fields[RESULT] != FAILED:
             sent, kept = await _read_result(upstream, fields), True
+            if sent.closed:
+                node.note_closed(exchange.service, placed.target.region)
         else:
             answered = [h for h in headers if h[0] not in OWN_HEADERS]
             facts = read_answer(status, answered)
@@ -172,9 +175,8 @@
     around = replace(node.surroundings(), away_s={})
     placed = node.place(exchange, around)
     if isinstance(placed, Absent):
-        await _answer_result(
-            exchange.caller, Result.NOT_RUN, placed.detail, placed.retry_after_s
-        )
+        closed = placed.reason is Reason.NO_TARGET
+        await _answer_result(exchange.caller, Result.NOT_RUN, placed.detail, closed)
         return
     sent = await send_to_target(node, exchange, placed)
     record_event(
@@ -207,14 +209,14 @@
 
 
 async def _answer_result(
-    caller: CallerConnection, result: Result, reason: str, wait_s: float = 0.0
+    caller: CallerConnection, result: Result, reason: str, closed: bool = False
 ) -> None:
     headers = [
         (RESULT, result.value.encode()),
         (REASON, reason.encode("ascii", "replace")),
     ]
-    if wait_s:
-        headers.append((b"retry-after", b"%.3f" % wait_s))
+    if closed:
+        headers.append((CLOSED, b"1"))
     await caller.answer(503, headers, b"")
 
 
@@ -255,7 +257,8 @@
     """Return what the other host says of a request that got no answer there."""
     await upstream.read_whole(MOST_RESULT_BYTES)
     reason = fields.get(REASON, b"").decode("latin-1")
-    return Sent(Result(fields[RESULT].decode()), Ending.LEFT, reason)
+    result = Result(fields[RESULT].decode())
+    return Sent(result, Ending.LEFT, reason, CLOSED in fields)
 
 
 def _pick_host(node: GatewayNode, region: str) -> HostRow | None:
--- a/src/lycheepath/gateway/sending.py
+++ b/src/lycheepath/gateway/sending.py
@@ -48,11 +48,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Sent:
-    """The result of one sending, what it says of the target, and why."""
+    """
+    The result of one sending, what it says of the target, and why.
+
+    ``closed`` says that no target of the other region is open for the service.
+    """
 
     result: Result
     ending: Ending
     reason: str = ""
+    closed: bool = False
 
 
 async def send_to_target(
--- a/tests/core/placement/test_choice.py
+++ b/tests/core/placement/test_choice.py
@@ -290,3 +290,13 @@
     book.started(9, target, 0, 0, 60.0)
     book.ended(9, Ending.WHOLE, 60.0)
     assert book.notes[-1].detail == "on probation to trusted after whole"
+
+
+def test_region_that_has_no_open_target_is_left_alone() -> None:
+    """Its hosts know sooner than this one that its targets are cold or gone."""
+    book = make_book(make_entry(1, "west-a"))
+    closed = frozenset({("pool", "west")})
+    assert chosen_id(choose(book)) == "i-1"
+    assert isinstance(choose(book, around=replace(EAST, closed=closed)), Absent)
+    other = frozenset({("books", "west")})
+    assert chosen_id(choose(book, around=replace(EAST, closed=other))) == "i-1"
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -341,3 +341,21 @@
     with trio.fail_after(2.0):
         while second.catalog.version != site.version:
             await trio.sleep(0.02)
+
+
+async def test_region_without_an_open_target_is_not_asked_for_each_request(
+    site: Site,
+) -> None:
+    target = await site.add_target("books", answer_text(b"done"), "west-a")
+    site.configure(make_route("books"))
+    east = await site.start_gateway("east")
+    west = await site.start_gateway("west", "west-a")
+    await wait_until_live(east, west)
+    # Only the other region's host knows that the target is not to be used.
+    west.book.targets[target.id].evacuated = True
+    for number in range(20):
+        answer = await site.ask(east, b"GET", f"/books/{number}")
+        assert answer.status == 503
+        assert float(answer.headers["retry-after"]) > 0
+    relayed = east.metrics.counter("sends_failed_total", result="not-run")
+    assert 1 <= relayed <= 3
