--- a/src/lycheepath/core/placement/choice.py
+++ b/src/lycheepath/core/placement/choice.py
@@ -63,6 +63,8 @@
 # either way where a target is at its limit.
 AIM_SHARE = 0.85
 MIN_RETRY_AFTER_S = 0.3
+# To come again where nothing tells when a target opens; a reading of the store.
+NO_TARGET_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -189,10 +191,28 @@
     best = best or resort
     if best is None:
         detail = "no target is open" if service else "the service has no targets"
-        return Absent(Reason.NO_TARGET, 1.0, detail)
+        wait_s = _time_to_open(service, wanted, now)
+        return Absent(Reason.NO_TARGET, wait_s, detail)
     return _admit(wanted, best)
 
 
+def _time_to_open(service: list[TargetState], wanted: Wanted, now: float) -> float:
+    """
+    Return when a request that no target takes now had better come again.
+
+    Cold targets are open again when they are warm; until then the few requests
+    that they bear are used up by those that come first.
+    """
+    homes = wanted.route.home_regions
+    cold = [
+        target.cold.left_s(now)
+        for target in service
+        if target.open and target.cold.is_cold(now)
+        if not homes or target.region in homes
+    ]
+    return max(MIN_RETRY_AFTER_S, min(cold, default=NO_TARGET_S))
+
+
 def _look_up(
     book: TargetBook, wanted: Wanted, around: Surroundings, now: float
 ) -> _Look:
--- a/src/lycheepath/core/placement/cold.py
+++ b/src/lycheepath/core/placement/cold.py
@@ -41,6 +41,10 @@
         """Whether the bound on the rate applies."""
         return self._rate_per_s > 0.0 and now < self._until
 
+    def left_s(self, now: float) -> float:
+        """Return how long the bound on the rate still applies."""
+        return self._until - now if self.is_cold(now) else 0.0
+
     def may_send(self, senders: int, now: float) -> bool:
         """Whether this host, one of ``senders``, may send a request now."""
         self._senders = max(1, senders)
--- a/tests/core/placement/test_choice.py
+++ b/tests/core/placement/test_choice.py
@@ -300,3 +300,19 @@
     assert isinstance(choose(book, around=replace(EAST, closed=closed)), Absent)
     other = frozenset({("books", "west")})
     assert chosen_id(choose(book, around=replace(EAST, closed=other))) == "i-1"
+
+
+def test_request_that_only_cold_targets_could_take_is_told_when_they_are_warm() -> None:
+    entries = [replace(make_entry(n), cold_s=2.0 + n) for n in (1, 2)]
+    gone = replace(make_entry(3), cold_s=0.5, draining=True)
+    book = make_book(*entries, gone)
+    refused = choose(book, now=1.0)
+    assert isinstance(refused, Absent)
+    assert refused.reason is Reason.NO_TARGET
+    assert refused.retry_after_s == pytest.approx(2.0)
+
+
+def test_request_for_which_nothing_is_known_to_open_comes_again_soon() -> None:
+    refused = choose(make_book(replace(make_entry(1), draining=True)))
+    assert isinstance(refused, Absent)
+    assert refused.retry_after_s == 1.0
