Leave out a target that another has replaced at its address

Change: that answer takes the target out for 5 s, and beats tell peers of it for 2 s; only who got the answer tells.

--- a/src/lycheepath/adapters/beats.py
+++ b/src/lycheepath/adapters/beats.py
@@ -36,7 +36,7 @@
     ``loads`` are the sender's own towards hosts of its region, and those of
     its whole region towards others, as ``of_region`` says. ``suspects`` are
     fingerprints of requests that broke off, with the targets where they did.
-    ``knowledge`` is how far the sender follows the platform's store.
+    ``replaced`` are targets that stand at their address no more. ``knowledge`` is how far the sender follows the platform's store.
     """
 
     sender: HostRow
@@ -45,6 +45,7 @@
     of_region: bool = False
     parts: tuple[tuple[str, tuple[PromptPart, ...]], ...] = ()
     suspects: tuple[tuple[int, tuple[str, ...]], ...] = ()
+    replaced: tuple[str, ...] = ()
     knowledge: Knowledge = NO_KNOWLEDGE
 
 
@@ -62,6 +63,7 @@
             beat.of_region,
             [[name, [[p.id, p.tokens] for p in parts]] for name, parts in beat.parts],
             [[number, list(targets)] for number, targets in beat.suspects],
+            list(beat.replaced),
             _encode_knowledge(beat.knowledge),
         ]
     )
@@ -75,7 +77,7 @@
         form, *fields = orjson.loads(data)
         if form != FORMAT:
             raise BeatError(f"the format {form!r} is unknown")
-        sender, rows, loads, of_region, parts, suspects, knowledge = fields
+        sender, rows, loads, of_region, parts, suspects, replaced, knowledge = fields
         return Beat(
             _decode_row(sender),
             tuple(_decode_row(row) for row in rows),
@@ -91,6 +93,7 @@
                 for name, held in parts
             ),
             tuple((int(n), tuple(str(t) for t in held)) for n, held in suspects),
+            tuple(str(target) for target in replaced),
             _decode_knowledge(knowledge),
         )
     except (ValueError, TypeError) as error:
--- a/src/lycheepath/core/placement/book.py
+++ b/src/lycheepath/core/placement/book.py
@@ -38,6 +38,9 @@
 FIRST_EVENT_S = 0.05
 # Weight of one more gap; some tens of them are seen a second on a busy target.
 EVENT_STEP = 0.02
+# A target that another one has replaced at its address is left out this long; its
+# entry lapses after three intervals of 1.2 s, and a second later that is read.
+REPLACED_S = 5.0
 # Part of an engine's memory that is taken for cached parts; the rest holds
 # what runs.
 CACHE_SHARE = 0.85
@@ -51,6 +54,7 @@
     WRONG = "wrong"
     REFUSED = "refused"
     NOT_RUN = "not-run"
+    REPLACED = "replaced"
     SILENT = "silent"
     LEFT = "left"
 
@@ -91,6 +95,8 @@
     flights: dict[int, Flight] = field(default_factory=dict)
     peers: PeerLoads = field(default_factory=PeerLoads)
     evacuated: bool = False
+    replaced_until: float = float("-inf")
+    replaced_seen_at: float = float("-inf")
     contact_at: float = float("-inf")
     event_s: float = FIRST_EVENT_S
 
@@ -243,6 +249,9 @@
             target.contact_at = now
             took = now - flight.sent_at
             self.speed(target.entry.service).observe_whole(took)
+        elif ending is Ending.REPLACED:
+            target.replaced_seen_at = now
+            self.note_replaced(target.entry.id, now)
         elif ending is Ending.REFUSED:
             health.record_refusal(now)
             target.cold.doubt(now)
@@ -283,6 +292,26 @@
             if now - told_at > PEER_LOAD_S:
                 self.drop_peer(host)
 
+    def note_replaced(self, target_id: str, now: float) -> None:
+        """Note that another target stands at a target's address, by its own word."""
+        target = self.targets.get(target_id)
+        if target is None or now < target.replaced_until:
+            return
+        target.replaced_until = now + REPLACED_S
+        self.notes.append(Note("target-replaced", target_id, target.entry.address))
+
+    def replaced(self, now: float, within_s: float) -> tuple[str, ...]:
+        """
+        Return the targets that this host found replaced lately, for peers.
+
+        What peers told isn't passed on, or it would go around for ever.
+        """
+        return tuple(
+            target.entry.id
+            for target in self.targets.values()
+            if now - target.replaced_seen_at < within_s
+        )
+
     def own_loads(self) -> dict[str, TargetLoad]:
         """Return what this host has under way, for its peers."""
         loads = {}
@@ -329,6 +358,7 @@
             state.cache.clear()
             state.health = TargetHealth()
             state.peers.clear()
+            state.replaced_until = float("-inf")
         if known is None or entry is not known.entry:
             # What is announced counts once, from when it came.
             state.cold.announce(entry.cold_s, now)
--- a/src/lycheepath/core/placement/choice.py
+++ b/src/lycheepath/core/placement/choice.py
@@ -237,6 +237,8 @@
     """Whether a target takes requests, and this host may send it one."""
     if not target.open or target.entry.id in tried.targets:
         return False
+    if now < target.replaced_until:
+        return False
     if target.region == around.region:
         return _may_send(target, around, now)
     if target.cold.is_cold(now) or target.region in tried.regions:
--- a/src/lycheepath/core/serving/answers.py
+++ b/src/lycheepath/core/serving/answers.py
@@ -19,7 +19,8 @@
     """
     The head of an answer.
 
-    ``not_run`` is the target's word that it did not run the request. ``idle_s``
+    ``not_run`` is the target's word that it did not run the request,
+    ``other_target`` that another one now stands at the address. ``idle_s``
     is how long it keeps an idle connection, ``closes`` that it closes this one.
     """
 
@@ -31,6 +32,7 @@
     idle_s: float | None
     closes: bool
     headers: tuple[tuple[bytes, bytes], ...]
+    other_target: bool = False
 
     @property
     def succeeded(self) -> bool:
--- a/src/lycheepath/gateway/peers.py
+++ b/src/lycheepath/gateway/peers.py
@@ -23,6 +23,8 @@
 # What broke off is told for some beats, so that one lost datagram matters little.
 SUSPECT_TOLD_S = 0.5
 MOST_SUSPECTS = 16
+# In a region of 30 hosts nearly all have heard of it by then.
+REPLACED_TOLD_S = 2.0
 
 
 class Peers:
@@ -82,24 +84,24 @@
             (number, tuple(targets))
             for number, targets in node.suspects.to_tell(now, SUSPECT_TOLD_S)
         )[:MOST_SUSPECTS]
-        knowledge = node.store.knowledge(now)
+        common = (
+            suspects,
+            node.book.replaced(now, REPLACED_TOLD_S),
+            node.store.knowledge(now),
+        )
         near = away = b""
         for ip, region in view.next_receivers(now):
             if region == own.region:
                 if not near:
                     rows = tuple(view.rows_to_tell(now, own.region))
                     loads = node.book.own_loads()
-                    near = encode_beat(
-                        Beat(own, rows, loads, False, parts, suspects, knowledge)
-                    )
+                    near = encode_beat(Beat(own, rows, loads, False, parts, *common))
                 data = near
             else:
                 if not away:
                     rows = tuple(view.rows_to_tell(now, region))
                     loads = node.book.region_loads(own.region, now)
-                    away = encode_beat(
-                        Beat(own, rows, loads, True, parts, suspects, knowledge)
-                    )
+                    away = encode_beat(Beat(own, rows, loads, True, parts, *common))
                 data = away
             try:
                 await plain.sendto(data, (ip, node.settings.peer_port))
@@ -131,6 +133,8 @@
         for number, targets in beat.suspects:
             for target_id in targets:
                 node.suspects.note_break(number, target_id, now)
+        for target_id in beat.replaced:
+            node.book.note_replaced(target_id, now)
         for target_id, parts in beat.parts:
             target = node.book.targets.get(target_id)
             if target is not None:
--- a/src/lycheepath/gateway/sending.py
+++ b/src/lycheepath/gateway/sending.py
@@ -171,7 +171,8 @@
     if facts.not_run:
         await upstream.read_whole(HELD_BYTES)
         reason = f"the target did not run it: {facts.status}"
-        return Sent(Result.NOT_RUN, Ending.NOT_RUN, reason), True
+        ending = Ending.REPLACED if facts.other_target else Ending.NOT_RUN
+        return Sent(Result.NOT_RUN, ending, reason), True
     if not facts.succeeded:
         body = await upstream.read_whole(HELD_BYTES)
         exchange.held = HeldAnswer(facts.status, facts.headers, body)
--- a/src/lycheepath/platform/headers.py
+++ b/src/lycheepath/platform/headers.py
@@ -50,7 +50,8 @@
     }
 )
 DROPPED = CONNECTION_HEADERS | GATEWAY_HEADERS | {b"content-length", b"expect"}
-NOT_RUN_STATUS = 421
+# The target isn't the one that was named to it, and ran nothing.
+OTHER_TARGET_STATUS = 421
 MOST_PROMPT_PARTS = 64
 
 
@@ -96,13 +97,14 @@
         status=status,
         request_id=fields.get(b"request-id", b"").decode("latin-1"),
         signed=b"response-signature" in fields,
-        not_run=status == NOT_RUN_STATUS or b"not-executed" in fields,
+        not_run=status == OTHER_TARGET_STATUS or b"not-executed" in fields,
         load=_read_load(fields.get(b"server-load")),
         idle_s=_read_keep_alive(fields.get(b"keep-alive")),
         closes=b"close" in connection,
         headers=tuple(
             h for h in headers if h[0] not in CONNECTION_HEADERS and h[0] not in named
         ),
+        other_target=status == OTHER_TARGET_STATUS,
     )
 
 
--- a/tests/adapters/test_beats.py
+++ b/tests/adapters/test_beats.py
@@ -37,6 +37,7 @@
         strategies.tuples(COUNT, strategies.lists(TEXT, max_size=3).map(tuple)),
         max_size=3,
     ).map(tuple),
+    strategies.lists(TEXT, max_size=3).map(tuple),
     KNOWLEDGE,
 )
 
@@ -65,7 +66,7 @@
 @given(
     strategies.recursive(
         strategies.none() | strategies.booleans() | strategies.integers() | TEXT,
-        lambda inner: strategies.lists(inner, max_size=8),
+        lambda inner: strategies.lists(inner, max_size=9),
         max_leaves=30,
     )
 )
--- a/tests/core/placement/test_choice.py
+++ b/tests/core/placement/test_choice.py
@@ -318,3 +318,28 @@
     refused = choose(make_book(replace(make_entry(1), draining=True)))
     assert isinstance(refused, Absent)
     assert refused.retry_after_s == 1.0
+
+
+def test_target_that_another_has_replaced_is_left_out_until_its_entry_is_gone() -> None:
+    book = make_book(make_entry(1), make_entry(2))
+    for key in range(2):
+        target = book.targets["i-1"]
+        book.started(key, target, 0, 100, 0.0)
+        book.ended(key, Ending.REPLACED, 0.1)
+    assert [note.event for note in book.notes] == ["target-replaced"]
+    assert book.replaced(0.2, 2.0) == ("i-1",)
+    assert book.replaced(2.2, 2.0) == ()
+    for name in range(20):
+        wanted = make_wanted(make_prompt(str(name)))
+        assert chosen_id(choose(book, wanted, now=3.0)) == "i-2"
+    alone = Tried(targets=frozenset({"i-2"}))
+    assert isinstance(choose(book, now=3.0, tried=alone), Absent)
+    assert chosen_id(choose(book, now=5.2, tried=alone)) == "i-1"
+
+
+def test_peer_that_was_told_leaves_a_replaced_target_out_too() -> None:
+    book = make_book(make_entry(1))
+    book.note_replaced("i-1", 0.0)
+    book.note_replaced("i-9", 0.0)
+    assert isinstance(choose(book, now=1.0), Absent)
+    assert book.replaced(0.1, 2.0) == ()
