Have a host that has just started copy out everything, not changes

Ruled out: copies between hosts that have read changes (no case). Change: the history begins at the first whole reading; whoever is behind that gets everything, and drops what it lacks.

--- a/src/lycheepath/core/catalog/catalog.py
+++ b/src/lycheepath/core/catalog/catalog.py
@@ -67,6 +67,8 @@
         """Take everything as of a revision; what it lacks is gone."""
         if snapshot.revision < self.revision:
             return []
+        if self.revision == 0:
+            self.history.begin(snapshot.revision)
         self.revision = snapshot.revision
         seen = {e.id for e in snapshot.entries if isinstance(e, TargetEntry)}
         zones = {e.zone for e in snapshot.entries if isinstance(e, Evacuation)}
--- a/src/lycheepath/core/catalog/history.py
+++ b/src/lycheepath/core/catalog/history.py
@@ -30,6 +30,10 @@
         self._latest: dict[str, tuple[int, Change]] = {}
         self._complete_since = 0
 
+    def begin(self, revision: int) -> None:
+        """Know nothing of what was removed before a revision."""
+        self._complete_since = revision
+
     def __contains__(self, subject: str) -> bool:
         return subject in self._latest
 
--- a/tests/core/catalog/test_history.py
+++ b/tests/core/catalog/test_history.py
@@ -94,3 +94,13 @@
     as_of = 6 + MOST_REMOVALS
     assert history.since(4, as_of) == Snapshot((TARGET,), as_of)
     assert isinstance(history.since(6, as_of), Delta)
+
+
+def test_reader_that_has_just_started_tells_what_is_gone() -> None:
+    """It never held what was removed before, so it gives all it has."""
+    _, copier = make_pair()
+    started = Catalog()
+    started.replace(Snapshot((make_configuration(7),), 20), 5.0, False)
+    follow(started, copier, 5.0)
+    assert not copier.targets
+    assert not copier.evacuated
