--- a/tests/core/catalog/test_catalog_machine.py
+++ b/tests/core/catalog/test_catalog_machine.py
@@ -9,6 +9,7 @@
 
 from collections import Counter
 from dataclasses import replace
+from typing import TYPE_CHECKING
 
 from hypothesis import strategies
 from hypothesis.stateful import (
@@ -19,18 +20,13 @@
 )
 
 from lycheepath.core.catalog.catalog import LAPSE_GRACE_S, Catalog
-from lycheepath.core.catalog.changes import (
-    Change,
-    Delta,
-    Entry,
-    Evacuation,
-    EvacuationEnded,
-    Snapshot,
-    TargetRemoved,
-)
-from lycheepath.core.catalog.model import CallerLimits, Configuration, TargetEntry
+from tests.core.catalog.written_store import WrittenStore
 from tests.core.randomised import run_machine
 
+if TYPE_CHECKING:
+    from lycheepath.core.catalog.changes import Snapshot
+    from lycheepath.core.catalog.model import TargetEntry
+
 TARGETS = strategies.sampled_from(["i-1", "i-2", "i-3"])
 ZONES = strategies.sampled_from(["a", "b"])
 
@@ -41,82 +37,55 @@
     def __init__(self) -> None:
         super().__init__()
         self.now = 0.0
-        self.revision = 1
-        self.version = 1
+        self.store = WrittenStore()
         self.oldest = 0
-        self.targets: dict[str, TargetEntry] = {}
         self.lapsed: dict[str, TargetEntry] = {}
-        self.zones: set[str] = set()
-        self.history: list[tuple[int, Change]] = []
         self.old_snapshots: list[Snapshot] = []
         self.catalog = Catalog()
         self.outage = False
         self.seen_version = 0
         self.seen_revision = 0
 
-    def write(self, change: Change) -> None:
-        self.revision += 1
-        self.history.append((self.revision, change))
-
-    def take_snapshot(self) -> Snapshot:
-        configuration = Configuration(self.version, (), {}, CallerLimits())
-        zones = (Evacuation(zone) for zone in sorted(self.zones))
-        entries: tuple[Entry, ...] = (configuration, *self.targets.values(), *zones)
-        return Snapshot(entries, self.revision)
-
     @rule(name=TARGETS, draining=strategies.booleans())
     def announce(self, name: str, draining: bool) -> None:
-        held = self.targets.get(name)
-        sequence = held.sequence + 1 if held else 0
-        entry = TargetEntry(
-            name, "s", "10.0.0.1:80", "a", 4, draining, 0.0, sequence, 0
-        )
-        self.targets[name] = entry
+        self.store.announce(name, draining)
         self.lapsed.pop(name, None)
-        self.write(entry)
 
     @rule(name=TARGETS)
     def remove(self, name: str) -> None:
-        if self.targets.pop(name, None) is not None:
-            self.write(TargetRemoved(name))
+        self.store.remove(name)
 
     @rule()
     def configure(self) -> None:
-        self.version += 3
-        self.write(Configuration(self.version, (), {}, CallerLimits()))
+        self.store.configure()
 
     @rule(zone=ZONES)
     def evacuate(self, zone: str) -> None:
-        if zone in self.zones:
-            self.zones.discard(zone)
-            self.write(EvacuationEnded(zone))
-        else:
-            self.zones.add(zone)
-            self.write(Evacuation(zone))
+        self.store.evacuate_or_end(zone)
 
     @rule()
     def lapse_in_an_outage(self) -> None:
         self.outage = True
-        for target, entry in list(self.targets.items()):
+        for target, entry in list(self.store.targets.items()):
             self.lapsed[target] = entry
-            del self.targets[target]
-            self.write(TargetRemoved(target))
+            self.store.remove(target)
 
     @rule()
     def return_after_the_outage(self) -> None:
         for target, entry in self.lapsed.items():
-            self.targets[target] = replace(entry, sequence=entry.sequence + 1)
-            self.write(self.targets[target])
+            back = replace(entry, sequence=entry.sequence + 1)
+            self.store.targets[target] = back
+            self.store.write(back)
         self.lapsed.clear()
 
     @rule()
     def forget_history(self) -> None:
-        self.oldest = self.revision
-        self.history.clear()
+        self.oldest = self.store.revision
+        self.store.history.clear()
 
     @rule()
     def keep_a_snapshot_for_later(self) -> None:
-        self.old_snapshots.append(self.take_snapshot())
+        self.old_snapshots.append(self.store.read_all())
 
     @precondition(lambda self: self.old_snapshots)
     @rule()
@@ -125,16 +94,15 @@
 
     @rule()
     def read_all(self) -> None:
-        self.catalog.replace(self.take_snapshot(), self.now, self.outage)
+        self.catalog.replace(self.store.read_all(), self.now, self.outage)
         self.check_up_to_date()
         self.outage = False
 
     @precondition(lambda self: self.catalog.revision >= self.oldest > 0)
     @rule()
     def read_changes(self) -> None:
-        held = self.catalog.revision
-        changes = tuple(c for revision, c in self.history if revision > held)
-        self.catalog.apply(Delta(changes, self.revision), self.now, self.outage)
+        changes = self.store.read_changes(self.catalog.revision)
+        self.catalog.apply(changes, self.now, self.outage)
         self.check_up_to_date()
         self.outage = False
 
@@ -144,15 +112,15 @@
         self.catalog.expire(self.now)
 
     def check_up_to_date(self) -> None:
-        assert self.catalog.version == self.version
-        assert self.catalog.evacuated == self.zones
-        for target, entry in self.targets.items():
+        assert self.catalog.version == self.store.version
+        assert self.catalog.evacuated == self.store.zones
+        for target, entry in self.store.targets.items():
             assert self.catalog.targets[target] == entry
-        missing = self.catalog.targets.keys() - self.targets.keys()
+        missing = self.catalog.targets.keys() - self.store.targets.keys()
         assert self.outage or missing <= self.catalog._dubious.keys()
         self.now += LAPSE_GRACE_S
         self.catalog.expire(self.now)
-        assert self.catalog.targets == self.targets
+        assert self.catalog.targets == self.store.targets
 
     @invariant()
     def never_falls_back(self) -> None:
--- a/tests/core/catalog/test_copies_machine.py
+++ b/tests/core/catalog/test_copies_machine.py
@@ -17,17 +17,9 @@
 
 from lycheepath.adapters.copies import Copy, decode_copy, encode_copy
 from lycheepath.core.catalog.catalog import LAPSE_GRACE_S, Catalog
-from lycheepath.core.catalog.changes import (
-    Change,
-    Delta,
-    Entry,
-    Evacuation,
-    EvacuationEnded,
-    Snapshot,
-    TargetRemoved,
-)
+from lycheepath.core.catalog.changes import Delta, Snapshot
 from lycheepath.core.catalog.freshness import Freshness, Knowledge, News
-from lycheepath.core.catalog.model import CallerLimits, Configuration, TargetEntry
+from tests.core.catalog.written_store import WrittenStore
 from tests.core.randomised import run_machine
 
 HOSTS = 4
@@ -67,57 +59,34 @@
 
 
 class CopiesMachine(RuleBasedStateMachine):
-    """State: the store with its history, and the hosts."""
+    """State: the store and the hosts."""
 
     def __init__(self) -> None:
         super().__init__()
         self.now = 0.0
-        self.revision = 1
-        self.configuration = Configuration(1, (), {}, CallerLimits())
-        self.targets: dict[str, TargetEntry] = {}
-        self.zones: set[str] = set()
-        self.history: list[tuple[int, Change]] = []
+        self.store = WrittenStore()
         self.hosts = [Host() for _ in range(HOSTS)]
         self.versions = [0] * HOSTS
 
-    def write(self, change: Change) -> None:
-        self.revision += 1
-        self.history.append((self.revision, change))
-
     @rule(name=TARGETS, draining=strategies.booleans())
     def announce(self, name: str, draining: bool) -> None:
-        held = self.targets.get(name)
-        sequence = held.sequence + 1 if held else 0
-        address = "10.0.0.1:80"
-        entry = TargetEntry(name, "s", address, "a", 4, draining, 0.0, sequence, 0)
-        self.targets[name] = entry
-        self.write(entry)
+        self.store.announce(name, draining)
 
     @rule(name=TARGETS)
     def restart_under_the_same_id(self, name: str) -> None:
-        if name in self.targets:
-            self.targets[name] = replace(self.targets[name], sequence=0)
-            self.write(self.targets[name])
+        self.store.restart(name)
 
     @rule(name=TARGETS)
     def remove(self, name: str) -> None:
-        if self.targets.pop(name, None) is not None:
-            self.write(TargetRemoved(name))
+        self.store.remove(name)
 
     @rule()
     def configure(self) -> None:
-        version = self.configuration.version + 3
-        self.configuration = replace(self.configuration, version=version)
-        self.write(self.configuration)
+        self.store.configure()
 
     @rule(zone=ZONES)
     def evacuate(self, zone: str) -> None:
-        if zone in self.zones:
-            self.zones.discard(zone)
-            self.write(EvacuationEnded(zone))
-        else:
-            self.zones.add(zone)
-            self.write(Evacuation(zone))
+        self.store.evacuate_or_end(zone)
 
     @rule(number=NUMBERS)
     def restart_host(self, number: int) -> None:
@@ -128,17 +97,10 @@
     def read(self, number: int) -> None:
         catalog = self.hosts[number].catalog
         if catalog.routes is None:
-            zones = (Evacuation(zone) for zone in sorted(self.zones))
-            entries: tuple[Entry, ...] = (
-                self.configuration,
-                *self.targets.values(),
-                *zones,
-            )
-            catalog.replace(Snapshot(entries, self.revision), self.now, False)
+            catalog.replace(self.store.read_all(), self.now, False)
         else:
-            held = catalog.revision
-            changes = tuple(c for revision, c in self.history if revision > held)
-            catalog.apply(Delta(changes, self.revision), self.now, False)
+            changes = self.store.read_changes(catalog.revision)
+            catalog.apply(changes, self.now, False)
         self.hosts[number].fresh.note_known(self.now)
 
     @rule(number=NUMBERS, other=NUMBERS, reachable=strategies.booleans())
@@ -156,7 +118,7 @@
         if news is News.CHANGES:
             host.copy(teller, self.now, everything=False)
         elif news is News.CONFIGURATION and reachable:
-            delta = Delta((self.configuration,), host.catalog.revision)
+            delta = Delta((self.store.configuration,), host.catalog.revision)
             host.catalog.apply(delta, self.now, False)
         elif news is News.CONFIGURATION:
             host.copy(teller, self.now, everything=True)
@@ -173,10 +135,10 @@
         for host in self.hosts:
             catalog = host.catalog
             catalog.expire(self.now)
-            assert catalog.version == self.configuration.version
-            assert catalog.evacuated == self.zones
-            assert catalog.targets.keys() == self.targets.keys()
-            for name, entry in self.targets.items():
+            assert catalog.version == self.store.version
+            assert catalog.evacuated == self.store.zones
+            assert catalog.targets.keys() == self.store.targets.keys()
+            for name, entry in self.store.targets.items():
                 assert replace(catalog.targets[name], sequence=0) == replace(
                     entry, sequence=0
                 )
@@ -185,7 +147,7 @@
     def versions_never_fall(self) -> None:
         for number, host in enumerate(self.hosts):
             assert host.catalog.version >= self.versions[number]
-            assert host.catalog.version <= self.configuration.version
+            assert host.catalog.version <= self.store.version
             self.versions[number] = host.catalog.version
 
 
