Bound copies by a second, and bring the book up only for news

Found in reading the change: a copy of changes from a host that fell silent kept a reader from reading for 2.5 s of the 4 s in which a configuration has to be in force; a host that has read nothing yet took the configuration alone and said it was ready without targets; the book went through all targets up to 20 times a second for nothing.

--- a/src/lycheepath/adapters/beats.py
+++ b/src/lycheepath/adapters/beats.py
@@ -36,7 +36,8 @@
     ``loads`` are the sender's own towards hosts of its region, and those of
     its whole region towards others, as ``of_region`` says. ``suspects`` are
     fingerprints of requests that broke off, with the targets where they did.
-    ``replaced`` are targets that stand at their address no more. ``knowledge`` is how far the sender follows the platform's store.
+    ``replaced`` are targets that stand at their address no more. ``knowledge``
+    is how far the sender follows the platform's store.
     """
 
     sender: HostRow
--- a/src/lycheepath/gateway/copying.py
+++ b/src/lycheepath/gateway/copying.py
@@ -24,18 +24,27 @@
 NOTHING_NEWER = 404
 MOST_BYTES = 32 << 20
 CONNECT_S = 0.8
+# For an answer of the store, which may wait for changes, and for everything.
 ANSWER_S = 2.5
+# For changes of another host; six times the way to another region and back.
+CHANGES_S = 1.0
 
 
 class CallFailedError(Exception):
     """A call to the store or to another host brought no usable answer."""
 
 
-async def fetch(node: GatewayNode, address: Address, path: str) -> tuple[int, bytes]:
-    """Return the status and the whole body of a GET; raises CallFailedError."""
+async def fetch(
+    node: GatewayNode, address: Address, path: str, limit_s: float
+) -> tuple[int, bytes]:
+    """
+    Return the status and the whole body of a GET within a time.
+
+    Raises CallFailedError.
+    """
     headers = [(b"host", str(address).encode())]
     try:
-        with trio.fail_after(ANSWER_S):
+        with trio.fail_after(limit_s):
             upstream = await node.pool.take(address, CONNECT_S, node.now())
             try:
                 status, _ = await upstream.request(b"GET", path.encode(), headers, b"")
@@ -62,7 +71,8 @@
     address = Address(row.ip, node.settings.relay_port)
     after = 0 if with_configuration else node.catalog.revision
     wanted = f"after={after}&configuration={int(with_configuration)}"
-    status, body = await fetch(node, address, COPY_PATH + wanted)
+    limit_s = ANSWER_S if with_configuration else CHANGES_S
+    status, body = await fetch(node, address, COPY_PATH + wanted, limit_s)
     if status == NOTHING_NEWER:
         return None
     if status != 200:
--- a/src/lycheepath/gateway/discovery.py
+++ b/src/lycheepath/gateway/discovery.py
@@ -33,7 +33,7 @@
     read_configuration_item,
     read_page,
 )
-from .copying import CallFailedError, fetch, fetch_copy
+from .copying import ANSWER_S, CallFailedError, fetch, fetch_copy
 
 if TYPE_CHECKING:
     from ..adapters.copies import Copy
@@ -87,11 +87,16 @@
             told, self._told = self._told, None
             if told is not None and told[1] is News.CHANGES:
                 await self._copy(told[0], False)
-            elif told is not None and self._fresh.take_news(node.now()):
+            elif (
+                told is not None
+                and node.catalog.routes is not None
+                and self._fresh.take_news(node.now())
+            ):
                 await self._read_configuration(told[0])
             elif self._wait_s() <= 0.0:
                 await self._read()
-            apply_notes(node, node.catalog.expire(node.now()), "time")
+            if lapsed := node.catalog.expire(node.now()):
+                apply_notes(node, lapsed, "time")
             await trio.sleep(LEAST_PAUSE_S)
             await self._pause()
 
@@ -199,7 +204,7 @@
     async def _call(self, path: str) -> bytes:
         node = self._node
         node.metrics.count("store_calls_total")
-        status, body = await fetch(node, node.settings.store, path)
+        status, body = await fetch(node, node.settings.store, path, ANSWER_S)
         if status == HISTORY_GONE:
             raise HistoryGoneError
         if status != 200:
--- a/src/lycheepath/gateway/node.py
+++ b/src/lycheepath/gateway/node.py
@@ -39,6 +39,8 @@
 CLOSED_S = 0.5
 # To another region and back, before it is measured.
 FIRST_AWAY_S = 0.16
+# When this host last looked around, and what it saw.
+NEVER_LOOKED = (float("-inf"), Surroundings("", {}, {}))
 
 
 @dataclass(slots=True)
@@ -58,10 +60,7 @@
     store: StoreFollower = field(init=False)
     suspects: Suspects = field(default_factory=Suspects)
     silence: SilenceWatch = field(default_factory=SilenceWatch)
-    _around: tuple[float, Surroundings] = (
-        float("-inf"),
-        Surroundings("", {}, {}),
-    )
+    _around: tuple[float, Surroundings] = NEVER_LOOKED
     away_s: dict[str, float] = field(default_factory=dict)
     _closed: dict[tuple[str, str], float] = field(default_factory=dict)
     avoided: dict[str, float] = field(default_factory=dict)
@@ -149,7 +148,7 @@
 
     def forget_surroundings(self) -> None:
         """Look around anew at the next choice: a target may have turned cold."""
-        self._around = float("-inf"), self._around[1]
+        self._around = NEVER_LOOKED
 
     def note_closed(self, service: str, region: str) -> None:
         """Note that no target of a region is open for a service."""
