Name the gaps of a request's hosts in its story

Cause: lines that a host leaves out under load were told without the host's name, and explain said nothing of them, so that a missing end looked like a lost host. Change: the line on left out lines carries the common fields; explain prints the gaps within a request's time at its hosts, and says so where its end is missing. Before and after: tests for both.

--- a/src/lycheepath/adapters/events.py
+++ b/src/lycheepath/adapters/events.py
@@ -36,10 +36,12 @@
     State: the lines that wait to be written, and what was left out.
 
     They are written to ``descriptor``, standard output where not said otherwise.
+    ``common`` are the fields of every line.
     """
 
     def __init__(self, descriptor: int = STANDARD_OUTPUT) -> None:
         self._descriptor = descriptor
+        self.common: dict[str, Any] = {}
         self.omitted: Counter[str] = Counter()
         self.written = 0
         self._lines: deque[bytes] = deque()
@@ -109,12 +111,19 @@
         news = self.omitted - self._told
         if news:
             self._told = Counter(self.omitted)
-            line = {"at": round(at, 3), "event": OMITTED, "counts": dict(news)}
+            line = {
+                "at": round(at, 3),
+                "event": OMITTED,
+                "level": "warning",
+                **self.common,
+                "counts": dict(news),
+            }
             self._append(OMITTED, line)
 
 
 def set_up_events(log: EventLog, **common: Any) -> None:
     """Send all log lines to ``log``, each with the fields in ``common``."""
+    log.common = common
     logger.remove()
     logger.configure(extra=common)
     logger.add(log.put, level="INFO", format="", catch=False)
--- a/src/lycheepath/console/stories.py
+++ b/src/lycheepath/console/stories.py
@@ -5,7 +5,7 @@
 import random
 from typing import TYPE_CHECKING
 
-from ..core.explaining.causes import find_cause, has_failed
+from ..core.explaining.causes import find_cause, find_gaps, has_failed
 from .documents import print_text
 
 if TYPE_CHECKING:
@@ -26,6 +26,9 @@
         fields = " ".join(f"{k}={v}" for k, v in line.items() if k not in HIDDEN)
         moment = f"{float(line.get('at', 0.0)):.3f} {line.get('host', '')}"
         print_text(command, f"{moment} {line['event']} {fields}")
+    for gap in find_gaps(story, stories):
+        counts = " ".join(f"{kind}={count}" for kind, count in gap.counts.items())
+        print_text(command, f"{gap.at:.3f} {gap.host} gap: lines left out: {counts}")
     if not has_failed(story):
         return 0
     cause = find_cause(story, stories)
--- a/src/lycheepath/core/explaining/causes.py
+++ b/src/lycheepath/core/explaining/causes.py
@@ -23,6 +23,10 @@
 FAILED_ENDS = frozenset(ENDS) - {"answered"}
 # What is logged before a request ends.
 STEPS = ("placed", "send-failed", "relayed")
+# Told by a host that left out lines, when it writes the next one.
+OMITTED = "log-lines-omitted"
+# Lines are counted by the second, and left out ones are told in the next.
+GAP_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,12 +37,26 @@
     text: str
 
 
+@dataclass(frozen=True, slots=True)
+class Gap:
+    """Lines about requests that a host left out, by kind, told at a time."""
+
+    host: str
+    at: float
+    counts: Mapping[str, int]
+
+
 @dataclass(slots=True)
 class Stories:
-    """The lines of each request, and the starts and stops of each host."""
+    """
+    The lines of each request, and the starts and stops of each host.
+
+    ``gaps`` are the times at which hosts left out lines about requests.
+    """
 
     by_request: dict[str, list[Line]] = field(default_factory=dict)
     by_host: dict[str, list[Line]] = field(default_factory=dict)
+    gaps: dict[str, list[Gap]] = field(default_factory=dict)
     beliefs: list[Line] = field(default_factory=list)
 
 
@@ -52,11 +70,37 @@
             stories.by_request.setdefault(str(request), []).append(line)
         elif line.get("event") in ("start", "leaving", "stop"):
             stories.by_host.setdefault(host, []).append(line)
+        elif line.get("event") == OMITTED:
+            _note_gap(line, host, stories)
         else:
             stories.beliefs.append(line)
     return stories
 
 
+def find_gaps(story: list[Line], stories: Stories) -> list[Gap]:
+    """Return the gaps in which lines of a request may have been left out."""
+    begun = float(story[0].get("at", 0.0))
+    hosts = {str(line.get("host", "")) for line in story}
+    ended = any(line.get("event") in ENDS for line in story)
+    until = float(story[-1].get("at", 0.0)) + GAP_S if ended else float("inf")
+    return [
+        gap
+        for host in sorted(hosts)
+        for gap in stories.gaps.get(host, [])
+        if begun <= gap.at <= until
+    ]
+
+
+def _note_gap(line: Line, host: str, stories: Stories) -> None:
+    counts = line.get("counts")
+    if not isinstance(counts, dict):
+        return
+    ours = {kind: n for kind, n in counts.items() if kind in (*ENDS, *STEPS)}
+    if ours:
+        gap = Gap(host, float(line.get("at", 0.0)), ours)
+        stories.gaps.setdefault(host, []).append(gap)
+
+
 def has_failed(story: list[Line]) -> bool:
     """Whether a request ended without an answer, or without an end at all."""
     events = {line.get("event") for line in story}
@@ -140,4 +184,12 @@
         return Cause(True, f"{host} was killed while {last.get('target')} worked on it")
     if later:
         return Cause(True, f"{host} left before the answer had ended")
+    gaps = [gap for gap in find_gaps(story, stories) if gap.host == host]
+    if gaps:
+        left_out = sum(sum(gap.counts.values()) for gap in gaps)
+        return Cause(
+            False,
+            f"{host} logs nothing more of it, and left out {left_out} lines "
+            f"about requests since",
+        )
     return Cause(False, f"{host} logs nothing more of it, nor a stop")
--- a/tests/adapters/test_events.py
+++ b/tests/adapters/test_events.py
@@ -79,7 +79,7 @@
     pipe: tuple[int, int],
 ) -> None:
     log = EventLog(pipe[1])
-    set_up_events(log)
+    set_up_events(log, host="edge-1")
     for _ in range(5 * LINES_PER_S):
         record_event("refused")
     record_event("start")
@@ -95,6 +95,7 @@
     told = [line for line in read_lines(pipe[0]) if line["event"] == OMITTED]
     assert told
     assert "refused" in str(told[0]["counts"])
+    assert told[0]["host"] == "edge-1"
 
 
 def test_lines_come_in_order_and_whole_through_a_slow_reader(
--- a/tests/core/explaining/test_causes.py
+++ b/tests/core/explaining/test_causes.py
@@ -4,7 +4,14 @@
 
 import pytest
 
-from lycheepath.core.explaining.causes import find_cause, gather_stories, has_failed
+from lycheepath.core.explaining.causes import (
+    GAP_S,
+    Gap,
+    find_cause,
+    find_gaps,
+    gather_stories,
+    has_failed,
+)
 
 
 def make_line(at: float, event: str, **fields: Any) -> dict[str, Any]:
@@ -58,3 +65,38 @@
     cause = find_cause(stories.by_request["r1"], stories)
     assert not cause.found
     assert "logs nothing more" in cause.text
+
+
+def make_gap(at: float, host: str = "host-1", **counts: int) -> dict[str, Any]:
+    names = {kind.replace("_", "-"): count for kind, count in counts.items()}
+    return {"at": at, "host": host, "event": "log-lines-omitted", "counts": names}
+
+
+def test_gaps_of_a_requests_hosts_and_time_are_named() -> None:
+    answered = make_line(2.0, "answered")
+    stories = gather_stories(
+        [
+            make_gap(0.5, placed=9),
+            PLACED,
+            make_gap(1.5, placed=4, send_failed=2),
+            make_gap(1.6, "host-2", placed=3),
+            make_gap(1.7, host_live=8),
+            answered,
+            make_gap(2.0 + GAP_S + 0.1, refused=7),
+        ]
+    )
+    assert find_gaps(stories.by_request["r1"], stories) == [
+        Gap("host-1", 1.5, {"placed": 4, "send-failed": 2})
+    ]
+
+
+def test_end_that_may_have_been_left_out_is_told_as_such() -> None:
+    stories = gather_stories([PLACED, make_gap(9.0, answered=40)])
+    cause = find_cause(stories.by_request["r1"], stories)
+    assert not cause.found
+    assert "left out 40 lines" in cause.text
+
+
+def test_line_on_gaps_that_cannot_be_read_is_passed_over() -> None:
+    stories = gather_stories([PLACED, make_gap(1.5) | {"counts": "many"}])
+    assert find_gaps(stories.by_request["r1"], stories) == []
