Name home regions in the directory while no host of the caller's serves

Ruled out: hosts taken for silent (none is logged before 11 s). Change: where no host of the caller's region serves, hosts of the regions in which most routes of the asked host name are at home are named, before all others.

--- a/src/lycheepath/core/catalog/routes.py
+++ b/src/lycheepath/core/catalog/routes.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -24,8 +25,10 @@
     def __init__(self, configuration: Configuration) -> None:
         self.configuration = configuration
         self._by_host: dict[str, dict[str, Route]] = {}
+        self._homes: dict[str, Counter[str]] = {}
         for route in configuration.routes:
             self._by_host.setdefault(route.host, {})[route.prefix] = route
+            self._homes.setdefault(route.host, Counter()).update(route.home_regions)
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route whose prefix is the longest that begins the path."""
@@ -41,6 +44,16 @@
             end = path.rfind("/", 0, end)
         return None
 
+    def home_regions(self, host: str) -> frozenset[str]:
+        """
+        Return the regions in which most routes of a host name are at home.
+
+        Empty where none of its routes is bound to regions.
+        """
+        homes = self._homes.get(host, Counter())
+        most = max(homes.values(), default=0)
+        return frozenset(region for region, count in homes.items() if count == most)
+
 
 def draw_service(route: Route, random: Random) -> str:
     """Return the service of one request, drawn by the route's weights."""
--- a/src/lycheepath/gateway/node.py
+++ b/src/lycheepath/gateway/node.py
@@ -125,17 +125,21 @@
         self._around = now, around
         return around
 
-    def hosts_for(self, region: str, zone: str) -> list[str]:
+    def hosts_for(self, name: str, region: str) -> list[str]:
         """
-        Return the addresses at which a caller of a zone may connect.
+        Return the addresses at which a caller of a region may connect.
 
-        Hosts of the caller's region go before others. This host is named where
-        no other is known to serve.
+        Hosts of its region go before those of regions where the host name's
+        routes are at home, and these before others. This host is named where no
+        other is known to serve.
         """
         rows = self.peers.view.serving(self.now())
         if self.ready:
             rows.append(self.peers.view.own)
         near = [row for row in rows if row.region == region]
+        if not near and self.catalog.routes is not None:
+            homes = self.catalog.routes.home_regions(name)
+            near = [row for row in rows if row.region in homes]
         port = self.settings.callers.port
         ips = [row.ip for row in near or rows] or [self.settings.ip]
         if len(ips) > MOST_NAMED:
--- a/src/lycheepath/platform/entry.py
+++ b/src/lycheepath/platform/entry.py
@@ -15,12 +15,12 @@
 
 
 def read_resolve(target: str) -> tuple[str, str] | None:
-    """Return the region and zone of a caller that asks where to connect."""
+    """Return the host name that a caller wants to reach, and the caller's region."""
     path, _, query = target.partition("?")
     if path != RESOLVE_PATH:
         return None
     fields = parse_qs(query)
-    return fields.get("region", [""])[0], fields.get("zone", [""])[0]
+    return fields.get("name", [""])[0].lower(), fields.get("region", [""])[0]
 
 
 def write_resolved(addresses: Iterable[str], ttl_s: float) -> bytes:
--- a/standins/site.py
+++ b/standins/site.py
@@ -31,7 +31,7 @@
 from lycheepath.platform.settings import read_settings
 
 HOST = "books.example"
-REGIONS = {"east-a": "east", "west-a": "west"}
+REGIONS = {"east-a": "east", "west-a": "west", "south-a": "south"}
 PORTS = {"front": 20_001, "ready": 20_002, "control": 20_003, "directory": 20_004}
 POLL_S = 0.01
 READY_WITHIN_S = 5.0
--- a/tests/core/catalog/test_routes.py
+++ b/tests/core/catalog/test_routes.py
@@ -2,6 +2,7 @@
 
 import random
 from collections import Counter
+from dataclasses import replace
 
 from hypothesis import given, strategies
 
@@ -65,3 +66,16 @@
     route = make_route("/", ServiceShare("old", 90.0), ServiceShare("new", 10.0))
     drawn = Counter(draw_service(route, random.Random(seed)) for seed in range(2000))
     assert 120 < drawn["new"] < 280
+
+
+def test_home_regions_of_a_host_name_are_those_of_most_of_its_routes() -> None:
+    homes = [frozenset({"east", "west"}), frozenset({"west"}), frozenset[str]()]
+    routes = tuple(
+        replace(make_route(f"/{number}/"), home_regions=regions)
+        for number, regions in enumerate(homes)
+    )
+    free = make_route("/", host="free.example")
+    table = RouteTable(Configuration(1, (*routes, free), {}, CallerLimits()))
+    assert table.home_regions("books.example") == {"west"}
+    assert table.home_regions("free.example") == frozenset()
+    assert table.home_regions("unknown.example") == frozenset()
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -359,3 +359,20 @@
         assert float(answer.headers["retry-after"]) > 0
     relayed = east.metrics.counter("sends_failed_total", result="not-run")
     assert 1 <= relayed <= 3
+
+
+async def test_directory_names_home_regions_while_no_host_of_the_callers_serves(
+    site: Site,
+) -> None:
+    """All hosts of a region may drain at once when they are restarted in turn."""
+    site.configure(make_route("books", home_regions=["east", "west"]))
+    east = await site.start_gateway("east-0")
+    west = await site.start_gateway("west-0", "west-a")
+    south = await site.start_gateway("south-0", "south-a")
+    await wait_until_live(east, west, south)
+    assert await resolve(south, "south") == [str(south.settings.callers)]
+    west.leaving = True
+    with trio.fail_after(WITHIN_S):
+        while await resolve(south, "west") != [str(east.settings.callers)]:
+            await trio.sleep(0.02)
+    assert await resolve(east, "west") == [str(east.settings.callers)]
