Look the owned part up once a choice, a restart once an announcement

Read again: a choice added up the shared tokens and hashed the shared part's id for each candidate, and the catalog asked twice whether a target had restarted. Change: both are found once; behaviour is meant unchanged. Tests of placement and catalog pass (84).

--- a/src/lycheepath/core/catalog/catalog.py
+++ b/src/lycheepath/core/catalog/catalog.py
@@ -151,7 +151,8 @@
         elif held is not None and held.restarted_at > entry.restarted_at:
             entry = replace(entry, restarted_at=held.restarted_at)
         self.targets[entry.id] = entry
-        if held is not None and not lapsed and _says_the_same(held, entry):
+        same = held is not None and replace(held, sequence=entry.sequence) == entry
+        if same and not lapsed and not restarted:
             self.history.refresh(subject, entry)
             return []
         self.history.note(subject, entry, self.revision)
@@ -187,10 +188,3 @@
     if before.born_ms != after.born_ms or after.restarted_at > before.restarted_at:
         return True
     return after.sequence < before.sequence
-
-
-def _says_the_same(before: TargetEntry, after: TargetEntry) -> bool:
-    """Whether an announcement only counts on from the one before."""
-    if has_restarted(before, after):
-        return False
-    return replace(before, sequence=after.sequence) == after
--- a/src/lycheepath/core/placement/choice.py
+++ b/src/lycheepath/core/placement/choice.py
@@ -151,7 +151,8 @@
     What one choice looks up once, not for each candidate.
 
     ``cached`` are the tokens of the prompt that each target has; ``richest``
-    is the target of each region that has most.
+    is the target of each region that has most. ``owned`` is the hash of the
+    shared part that has an owner, if there is one.
     """
 
     book: TargetBook
@@ -161,6 +162,7 @@
     speed: SpeedModel
     cached: Mapping[str, int]
     richest: Mapping[str, TargetState]
+    owned: int | None
 
 
 def choose_target(
@@ -223,9 +225,12 @@
 ) -> _Look:
     cached: dict[str, int] = {}
     richest: dict[str, TargetState] = {}
+    owned = None
     prompt = wanted.prompt
     if prompt is not None:
         shares = _count_shared(prompt) >= LEAST_OWNED_TOKENS
+        if shares:
+            owned = hash_name(prompt.parts[-2].id)
         for target in book.of_service(wanted.service):
             held = target.cache.count_cached(prompt.parts)
             cached[target.entry.id] = held
@@ -233,7 +238,7 @@
             if shares and (most is None or held > cached[most.entry.id]):
                 richest[target.region] = target
     speed = book.speed(wanted.service)
-    return _Look(book, wanted, around, now, speed, cached, richest)
+    return _Look(book, wanted, around, now, speed, cached, richest, owned)
 
 
 def _can_reach(
@@ -336,7 +341,7 @@
         score += REST_WEIGHT * rest_s
         over_s = placed.first_s + rest_s - REST_SHARE * wanted.left_s
         score += LATE_WEIGHT * max(0.0, over_s)
-    return score - _owner_bonus(wanted, placed.target)
+    return score - _owner_bonus(look, placed.target)
 
 
 def _estimate_rest_s(prompt: Prompt, target: TargetState) -> float:
@@ -348,15 +353,11 @@
     return tokens / service.engine.event_tokens * target.event_s
 
 
-def _owner_bonus(wanted: Wanted, target: TargetState) -> float:
+def _owner_bonus(look: _Look, target: TargetState) -> float:
     """Spread unknown prompts by their shared part, the same on all hosts."""
-    prompt = wanted.prompt
-    if prompt is None:
-        return 0.0
-    if len(prompt.parts) < 2 or _count_shared(prompt) < LEAST_OWNED_TOKENS:
+    if look.owned is None:
         return 0.0
-    shared = prompt.parts[-2]
-    point = mix(hash_name(shared.id), hash_name(target.entry.id)) & 0xFFFF
+    point = mix(look.owned, hash_name(target.entry.id)) & 0xFFFF
     return OWNER_BONUS_S * point / 0xFFFF
 
 
