Give calls of a host's own a module

Read again: fetch() and its error stood in the module of copies, from which the reading of the store imported them. Change: gateway/calls.py holds them; moved, not changed. Tests of the gateway pass.

--- a/src/lycheepath/gateway/copying.py
+++ b/src/lycheepath/gateway/copying.py
@@ -5,12 +5,9 @@
 from typing import TYPE_CHECKING
 from urllib.parse import parse_qs
 
-import trio
-
 from ..adapters.copies import Copy, CopyError, decode_copy, encode_copy
-from ..adapters.http1.sockets import ConnectError
-from ..adapters.http1.upstream import BrokenAnswerError
 from ..core.addresses import Address
+from .calls import ANSWER_S, CallFailedError, fetch
 
 if TYPE_CHECKING:
     from ..adapters.http1.downstream import CallerConnection, ReceivedRequest
@@ -22,44 +19,10 @@
 # taken the host past the configuration's revision.
 COPY_PATH = "/copy?"
 NOTHING_NEWER = 404
-MOST_BYTES = 32 << 20
-CONNECT_S = 0.8
-# For an answer of the store, which may wait for changes, and for everything.
-ANSWER_S = 2.5
 # For changes of another host; six times the way to another region and back.
 CHANGES_S = 1.0
 
 
-class CallFailedError(Exception):
-    """A call to the store or to another host brought no usable answer."""
-
-
-async def fetch(
-    node: GatewayNode, address: Address, path: str, limit_s: float
-) -> tuple[int, bytes]:
-    """
-    Return the status and the whole body of a GET within a time.
-
-    Raises CallFailedError.
-    """
-    headers = [(b"host", str(address).encode())]
-    try:
-        with trio.fail_after(limit_s):
-            upstream = await node.pool.take(address, CONNECT_S, node.now())
-            try:
-                status, _ = await upstream.request(b"GET", path.encode(), headers, b"")
-                body = await upstream.read_whole(MOST_BYTES)
-            except BaseException:
-                upstream.close()
-                raise
-            node.pool.give_back(upstream, None, node.now())
-    except trio.TooSlowError as error:
-        raise CallFailedError("no answer in time") from error
-    except (ConnectError, BrokenAnswerError) as error:
-        raise CallFailedError(str(error)) from error
-    return status, body
-
-
 async def fetch_copy(
     node: GatewayNode, row: HostRow, with_configuration: bool
 ) -> Copy | None:
--- a/src/lycheepath/gateway/discovery.py
+++ b/src/lycheepath/gateway/discovery.py
@@ -33,7 +33,8 @@
     read_configuration_item,
     read_page,
 )
-from .copying import ANSWER_S, CallFailedError, fetch, fetch_copy
+from .calls import ANSWER_S, CallFailedError, fetch
+from .copying import fetch_copy
 
 if TYPE_CHECKING:
     from ..adapters.copies import Copy
