Give no port of a test's processes twice

Cause: pick_port draws from 22,000 ports and forgot what it had given, so two hosts of one fleet could get the same one before the first listened. Ruled out: outgoing connections (the range lies below theirs).

--- a/standins/processes.py
+++ b/standins/processes.py
@@ -33,6 +33,7 @@
 READY_LIMIT_S = 20.0
 END_LIMIT_S = 5.0
 FIRST_PORT, LAST_PORT = 10_000, 32_000
+_given_ports: set[int] = set()
 
 
 class ProcessEndedError(Exception):
@@ -150,10 +151,13 @@
     Return a port on loopback that is free for TCP and UDP just now.
 
     It lies below the ports that systems give to outgoing connections, so that
-    none of these takes it before the process that it is meant for.
+    none of these takes it before the process that it is meant for, and none is
+    given twice: the process that got it first may not be listening yet.
     """
     while True:
         port = random.randrange(FIRST_PORT, LAST_PORT)
+        if port in _given_ports:
+            continue
         with (
             socket.socket(socket.AF_INET, socket.SOCK_STREAM) as stream,
             socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams,
@@ -163,7 +167,8 @@
                 datagrams.bind((LOOPBACK, port))
             except OSError:
                 continue
-            return port
+        _given_ports.add(port)
+        return port
 
 
 def _find_port(written: bytes) -> int | None:
