Expect a plain service's stream when its first event comes

For a service without engines the mean of whole answers stood for the time to the first event; of a stream that takes 0.4 s the first event comes after 0.02 s. Ruled out: queues at the targets (none had one), disturbed links (all healed). Change: the time until an answer begins is learned apart from the time for which it takes a slot. Test of the choice failed first. Services with engines are untouched.

--- a/src/lycheepath/core/placement/book.py
+++ b/src/lycheepath/core/placement/book.py
@@ -247,8 +247,9 @@
         if ending is Ending.WHOLE:
             health.record_success()
             target.contact_at = now
-            took = now - flight.sent_at
-            self.speed(target.entry.service).observe_whole(took)
+            began_s = (flight.first_at or now) - flight.sent_at
+            speed = self.speed(target.entry.service)
+            speed.observe_whole(began_s, now - flight.sent_at)
         elif ending is Ending.REPLACED:
             target.replaced_seen_at = now
             self.note_replaced(target.entry.id, now)
--- a/src/lycheepath/core/placement/choice.py
+++ b/src/lycheepath/core/placement/choice.py
@@ -281,7 +281,8 @@
     if prompt is None:
         slots = max(1, target.entry.slots)
         over = max(0, target.count_in_flight(now) + 1 - slots)
-        first_s = look.speed.service_s * (1.0 + over / slots) + away_s
+        ahead_s = look.speed.service_s * over / slots
+        first_s = look.speed.begin_s + ahead_s + away_s
         return Placement(target, first_s, 0, away_s, urgency)
     cached = look.cached[target.entry.id]
     source, fetched = _find_source(look, target, cached)
--- a/src/lycheepath/core/placement/speed.py
+++ b/src/lycheepath/core/placement/speed.py
@@ -3,8 +3,8 @@
 
 Speeds are not announced. The time until a prompt is read is taken to be a base
 and a time for each token that had to be read until then; both are fitted to
-what is seen, the latest most. A plain service's time is the mean of whole
-answers.
+what is seen, the latest most. For a plain service it is the mean time until an
+answer begins, and the mean until it has ended, for which it takes a slot.
 """
 
 from __future__ import annotations
@@ -24,14 +24,17 @@
 # Weight that an observation keeps with each later one: about 100 count.
 MEMORY = 0.99
 SERVICE_STEP = 0.05
+# One answer that hung counts for no more in the means of a plain service.
+MOST_SERVICE_S = 1.0
 
 
 class SpeedModel:
-    """State: the sums of the fit, and the mean of whole answers."""
+    """State: the sums of the fit, and the means of a plain service's answers."""
 
     def __init__(self) -> None:
         self.token_s = FIRST_TOKEN_S
         self.base_s = FIRST_BASE_S
+        self.begin_s = FIRST_SERVICE_S
         self.service_s = FIRST_SERVICE_S
         self._answers = 0
         self._n = self._x = self._y = self._xx = self._xy = 0.0
@@ -52,11 +55,12 @@
         base = (self._y - self.token_s * self._x) / self._n
         self.base_s = min(max(base, 0.0), MOST_BASE_S)
 
-    def observe_whole(self, took_s: float) -> None:
-        """Take the time of a whole answer of a plain service."""
+    def observe_whole(self, began_s: float, took_s: float) -> None:
+        """Take the times until a plain service's answer began and had ended."""
         self._answers += 1
         step = max(SERVICE_STEP, 1.0 / (self._answers + 1))
-        self.service_s += step * (min(took_s, 1.0) - self.service_s)
+        self.begin_s += step * (min(began_s, MOST_SERVICE_S) - self.begin_s)
+        self.service_s += step * (min(took_s, MOST_SERVICE_S) - self.service_s)
 
     def estimate_read_s(self, tokens: int) -> float:
         """Return the time until ``tokens`` are read, those ahead included."""
--- a/tests/core/placement/test_choice.py
+++ b/tests/core/placement/test_choice.py
@@ -359,3 +359,19 @@
     ahead = {"i-1": TargetLoad(20, {0: int(0.5 / speed.token_s)}, 0.05)}
     book.note_peer("host-2", ahead, False, 0.0)
     assert isinstance(choose(book, make_wanted(small)), Absent)
+
+
+def test_stream_of_a_plain_service_is_expected_when_its_first_event_is() -> None:
+    plain = Service("pool", 100, 0.0, None)
+    book = make_book(make_entry(0), pool=plain)
+    target = book.targets["i-0"]
+    for key in range(50):
+        began = float(key)
+        book.started(key, target, 1, 0, began)
+        book.next_events(key, 1, began + 0.02)
+        book.ended(key, Ending.WHOLE, began + 0.9)
+    wanted = Wanted(replace(ROUTE, aim_s=0.4), "pool", None, 0.0, 4.0)
+    placed = choose(book, wanted, now=60.0)
+
+    assert isinstance(placed, Placement), placed
+    assert placed.first_s < 0.1
