Let only answers clear a request, and living targets withdraw a break

Also: any reply cleared a request, even 503 with Not-Executed, which says nothing of what running it does; a request that ends targets got new ones. Ruled out: dead targets (all three answered others meanwhile). Change: a request that a target answered within the last 30 s isn't noted; a break at a target that answers others 0.1 to 1 s later is withdrawn; only a whole answer clears. Retry-After is what is left, not always 30 s.

--- a/src/lycheepath/gateway/sending.py
+++ b/src/lycheepath/gateway/sending.py
@@ -92,6 +92,7 @@
 
 async def _exchange(node: GatewayNode, exchange: Exchange, placed: Placement) -> Sent:
     address = parse_address(placed.target.entry.address)
+    target_id = placed.target.entry.id
     try:
         upstream = await node.pool.take(address, CONNECT_S, node.now())
     except ConnectError as error:
@@ -102,16 +103,15 @@
         sent, kept = await pass_on(
             node, exchange, upstream, facts, lambda: placed.target.contact_at
         )
-        node.suspects.note_answer(exchange.fingerprint)
+        if sent.result is Result.ANSWERED:
+            node.suspects.note_answer(exchange.fingerprint, target_id, node.now())
         if kept and not facts.closes:
             node.pool.give_back(upstream, facts.idle_s, node.now())
         else:
             kept = False
         return sent
     except BrokenAnswerError as error:
-        node.suspects.note_break(
-            exchange.fingerprint, placed.target.entry.id, node.now()
-        )
+        node.suspects.note_break(exchange.fingerprint, target_id, node.now())
         return Sent(Result.LOST, Ending.FAILED, str(error))
     except EventOrderError as error:
         return Sent(Result.LOST, Ending.WRONG, str(error))
--- a/src/lycheepath/gateway/serving.py
+++ b/src/lycheepath/gateway/serving.py
@@ -19,7 +19,6 @@
 from ..core.catalog.routes import draw_service
 from ..core.reasons import Absent, Reason
 from ..core.serving.retries import Result, may_send_again
-from ..core.serving.suspects import BARRED_S
 from ..platform.headers import read_request
 from .exchange import Exchange
 from .relay import send_to_region
@@ -107,9 +106,10 @@
 
 async def _run(node: GatewayNode, exchange: Exchange) -> None:
     while True:
-        if node.suspects.is_barred(exchange.fingerprint, node.now()):
+        barred_s = node.suspects.find_barred_s(exchange.fingerprint, node.now())
+        if barred_s > 0.0:
             detail = "targets went down under this request"
-            barred = Absent(Reason.QUARANTINED, BARRED_S, detail)
+            barred = Absent(Reason.QUARANTINED, barred_s, detail)
             await _give_up(node, exchange, barred)
             return
         placed = node.place(exchange, node.surroundings())
--- a/tests/gateway/test_serving.py
+++ b/tests/gateway/test_serving.py
@@ -3,6 +3,7 @@
 import trio
 
 from lycheepath.core.reasons import Reason
+from lycheepath.core.serving.suspects import MOST_TARGETS
 from standins.site import (
     HOST,
     Seen,
@@ -311,3 +312,21 @@
     assert answer.status == 502
     assert "response-signature" not in answer.headers
     assert "retry-after" not in answer.headers
+
+
+async def test_refusals_of_targets_do_not_clear_a_request_that_breaks_others(
+    site: Site,
+) -> None:
+    breaking = [
+        await site.add_target("books", answer_bytes(SIGNED, close=True))
+        for _ in range(MOST_TARGETS + 2)
+    ]
+    for _ in range(3):
+        await site.add_target("books", BUSY)
+    site.configure(make_route("books", "unsafe", max_attempts=9))
+    node = await site.start_gateway("host-1")
+    for number in range(12):
+        last = await site.ask(node, b"POST", "/books/1", b"x", f"r{number}")
+    assert sum(bool(target.seen) for target in breaking) == MOST_TARGETS
+    assert last.status == 503
+    assert float(last.headers["retry-after"]) > 5.0
