Add a soak of real gateways under random faults

A seed draws faults (kills, stops, SIGTERM, SIGHUP, rolls, links that are delayed, reset, cut one way or silenced by a proxy, a failing store, lost history, configurations, evacuations), in series and overlapping. Gateways and targets are processes, callers keep their connections open. Twelve checks use only what callers and targets saw.

--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,265 @@
+"""
+Callers: each asks for one thing after the other and notes what it got.
+
+They learn the hosts from the directory, keep connections open until a host
+closes them, and sometimes leave before their answer is there.
+"""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import h11
+import orjson
+import trio
+
+from standins.site import HOST
+
+from .answers import RequestKind, Work, sign, write_path
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable, Sequence
+
+DEADLINE_S = 3.0
+# Callers stop waiting for an answer this long after their deadline.
+PATIENCE_S = 2.0
+CONNECT_S = 1.0
+DIRECTORY_S = 1.0
+PAUSE_S = 0.05
+# Of the requests, those whose caller leaves before the end, and after how long.
+LEAVE_SHARE = 0.05
+LEAVE_S = (0.01, 0.3)
+# A kept connection is used for so many requests, then closed.
+MOST_ON_CONNECTION = 20
+SIZES = {
+    RequestKind.SAFE: (10, 900, 60_000),
+    RequestKind.UNSAFE: (10, 900),
+    RequestKind.STREAM: (3, 20),
+    RequestKind.RESUMED: (3, 20),
+}
+
+
+@dataclass(slots=True)
+class Outcome:
+    """
+    What one request came to.
+
+    Times are of the machine's monotonic clock, in seconds. ``status`` is 0 if
+    no answer began, ``whole`` says that it ended as a complete one, and ``end``
+    how the exchange ended where it didn't.
+    """
+
+    id: str
+    work: Work
+    host: str
+    sent_at: float
+    route: str = "v0"
+    status: int = 0
+    whole: bool = False
+    body: bytes = b""
+    signature: str = ""
+    answer_id: str = ""
+    retry_after: str = ""
+    end: str = ""
+    left: bool = False
+    reused: bool = False
+    ended_at: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Doors:
+    """Where a caller gets in: a host's directory, and the link to the host."""
+
+    host: str
+    region: str
+    zone: str
+    directory: tuple[str, int]
+    # The address that the directory names, and the proxy before it.
+    named: str
+    front: tuple[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class Named:
+    """What a directory answered, for the check of whom it names."""
+
+    at: float
+    by: str
+    addresses: tuple[str, ...]
+
+
+@dataclass(slots=True)
+class Notebook:
+    """State: all that the callers of a run have seen."""
+
+    outcomes: list[Outcome] = field(default_factory=list)
+    named: list[Named] = field(default_factory=list)
+    sent: int = 0
+
+    def next_id(self) -> str:
+        """Return the id of a new request."""
+        self.sent += 1
+        return f"r{self.sent:06d}"
+
+
+@dataclass(slots=True)
+class Caller:
+    """State of one caller: its random draws and its kept connection."""
+
+    notebook: Notebook
+    doors: Sequence[Doors]
+    home: Doors
+    random: random.Random
+    stream: trio.SocketStream | None = None
+    at: Doors | None = None
+    used: int = 0
+
+    async def run(self, goes_on: Callable[[], bool]) -> None:
+        """Ask until told to stop."""
+        while goes_on():
+            kind = self.random.choice(list(RequestKind))
+            work = Work(kind, self.random.choice(SIZES[kind]))
+            leaves_after = None
+            if self.random.random() < LEAVE_SHARE:
+                leaves_after = self.random.uniform(*LEAVE_S)
+            await self.ask(work, leaves_after)
+            await trio.sleep(PAUSE_S * self.random.random())
+        self.close()
+
+    async def ask(self, work: Work, leaves_after: float | None = None) -> Outcome:
+        """Send one request and note its outcome."""
+        kept = self.stream is not None
+        if not await self._connect():
+            return Outcome("", work, "", time.monotonic(), end="no host")
+        assert self.stream is not None
+        assert self.at is not None
+        outcome = Outcome(
+            self.notebook.next_id(), work, self.at.host, time.monotonic(), reused=kept
+        )
+        self.notebook.outcomes.append(outcome)
+        limit_s = DEADLINE_S + PATIENCE_S if leaves_after is None else leaves_after
+        keep = False
+        with trio.move_on_after(limit_s) as scope:
+            keep = await exchange(self.stream, outcome)
+        if scope.cancelled_caught:
+            outcome.left = leaves_after is not None
+            outcome.end = "left" if outcome.left else "no answer in time"
+        outcome.ended_at = time.monotonic()
+        self.used += 1
+        if not keep or self.used >= MOST_ON_CONNECTION:
+            self.close()
+        return outcome
+
+    def close(self) -> None:
+        """Close the kept connection."""
+        if self.stream is not None:
+            self.stream.socket.close()
+        self.stream, self.at, self.used = None, None, 0
+
+    async def _connect(self) -> bool:
+        """Have a connection; return False if no host takes one."""
+        if self.stream is not None:
+            return True
+        addresses = await self._resolve()
+        self.random.shuffle(addresses)
+        by_name = {doors.named: doors for doors in self.doors}
+        for address in addresses[:3]:
+            doors = by_name[address]
+            with trio.move_on_after(CONNECT_S):
+                try:
+                    self.stream = await trio.open_tcp_stream(*doors.front)
+                except OSError:
+                    continue
+                self.at = doors
+                return True
+        await trio.sleep(PAUSE_S)
+        return False
+
+    async def _resolve(self) -> list[str]:
+        """Ask up to three directories, those of the caller's region first."""
+        near = [d for d in self.doors if d.region == self.home.region]
+        far = [d for d in self.doors if d.region != self.home.region]
+        self.random.shuffle(near)
+        self.random.shuffle(far)
+        for doors in (near + far)[:3]:
+            with trio.move_on_after(DIRECTORY_S):
+                addresses = await ask_directory(doors, self.home)
+                if addresses:
+                    now = time.monotonic()
+                    self.notebook.named.append(Named(now, doors.host, addresses))
+                    return list(addresses)
+        return []
+
+
+async def ask_directory(doors: Doors, home: Doors) -> tuple[str, ...]:
+    """Return the addresses that a host's directory names; none if it fails."""
+    path = f"/lycheepath/resolve?name={HOST}&region={home.region}&zone={home.zone}"
+    outcome = Outcome("", Work(RequestKind.SAFE, 0), doors.host, 0.0)
+    try:
+        stream = await trio.open_tcp_stream(*doors.directory)
+        async with stream:
+            await stream.send_all(f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+            await read_answer(stream, outcome)
+    except (OSError, trio.BrokenResourceError):
+        return ()
+    if not outcome.whole or outcome.status != 200:
+        return ()
+    return tuple(orjson.loads(outcome.body)["addresses"])
+
+
+async def exchange(stream: trio.SocketStream, outcome: Outcome) -> bool:
+    """Send a request and read its answer; return whether to keep the connection."""
+    work = outcome.work
+    body = b"x" * 40 if work.kind is RequestKind.UNSAFE else b""
+    lines = [
+        f"{'POST' if body else 'GET'} {write_path(work, outcome.route)} HTTP/1.1",
+        f"Host: {HOST}",
+        f"Request-Id: {outcome.id}",
+        f"Deadline-Ms: {int(DEADLINE_S * 1000)}",
+    ]
+    if body:
+        lines.append(f"Content-Length: {len(body)}")
+    head = "\r\n".join([*lines, "", ""]).encode()
+    try:
+        await stream.send_all(head + body)
+        return await read_answer(stream, outcome)
+    except (trio.BrokenResourceError, trio.ClosedResourceError):
+        outcome.end = "reset"
+        return False
+
+
+async def read_answer(stream: trio.SocketStream, outcome: Outcome) -> bool:
+    """Read one answer into its outcome; return whether the connection goes on."""
+    connection = h11.Connection(h11.CLIENT)
+    connection.send(h11.Request(method="GET", target="/", headers=[("host", HOST)]))
+    connection.send(h11.EndOfMessage())
+    while True:
+        try:
+            event = connection.next_event()
+        except h11.RemoteProtocolError as error:
+            outcome.end = f"broken: {error}"
+            return False
+        if event is h11.NEED_DATA:
+            connection.receive_data(await stream.receive_some(65_536))
+        elif isinstance(event, h11.Response):
+            fields = dict(event.headers)
+            outcome.status = event.status_code
+            outcome.signature = fields.get(b"response-signature", b"").decode()
+            outcome.answer_id = fields.get(b"request-id", b"").decode()
+            outcome.retry_after = fields.get(b"retry-after", b"").decode()
+        elif isinstance(event, h11.Data):
+            outcome.body += bytes(event.data)
+        elif isinstance(event, h11.EndOfMessage):
+            outcome.whole = True
+            return connection.their_state is h11.DONE
+        else:
+            outcome.end = "closed"
+            return False
+
+
+def is_signed(outcome: Outcome) -> bool:
+    """Whether an answer bears the signature of the request's target."""
+    return outcome.signature == sign(outcome.id)
--- /dev/null
+++ b/soak/plan.py
@@ -0,0 +1,127 @@
+"""
+Draws the faults of a run from its seed.
+
+The same seed and sizes give the same faults at the same moments; what they hit
+is told by a number that the run takes modulo what there is::
+
+    faults = draw_plan(Sizes(hosts=6, targets=12, seconds=20.0), seed=7)
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from enum import Enum
+
+
+class FaultKind(Enum):
+    """What is done, and to whom."""
+
+    KILL_HOST = "kill-host"
+    STOP_HOST = "stop-host"
+    END_HOST = "end-host"
+    RELOAD_HOST = "reload-host"
+    KILL_MANY = "kill-many"
+    ROLL = "roll"
+    KILL_TARGET = "kill-target"
+    STOP_TARGET = "stop-target"
+    DRAIN_TARGET = "drain-target"
+    DISTURB_STORE_LINK = "disturb-store-link"
+    DISTURB_CALLER_LINK = "disturb-caller-link"
+    DISTURB_TARGET_LINK = "disturb-target-link"
+    FAIL_STORE = "fail-store"
+    COMPACT_STORE = "compact-store"
+    CONFIGURE = "configure"
+    EVACUATE = "evacuate"
+
+
+class Disturbance(Enum):
+    """What a proxy does to the connections of a link."""
+
+    DELAY = "delay"
+    RESET = "reset"
+    CUT_UP = "cut-up"
+    CUT_DOWN = "cut-down"
+    SILENCE = "silence"
+
+
+# Drawn more often: what a host or target does by itself in a bad week.
+WEIGHTS = {
+    FaultKind.KILL_HOST: 4,
+    FaultKind.STOP_HOST: 4,
+    FaultKind.END_HOST: 4,
+    FaultKind.KILL_TARGET: 4,
+    FaultKind.CONFIGURE: 4,
+}
+LINK_KINDS = frozenset(
+    {
+        FaultKind.DISTURB_STORE_LINK,
+        FaultKind.DISTURB_CALLER_LINK,
+        FaultKind.DISTURB_TARGET_LINK,
+    }
+)
+# Of a link, in seconds, each way.
+DELAYS_S = (0.02, 0.1, 0.4)
+# Faults shorter and longer than a host's silence, and than a contact of 6 s.
+LASTING_S = (0.2, 0.6, 1.5, 3.0, 7.0)
+# Of all faults, those that follow the one before at once or within its time.
+SERIES_SHARE = 0.4
+
+
+@dataclass(frozen=True, slots=True)
+class Sizes:
+    """
+    How large a run is.
+
+    Faults begin within ``seconds``; ``faults_per_s`` is their mean rate.
+    """
+
+    hosts: int
+    targets: int
+    seconds: float
+    faults_per_s: float = 0.8
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """
+    One fault: it begins at ``at_s`` of the run and lasts for ``for_s``.
+
+    ``subject`` numbers the host or target. Of a disturbed link
+    ``disturbance`` tells what happens and ``delay_s`` the delay each way.
+    """
+
+    at_s: float
+    kind: FaultKind
+    subject: int
+    for_s: float
+    disturbance: Disturbance | None = None
+    delay_s: float = 0.0
+
+
+def draw_plan(sizes: Sizes, seed: int) -> tuple[Fault, ...]:
+    """Return the faults of a run in the order in which they begin."""
+    draw = random.Random(seed)
+    kinds = list(FaultKind)
+    weights = [WEIGHTS.get(kind, 2) for kind in kinds]
+    faults: list[Fault] = []
+    at_s = draw.expovariate(sizes.faults_per_s)
+    while at_s < sizes.seconds:
+        kind = draw.choices(kinds, weights)[0]
+        faults.append(_draw_fault(draw, kind, at_s, sizes))
+        if draw.random() < SERIES_SHARE:
+            at_s += draw.uniform(0.0, 0.3)
+        else:
+            at_s += draw.expovariate(sizes.faults_per_s)
+    return tuple(faults)
+
+
+def _draw_fault(
+    draw: random.Random, kind: FaultKind, at_s: float, sizes: Sizes
+) -> Fault:
+    subject = draw.randrange(max(sizes.hosts, sizes.targets))
+    for_s = draw.choice(LASTING_S)
+    if kind not in LINK_KINDS:
+        return Fault(at_s, kind, subject, for_s)
+    disturbance = draw.choice(list(Disturbance))
+    return Fault(at_s, kind, subject, for_s, disturbance, draw.choice(DELAYS_S))
--- /dev/null
+++ b/soak/target.py
@@ -0,0 +1,214 @@
+"""
+A target of a service, as a process of its own.
+
+It writes a line to its record before a request begins to run and one when it
+has ended, so that a run can tell what ran even where no answer came. Until
+the file ``--sound`` is there some requests go wrong: the answer is lost, breaks
+off, or is followed by bytes that belong to nobody.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import os
+import random
+import socket
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import h11
+import trio
+
+from standins.site import Seen, read_request
+
+from .answers import Work, make_body, make_event, read_path, sign
+
+# How long the work on a plain request and on an event takes, in seconds.
+WORK_S = 0.02
+EVENT_S = 0.02
+# Requests beyond the slots that wait for one.
+QUEUE = 4
+FAULTS = ("lose", "break", "extra", "refuse")
+
+
+@dataclass(slots=True)
+class Target:
+    """State of a target: what runs, and the record of what ran."""
+
+    id: str
+    slots: int
+    record: int
+    faulty_share: float
+    sound: Path
+    running: int = 0
+    waiting: int = 0
+    random: random.Random = field(default_factory=random.Random)
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        """Serve one connection until either side ends it."""
+        try:
+            while (
+                seen := await read_request(h11.Connection(h11.SERVER), stream)
+            ) is not None:
+                if not await self._answer(seen, stream):
+                    return
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return
+        finally:
+            stream.socket.close()
+
+    async def _answer(self, seen: Seen, stream: trio.SocketStream) -> bool:
+        """Answer one request; return whether the connection goes on."""
+        work = read_path(seen.target)
+        request_id = seen.headers.get("request-id", "")
+        if work is None or not request_id:
+            await stream.send_all(write_head(400, request_id, 0, "Not-Executed: 1"))
+            return True
+        if seen.headers.get("expect-instance", self.id) != self.id:
+            await stream.send_all(write_head(421, request_id, 0, "Not-Executed: 1"))
+            return True
+        fault = self._draw_fault()
+        full = self.running >= self.slots and self.waiting >= QUEUE
+        if full or fault == "refuse":
+            await stream.send_all(write_head(503, request_id, 0, "Not-Executed: 1"))
+            return True
+        await self._wait_for_slot()
+        self.running += 1
+        self._note("start", seen, fault)
+        how = "left"
+        try:
+            how = await self._run(seen, work, stream, fault)
+        finally:
+            self.running -= 1
+            self._note("end", seen, how)
+        return how == "whole"
+
+    async def _wait_for_slot(self) -> None:
+        self.waiting += 1
+        try:
+            while self.running >= self.slots:
+                await trio.sleep(WORK_S / 4)
+        finally:
+            self.waiting -= 1
+
+    async def _run(
+        self, seen: Seen, work: Work, stream: trio.SocketStream, fault: str
+    ) -> str:
+        """Run a request unless its caller leaves; return how it ended."""
+        how = "left"
+
+        async def watch(scope: trio.CancelScope) -> None:
+            # Looks without taking: what comes may be the next request.
+            if not await stream.socket.recv(1, socket.MSG_PEEK):
+                scope.cancel()
+
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(watch, nursery.cancel_scope)
+                if work.kind.is_stream:
+                    how = await self._stream(seen, work, stream, fault)
+                else:
+                    how = await self._send_body(seen, work, stream, fault)
+                nursery.cancel_scope.cancel()
+        except* (OSError, trio.BrokenResourceError):
+            how = "left"
+        return how
+
+    async def _send_body(
+        self, seen: Seen, work: Work, stream: trio.SocketStream, fault: str
+    ) -> str:
+        await trio.sleep(WORK_S)
+        if fault == "lose":
+            return "lost"
+        request_id = seen.headers["request-id"]
+        body = make_body(request_id, work.size)
+        load = f"Server-Load: {self.running},{self.waiting},{self.slots}"
+        head = write_head(200, request_id, len(body), load)
+        if fault == "break":
+            await stream.send_all(head + body[: len(body) // 2])
+            return "broken"
+        await stream.send_all(head + body)
+        if fault == "extra":
+            await stream.send_all(write_head(200, "nobody", 2) + b"no")
+        return "whole"
+
+    async def _stream(
+        self, seen: Seen, work: Work, stream: trio.SocketStream, fault: str
+    ) -> str:
+        request_id = seen.headers["request-id"]
+        first = int(seen.headers.get("last-event-id", "0")) + 1
+        head = write_head(200, request_id, None, "Content-Type: text/event-stream")
+        for number in range(first, work.size + 1):
+            await trio.sleep(EVENT_S)
+            event = make_event(request_id, number)
+            if fault in ("lose", "break") and number > work.size // 2:
+                await stream.send_all(head + write_chunk(event)[: len(event) // 2])
+                return "broken"
+            await stream.send_all(head + write_chunk(event))
+            head = b""
+        await stream.send_all(head + b"0\r\n\r\n")
+        return "whole"
+
+    def _draw_fault(self) -> str:
+        if self.random.random() >= self.faulty_share or self.sound.exists():
+            return ""
+        return self.random.choice(FAULTS)
+
+    def _note(self, what: str, seen: Seen, how: str) -> None:
+        line = {
+            "what": what,
+            "at": time.monotonic(),
+            "id": seen.headers["request-id"],
+            "target": self.id,
+            "method": seen.method,
+            "path": seen.target,
+            "bytes": len(seen.body),
+            "how": how,
+        }
+        os.write(self.record, json.dumps(line).encode() + b"\n")
+
+
+def write_head(status: int, request_id: str, length: int | None, *more: str) -> bytes:
+    """Return the head of an answer; without a length it comes in chunks."""
+    size = "Transfer-Encoding: chunked"
+    if length is not None:
+        size = f"Content-Length: {length}"
+    lines = [f"HTTP/1.1 {status} X", f"Request-Id: {request_id}", size, *more]
+    if status < 300:
+        lines.append(f"Response-Signature: {sign(request_id)}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
+def write_chunk(data: bytes) -> bytes:
+    """Return data as one chunk of a body."""
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+async def _serve(options: argparse.Namespace) -> None:
+    record = os.open(options.record, os.O_WRONLY | os.O_CREAT | os.O_APPEND)
+    target = Target(
+        options.id, options.slots, record, options.faulty_share, options.sound
+    )
+    target.random.seed(options.seed)
+    listeners = await trio.open_tcp_listeners(options.port, host="127.0.0.1")
+    port = listeners[0].socket.getsockname()[1]
+    print(json.dumps({"ready": True, "port": port}), flush=True)
+    await trio.serve_listeners(target.serve, listeners)
+
+
+def _read_options() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--id", required=True)
+    parser.add_argument("--record", required=True)
+    parser.add_argument("--port", type=int, default=0)
+    parser.add_argument("--slots", type=int, default=4)
+    parser.add_argument("--seed", type=int, default=0)
+    parser.add_argument("--faulty-share", type=float, default=0.0)
+    parser.add_argument("--sound", type=Path, default=Path("sound"))
+    return parser.parse_args()
+
+
+if __name__ == "__main__":
+    trio.run(_serve, _read_options())
--- a/standins/site.py
+++ b/standins/site.py
@@ -104,7 +104,7 @@
         self.open += 1
         connection = h11.Connection(h11.SERVER)
         try:
-            while (seen := await _read_request(connection, stream)) is not None:
+            while (seen := await read_request(connection, stream)) is not None:
                 self.seen.append(seen)
                 await self.behaviour(seen, stream)
                 connection = h11.Connection(h11.SERVER)
@@ -115,7 +115,7 @@
             stream.socket.close()
 
 
-async def _read_request(
+async def read_request(
     connection: h11.Connection, stream: trio.SocketStream
 ) -> Seen | None:
     head: h11.Request | None = None
@@ -171,7 +171,7 @@
         """Serve one connection."""
         try:
             while (
-                seen := await _read_request(h11.Connection(h11.SERVER), stream)
+                seen := await read_request(h11.Connection(h11.SERVER), stream)
             ) is not None:
                 status, answer = await self._answer(seen.target)
                 body = orjson.dumps(answer)
--- /dev/null
+++ b/tests/soak/test_checks.py
@@ -0,0 +1,192 @@
+"""Each check finds what it is for, and is silent on a run without faults."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import replace
+from typing import TYPE_CHECKING, Any
+
+import pytest
+
+from soak.answers import RequestKind, Work, make_body, make_event, sign, write_path
+from soak.callers import Named, Outcome
+from soak.checks import (
+    CONFIG_DEADLINE_S,
+    NAMED_AFTER_S,
+    Evidence,
+    Execution,
+    Probe,
+    Trouble,
+    check_all,
+    read_records,
+)
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+UNSAFE = Work(RequestKind.UNSAFE, 10)
+STREAM = Work(RequestKind.STREAM, 3)
+KILLED = Trouble("kill-host", "h1", 9.0, 10.5)
+
+
+def make_outcome(work: Work = UNSAFE, status: int = 200) -> Outcome:
+    body = make_body("r1", work.size)
+    if work.kind.is_stream:
+        body = b"".join(make_event("r1", n) for n in range(1, work.size + 1))
+    signed = status == 200
+    return Outcome(
+        "r1",
+        work,
+        "h1",
+        10.0,
+        status=status,
+        whole=True,
+        body=body if signed else b"",
+        signature=sign("r1") if signed else "",
+        ended_at=10.1,
+    )
+
+
+def make_run(target: str = "i-1", work: Work = UNSAFE, fault: str = "") -> Execution:
+    unsafe = work.kind is RequestKind.UNSAFE
+    method, size = ("POST", 40) if unsafe else ("GET", 0)
+    return Execution("r1", target, 10.05, method, write_path(work), size, fault)
+
+
+def make_evidence(
+    outcome: Outcome | None = None, *runs: Execution, **fields: Any
+) -> Evidence:
+    """Return the evidence of one request and one in the calm after it."""
+    calm = make_outcome()
+    calm.id, calm.sent_at, calm.signature = "r9", 99.0, sign("r9")
+    calm.body = make_body("r9", UNSAFE.size)
+    outcomes = [outcome or make_outcome(), calm]
+    evidence = Evidence(outcomes=outcomes, executions=list(runs), settled_at=50.0)
+    return replace(evidence, **fields)
+
+
+def find(evidence: Evidence) -> list[str]:
+    return [violation.check for violation in check_all(evidence)]
+
+
+def test_checks_find_nothing_in_a_sound_run() -> None:
+    assert find(make_evidence(None, make_run())) == []
+    assert find(make_evidence(make_outcome(STREAM), make_run(work=STREAM))) == []
+
+
+def test_checks_find_a_request_that_ran_twice() -> None:
+    assert find(make_evidence(None, make_run("i-1"), make_run("i-2"))) == ["twice"]
+    safe = Work(RequestKind.SAFE, 10)
+    runs = [make_run(f"i-{number}", safe) for number in range(3)]
+    assert find(make_evidence(make_outcome(safe), *runs[:2])) == []
+    assert find(make_evidence(make_outcome(safe), *runs)) == ["attempts"]
+
+
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+def test_checks_find_a_refusal_of_what_ran(status: int) -> None:
+    refused = make_outcome(status=status)
+    assert find(make_evidence(refused)) == []
+    assert find(make_evidence(refused, make_run())) == ["refused"]
+
+
+def test_checks_find_answers_that_are_not_the_targets() -> None:
+    unsigned = make_outcome()
+    unsigned.signature = ""
+    short = make_outcome()
+    short.body = short.body[:-1]
+    gap = make_outcome(STREAM)
+    gap.body = make_event("r1", 1) + make_event("r1", 3)
+    joined = make_outcome(STREAM)
+    joined.whole, joined.body = False, make_event("r1", 1)[:-4] + make_event("r1", 2)
+    for outcome in (unsigned, short, gap, joined):
+        assert find(make_evidence(outcome)) == ["mixed"]
+    broken = make_outcome(STREAM)
+    broken.whole, broken.body = False, make_event("r1", 1)
+    assert find(make_evidence(broken)) == []
+
+
+def test_checks_find_runs_that_nobody_asked_for() -> None:
+    other = replace(make_run(), id="r2")
+    changed = replace(make_run(), path="/v0/unsafe/11")
+    assert find(make_evidence(None, other)) == ["unasked"]
+    assert find(make_evidence(None, changed)) == ["unasked"]
+
+
+def test_checks_find_answers_lost_without_unplanned_trouble() -> None:
+    lost = make_outcome(status=0)
+    lost.whole, lost.end = False, "closed"
+    ended = Trouble("end-host", "h1", 9.0, 12.0)
+    assert find(make_evidence(lost, make_run(), troubles=[ended])) == ["lost"]
+    assert find(make_evidence(lost, make_run(), troubles=[KILLED])) == []
+    assert find(make_evidence(lost, make_run(fault="lose"))) == []
+    assert find(make_evidence(lost)) == []
+
+
+def test_checks_find_requests_that_got_no_answer() -> None:
+    silent = make_outcome(status=0)
+    silent.whole, silent.end, silent.ended_at = False, "no answer in time", 15.0
+    assert find(make_evidence(silent)) == ["unanswered"]
+    assert find(make_evidence(silent, troubles=[KILLED])) == []
+
+
+def test_checks_find_directories_that_name_the_dead() -> None:
+    gone = {"10.0.0.1:80": [(10.0, 30.0)]}
+    for at, found in (
+        (10.0 + NAMED_AFTER_S / 2, []),
+        (25.0, ["directory"]),
+        (31.0, []),
+    ):
+        named = [Named(at, "h2", ("10.0.0.1:80",))]
+        assert find(make_evidence(named=named, gone=gone)) == found
+
+
+def test_checks_find_old_configurations() -> None:
+    versions = {1: 0.0, 2: 10.0}
+    late = Probe(11.0 + CONFIG_DEADLINE_S, "h1", 1, 2, known=False)
+    seen = Probe(11.0, "h1", 1, 2, known=True)
+    back = Probe(12.0, "h1", 1, 2, known=False)
+    restarted = replace(back, start=2)
+    cases: list[tuple[list[Probe], list[str]]] = [
+        ([late], ["configuration"]),
+        ([seen, back], ["configuration"]),
+        ([seen, restarted], []),
+        ([replace(late, at=11.0)], []),
+    ]
+    for probes, found in cases:
+        assert find(make_evidence(versions=versions, probes=probes)) == found
+    away = Trouble("disturb-store-link", "h1", 9.0, 12.0)
+    evidence = make_evidence(versions=versions, probes=[late], troubles=[away])
+    assert find(evidence) == []
+
+
+def test_checks_find_what_does_not_recover() -> None:
+    evidence = make_evidence()
+    evidence.outcomes[1].status = 503
+    assert find(evidence) == ["recovery"]
+    assert find(replace(make_evidence(), settled_at=200.0)) == ["recovery"]
+
+
+def test_checks_tell_of_leaks_and_ends() -> None:
+    assert find(make_evidence(still_running=["i-1/r1"])) == ["leak"]
+    assert find(make_evidence(ends=["h1 ended by itself"])) == ["process"]
+
+
+def test_records_tell_what_ran_and_what_has_no_end(tmp_path: Path) -> None:
+    note = {
+        "at": 1.0,
+        "target": "i-1",
+        "method": "GET",
+        "path": "/v0/safe/1",
+        "bytes": 0,
+        "how": "",
+    }
+    lines = [
+        note | {"what": "start", "id": "r1"},
+        note | {"what": "start", "id": "r2"},
+        note | {"what": "end", "id": "r1"},
+    ]
+    text = "".join(json.dumps(line) + "\n" for line in lines)
+    (tmp_path / "i-1.record").write_text(text)
+    executions, running = read_records(tmp_path)
+    assert [each.id for each in executions] == ["r1", "r2"]
+    assert running == ["i-1/r2"]
--- /dev/null
+++ b/tests/soak/test_proxy.py
@@ -0,0 +1,82 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+import trio
+
+from soak.plan import Disturbance
+from soak.proxy import Proxy, open_proxy
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+SHORT_S = 0.15
+
+
+async def echo(stream: trio.SocketStream) -> None:
+    try:
+        while data := await stream.receive_some(100):
+            await stream.send_all(data)
+    except trio.BrokenResourceError:
+        return
+
+
+@pytest.fixture
+async def proxy() -> AsyncIterator[Proxy]:
+    """A proxy before a server that echoes."""
+    async with trio.open_nursery() as nursery:
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        nursery.start_soon(trio.serve_listeners, echo, listeners)
+        upstream = listeners[0].socket.getsockname()[:2]
+        yield await open_proxy(nursery, "127.0.0.1", upstream)
+        nursery.cancel_scope.cancel()
+
+
+async def receive(stream: trio.SocketStream) -> bytes | None:
+    """Return what comes shortly, or None if nothing does."""
+    with trio.move_on_after(SHORT_S):
+        return bytes(await stream.receive_some(100))
+    return None
+
+
+async def test_proxy_passes_bytes_both_ways(proxy: Proxy) -> None:
+    async with await trio.open_tcp_stream(*proxy.address) as stream:
+        await stream.send_all(b"ask")
+        assert await receive(stream) == b"ask"
+
+
+@pytest.mark.parametrize(
+    "disturbance", [Disturbance.CUT_UP, Disturbance.CUT_DOWN, Disturbance.SILENCE]
+)
+async def test_proxy_holds_bytes_until_it_is_healed(
+    proxy: Proxy, disturbance: Disturbance
+) -> None:
+    async with await trio.open_tcp_stream(*proxy.address) as stream:
+        proxy.disturb(disturbance, 0.0)
+        await stream.send_all(b"ask")
+        assert await receive(stream) is None
+        proxy.heal()
+        assert await receive(stream) == b"ask"
+
+
+async def test_proxy_delays_each_way(proxy: Proxy) -> None:
+    proxy.disturb(Disturbance.DELAY, 0.05)
+    async with await trio.open_tcp_stream(*proxy.address) as stream:
+        started = trio.current_time()
+        await stream.send_all(b"ask")
+        assert await receive(stream) == b"ask"
+        assert trio.current_time() - started >= 0.1
+
+
+async def test_proxy_resets_open_and_new_connections(proxy: Proxy) -> None:
+    stream = await trio.open_tcp_stream(*proxy.address)
+    await stream.send_all(b"ask")
+    assert await receive(stream) == b"ask"
+    proxy.disturb(Disturbance.RESET, 0.0)
+    with pytest.raises(trio.BrokenResourceError):
+        await receive(stream)
+    await stream.aclose()
+    async with await trio.open_tcp_stream(*proxy.address) as later:
+        with pytest.raises(trio.BrokenResourceError):
+            await receive(later)
