Take signals before anything listens

The signals were taken after all tasks and listeners had been started; one that came in between ended the process without draining, with callers on it. Ruled out: SIGTERM during the imports, when nothing listens yet (the soak's check now allows for that). Change: the receiver is opened before the first line and the first listener. Conclusion: rare (milliseconds at a start), but a broken promise of planned work.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -50,9 +50,10 @@
     """
     A gateway of the run.
 
-    ``starts`` counts its processes; ``ended_on_purpose`` says that a signal of
-    ours ends the present one, ``killed`` that it was SIGKILL. ``gone`` tells
-    when it was away, ``paused_until`` until when a process of it was stopped.
+    ``starts`` counts its processes; the present one's log begins at
+    ``log_from``. ``ended_on_purpose`` says that a signal of ours ends it,
+    ``killed`` that it was SIGKILL. ``gone`` tells when the gateway was away,
+    ``paused_until`` until when a process of it was stopped.
     """
 
     name: str
@@ -63,6 +64,7 @@
     settings: Path
     process: Process | None = None
     starts: int = 0
+    log_from: int = 0
     ended_on_purpose: bool = False
     killed: bool = False
     paused_until: float = 0.0
@@ -248,6 +250,8 @@
     def launch_host(self, host: HostProcess) -> None:
         """Start a gateway without waiting."""
         host.starts += 1
+        log = self._log(host)
+        host.log_from = log.stat().st_size if log.exists() else 0
         host.ended_on_purpose = host.killed = False
         arguments = ["-m", "lycheepath", "gateway", "--settings", str(host.settings)]
         host.process = launch_process(host.name, arguments, self.directory)
@@ -355,6 +359,13 @@
                 process.popen.send_signal(signal.SIGCONT)
                 await process.kill()
 
+    def _had_started(self, host: HostProcess) -> bool:
+        """Whether the present process got as far as its first line."""
+        return b'"event":"start"' in self._log(host).read_bytes()[host.log_from :]
+
+    def _log(self, host: HostProcess) -> Path:
+        return self.directory / f"{host.name}.log"
+
     async def _start_again(
         self, host: HostProcess, since: float, after_s: float
     ) -> None:
--- a/src/lycheepath/gateway/process.py
+++ b/src/lycheepath/gateway/process.py
@@ -26,10 +26,11 @@
 from .telemetry import watch_node
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import AsyncIterator, Awaitable, Callable
 
     from .settings import GatewaySettings
 
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 POLL_S = 0.1
 # Before a task that failed runs again.
 RESTART_S = 0.5
@@ -48,12 +49,16 @@
 async def _run(settings: GatewaySettings) -> None:
     node = GatewayNode(settings)
     set_up_events(node.events, host=settings.host)
-    record_event("start", zone=settings.zone, region=settings.region, pid=os.getpid())
-    async with trio.open_nursery() as nursery:
-        await start_tasks(node, nursery)
-        await _wait_for_end(node)
-        await drain(node)
-        nursery.cancel_scope.cancel()
+    # Before anything listens, so that no caller is lost to a signal at the start.
+    with trio.open_signal_receiver(*SIGNALS) as signals:
+        record_event(
+            "start", zone=settings.zone, region=settings.region, pid=os.getpid()
+        )
+        async with trio.open_nursery() as nursery:
+            await start_tasks(node, nursery)
+            await _wait_for_end(signals)
+            await drain(node)
+            nursery.cancel_scope.cancel()
     record_event("stop", serving=node.serving)
     node.events.flush()
 
@@ -94,15 +99,12 @@
             await trio.sleep(RESTART_S)
 
 
-async def _wait_for_end(node: GatewayNode) -> None:
-    with trio.open_signal_receiver(
-        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-    ) as signals:
-        async for number in signals:
-            if number == signal.SIGHUP:
-                record_event("reload")
-                continue
-            return
+async def _wait_for_end(signals: AsyncIterator[int]) -> None:
+    async for number in signals:
+        if number == signal.SIGHUP:
+            record_event("reload")
+            continue
+        return
 
 
 async def drain(node: GatewayNode) -> None:
