--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -2,16 +2,20 @@
 Plays seeds: ``python -m soak --seed 7`` or ``python -m soak --count 50``.
 
 It prints a line for each seed and, for one that broke a promise, what broke
-and where its files are. Without ``--seed`` the seeds are drawn anew.
+and where its files are. Without ``--seed`` the seeds are drawn anew;
+``--regressions`` plays those that ever failed.
 """
 
 from __future__ import annotations
 
 import argparse
 import random
+import signal
 import sys
 import tempfile
+import tomllib
 from pathlib import Path
+from typing import Any
 
 import trio
 
@@ -20,18 +24,18 @@
 from .run import Result, play
 
 MOST_SHOWN = 5
+REGRESSIONS = Path(__file__).with_name("regressions.toml")
 
 
 def main() -> int:
     """Play the seeds that the command line asks for; 1 if one broke a promise."""
+    # Ends the processes that a run has started, as Ctrl+C does.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    signal.signal(signal.SIGINT, signal.default_int_handler)
     options = _read_options()
-    sizes = Sizes(options.hosts, options.targets, options.seconds, options.rate)
-    first = options.seed
-    if first is None:
-        first = random.SystemRandom().randrange(1 << 31)
     root = Path(options.directory or tempfile.mkdtemp(prefix="soak-"))
     broken = 0
-    for seed in range(first, first + options.count):
+    for seed, sizes in _list_runs(options):
         directory = root / str(seed)
         directory.mkdir(parents=True, exist_ok=True)
         result = trio.run(play, sizes, seed, directory)
@@ -40,6 +44,26 @@
     return min(1, broken)
 
 
+def read_regressions() -> list[dict[str, Any]]:
+    """Return the seeds that ever failed, with their sizes and causes."""
+    with REGRESSIONS.open("rb") as text:
+        cases: list[dict[str, Any]] = tomllib.load(text)["case"]
+    return cases
+
+
+def _list_runs(options: argparse.Namespace) -> list[tuple[int, Sizes]]:
+    if options.regressions:
+        return [
+            (case["seed"], Sizes(case["hosts"], case["targets"], case["seconds"]))
+            for case in read_regressions()
+        ]
+    sizes = Sizes(options.hosts, options.targets, options.seconds, options.rate)
+    first = options.seed
+    if first is None:
+        first = random.SystemRandom().randrange(1 << 31)
+    return [(seed, sizes) for seed in range(first, first + options.count)]
+
+
 def _show(result: Result, directory: Path) -> None:
     counts = summarise(result.outcomes)
     print(
@@ -61,6 +85,9 @@
     parser.add_argument("--hosts", type=int, default=6)
     parser.add_argument("--targets", type=int, default=12)
     parser.add_argument("--rate", type=float, default=0.8, help="faults a second")
+    parser.add_argument(
+        "--regressions", action="store_true", help="play the seeds that ever failed"
+    )
     parser.add_argument("--directory", help="for settings, logs and records")
     return parser.parse_args()
 
