Keep idle connections within what a target accepts from all hosts

A target resets what goes beyond it, also with a request on it; each host kept up to 64 idle connections to a target whatever the bound and the number of hosts. Change: core/placement/connections gives each host of the region an equal share of what work leaves (one and a half connections a slot); none where there is no room.

--- a/src/lycheepath/adapters/http1/pool.py
+++ b/src/lycheepath/adapters/http1/pool.py
@@ -6,7 +6,7 @@
 
     upstream = await pool.take(address, connect_s=0.3, now=now)
     ...
-    pool.give_back(upstream, idle_s=5.0, now=now)
+    pool.give_back(upstream, idle_s=5.0, now=now, most_idle=64)
 """
 
 from __future__ import annotations
@@ -24,7 +24,6 @@
 IDLE_MARGIN_S = 1.0
 # Kept where the other side names no limit.
 UNNAMED_IDLE_S = 4.0
-MOST_IDLE = 64
 
 
 class Pool:
@@ -43,10 +42,17 @@
         self.counters["opened"] += 1
         return Upstream(await connect(address, connect_s), address)
 
-    def give_back(self, upstream: Upstream, idle_s: float | None, now: float) -> None:
-        """Keep a connection whose exchange is complete, if it can go on."""
+    def give_back(
+        self, upstream: Upstream, idle_s: float | None, now: float, most_idle: int
+    ) -> None:
+        """
+        Keep a connection whose exchange is complete, if it can go on.
+
+        ``idle_s`` is the other side's limit on idle time, ``most_idle`` the
+        number of idle connections that are kept to its address.
+        """
         idle = self._idle.setdefault(upstream.address, [])
-        if len(idle) >= MOST_IDLE or not upstream.finish():
+        if len(idle) >= most_idle or not upstream.finish():
             upstream.close()
             return
         upstream.idle_since = now
--- a/src/lycheepath/gateway/calls.py
+++ b/src/lycheepath/gateway/calls.py
@@ -8,6 +8,7 @@
 
 from ..adapters.http1.sockets import ConnectError
 from ..adapters.http1.upstream import BrokenAnswerError
+from ..core.placement.connections import MOST_IDLE
 
 if TYPE_CHECKING:
     from ..core.addresses import Address
@@ -41,7 +42,7 @@
             except BaseException:
                 upstream.close()
                 raise
-            node.pool.give_back(upstream, None, node.now())
+            node.pool.give_back(upstream, None, node.now(), MOST_IDLE)
     except trio.TooSlowError as error:
         raise CallFailedError("no answer in time") from error
     except (ConnectError, BrokenAnswerError) as error:
--- a/src/lycheepath/gateway/node.py
+++ b/src/lycheepath/gateway/node.py
@@ -17,6 +17,7 @@
 from ..core.placement.book import TargetBook
 from ..core.placement.choice import Placement, Surroundings, Wanted, choose_target
 from ..core.placement.cold import MOST_SENDERS
+from ..core.placement.connections import count_idle
 from ..core.retries.window import RetryWindow
 from ..core.serving.suspects import Suspects
 from .discovery import StoreFollower
@@ -24,6 +25,7 @@
 from .silence import SilenceWatch
 
 if TYPE_CHECKING:
+    from ..core.placement.book import TargetState
     from ..core.reasons import Absent
     from .exchange import Exchange
     from .settings import GatewaySettings
@@ -108,6 +110,12 @@
         """Return the number of hosts of the fleet, those gone lately included."""
         return self.peers.view.count_known()
 
+    def count_idle(self, target: TargetState) -> int:
+        """Return how many idle connections this host keeps to a target."""
+        entry, service = target.entry, target.service
+        most = service.max_connections if service else 0
+        return count_idle(most, entry.slots, self.peers.count_near())
+
     def surroundings(self) -> Surroundings:
         """Return where this host stands, for the choice of a target."""
         now = self.now()
--- a/src/lycheepath/gateway/peers.py
+++ b/src/lycheepath/gateway/peers.py
@@ -61,6 +61,10 @@
             target.entry.id, prompt.parts, self._near_peers, REGION_RECEIVERS
         )
 
+    def count_near(self) -> int:
+        """Return the number of live hosts of this region, this one included."""
+        return self._near_peers + 1
+
     async def _tell(self, plain: trio.socket.SocketType) -> None:
         node = self._node
         woken = node.now()
--- a/src/lycheepath/gateway/sending.py
+++ b/src/lycheepath/gateway/sending.py
@@ -106,7 +106,8 @@
         if sent.result is Result.ANSWERED:
             node.suspects.note_answer(exchange.fingerprint, target_id, node.now())
         if kept and not facts.closes:
-            node.pool.give_back(upstream, facts.idle_s, node.now())
+            most_idle = node.count_idle(placed.target)
+            node.pool.give_back(upstream, facts.idle_s, node.now(), most_idle)
         else:
             kept = False
         return sent
--- a/standins/site.py
+++ b/standins/site.py
@@ -266,11 +266,17 @@
         }
         self.store.put(f"servers/{target.id}", entry | fields)
 
-    def configure(self, *routes: dict[str, Any], **limits: int) -> None:
-        """Write a configuration with these routes; a new version each time."""
+    def configure(
+        self, *routes: dict[str, Any], connections: int = 100, **limits: int
+    ) -> None:
+        """
+        Write a configuration with these routes; a new version each time.
+
+        ``connections`` is the bound that each target of a service sets.
+        """
         self.version += 3
         services = {
-            name: {"name": name, "max_connections": 100}
+            name: {"name": name, "max_connections": connections}
             for route in routes
             for name in _services_of(route)
         }
--- a/tests/gateway/test_serving.py
+++ b/tests/gateway/test_serving.py
@@ -330,3 +330,16 @@
     assert sum(bool(target.seen) for target in breaking) == MOST_TARGETS
     assert last.status == 503
     assert float(last.headers["retry-after"]) > 5.0
+
+
+async def test_no_connection_is_kept_to_a_target_without_room_for_it(
+    site: Site,
+) -> None:
+    target = await site.add_target("books", answer_text(b"done"), slots=8)
+    site.configure(make_route("books"), connections=10)
+    node = await site.start_gateway("host-1")
+    for number in range(3):
+        answer = await site.ask(node, b"GET", "/books/1", request_id=f"r{number}")
+        assert answer.status == 200
+    await trio.sleep(0.05)
+    assert (target.connections, target.open) == (3, 0)
