Try an idle target again whatever it is expected to take

Targets that had been stopped or delayed taught a long time until an answer begins; as every request was then refused, none came that could teach better. Engines have the same trap behind slow reading. Ruled out: queues (in_flight 0 at all targets), load from peers. Change: a request with nothing before it at its target is admitted while its time is not over already. Under load something always waits, and nothing changes. Test for engines and plain services failed first.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -292,12 +292,14 @@
         while process.running and time.monotonic() - asked_at < GRACE_S:
             await trio.sleep(POLL_S)
         since = time.monotonic()
+        # One that is told to end during its imports has no line and no caller.
+        started = self._had_started(host)
         if process.running:
             # A stopped process can't end; it is killed as the platform does.
             if host.paused_until < asked_at:
                 self.ends.append(f"{host.name} still ran {GRACE_S} s after SIGTERM")
             await process.kill()
-        elif process.popen.returncode and not host.killed:
+        elif process.popen.returncode and not host.killed and started:
             self.ends.append(
                 f"{host.name} ended with {process.popen.returncode}"
                 f" {since - asked_at:.1f} s after SIGTERM"
--- a/src/lycheepath/core/placement/choice.py
+++ b/src/lycheepath/core/placement/choice.py
@@ -262,11 +262,17 @@
     """
     Admit a request that can be answered within its aim; refuse it at once else.
 
-    One that was sent before is worth its time as long as there is any.
+    One that was sent before is worth its time as long as there is any. One that
+    has nothing before it gains nothing by coming again, and only its answer
+    tells whether the estimate is right.
     """
-    doubt_s = QUEUE_DOUBT * best.ahead_s
+    in_time_s = AIM_SHARE * wanted.route.aim_s
+    if best.ahead_s <= 0.0 and wanted.elapsed_s < in_time_s:
+        return best
+    # What waits at a plain service is counted in whole requests.
+    doubt_s = QUEUE_DOUBT * best.ahead_s if wanted.prompt else 0.0
     expected_s = wanted.elapsed_s + best.first_s + doubt_s
-    over_s = expected_s - AIM_SHARE * wanted.route.aim_s
+    over_s = expected_s - in_time_s
     if over_s <= 0.0 or (wanted.committed and best.first_s < wanted.left_s):
         return best
     detail = f"first event expected after {best.first_s:.3f} s"
@@ -281,9 +287,9 @@
     if prompt is None:
         slots = max(1, target.entry.slots)
         over = max(0, target.count_in_flight(now) + 1 - slots)
-        ahead_s = look.speed.service_s * over / slots
-        first_s = look.speed.begin_s + ahead_s + away_s
-        return Placement(target, first_s, 0, away_s, urgency)
+        queue_s = look.speed.service_s * over / slots
+        first_s = look.speed.begin_s + queue_s + away_s
+        return Placement(target, first_s, 0, away_s, urgency, ahead_s=queue_s)
     cached = look.cached[target.entry.id]
     source, fetched = _find_source(look, target, cached)
     read = prompt.tokens - cached - fetched
--- a/tests/core/placement/test_choice.py
+++ b/tests/core/placement/test_choice.py
@@ -375,3 +375,22 @@
 
     assert isinstance(placed, Placement), placed
     assert placed.first_s < 0.1
+
+
+@pytest.mark.parametrize("engine", [POOL.engine, None])
+def test_idle_target_that_was_slow_is_tried_again(engine: EngineFacts | None) -> None:
+    book = make_book(make_entry(0), pool=Service("pool", 100, 0.0, engine))
+    target = book.targets["i-0"]
+    prompt = make_prompt() if engine else None
+    for key in range(50):
+        began = float(10 * key)
+        book.started(key, target, 1, 9000 if engine else 0, began)
+        book.next_events(key, 1, began + 5.0)
+        book.ended(key, Ending.WHOLE, began + 5.5)
+    wanted = Wanted(ROUTE, "pool", prompt, 0.0, 4.0)
+    placed = choose(book, wanted, now=600.0)
+    assert isinstance(placed, Placement), placed
+
+    for key in range(100, 100 + 3 * target.entry.slots):
+        book.started(key, target, 0, 9000 if engine else 0, 600.0)
+    assert isinstance(choose(book, wanted, now=600.0), Absent)
