--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -114,6 +114,7 @@
         self.versions: dict[int, float] = {}
         self.ends: list[str] = []
         self.faulty_share = 0.0
+        self._launched: list[Process] = []
         self._seed = seed
         self._ids = itertools.count()
         draw = random.SystemRandom()
@@ -182,6 +183,7 @@
             f"--sound={self.sound}",
         ]
         target.process = await start_process(target.id, arguments, self.directory)
+        self._launched.append(target.process)
         target.port = target.process.port
         target.link.upstream = (LOOPBACK, target.port)
         self.announce(target)
@@ -255,6 +257,7 @@
         host.ended_on_purpose = host.killed = False
         arguments = ["-m", "lycheepath", "gateway", "--settings", str(host.settings)]
         host.process = launch_process(host.name, arguments, self.directory)
+        self._launched.append(host.process)
 
     async def wait_ready(self, host: HostProcess) -> bool:
         """Wait until a gateway says that it is ready; return whether it did."""
@@ -354,10 +357,8 @@
         """End all processes that were started here."""
         for host in self.hosts:
             host.ended_on_purpose = True
-        processes = [each.process for each in self.hosts]
-        processes += [each.process for each in self.targets]
-        for process in processes:
-            if process is not None and process.running:
+        for process in self._launched:
+            if process.running:
                 process.popen.send_signal(signal.SIGCONT)
                 await process.kill()
 
