Excuse a lost answer only by trouble on the request's own way

Change: only trouble at the host, the targets that ran it, and the hosts that may have passed it on counts; faults last up to 11 s.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -30,6 +30,10 @@
 CONFIG_DEADLINE_S = 4.0
 # A version is in force this long after a host was first seen to serve it.
 ROLLBACK_S = 0.25
+# Work of operators, which no request under way may suffer from.
+PLANNED = frozenset(
+    {"end-host", "reload-host", "configure", "roll", "evacuate", "compact-store"}
+)
 # Of the requests sent after the recovery, those that must be served. Targets
 # have places for all of them then, and nothing is disturbed.
 SERVED_SHARE = 1.0
@@ -66,6 +70,14 @@
     until: float
 
 
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Which host or target a name belongs to, and its zone."""
+
+    subject: str
+    zone: str
+
+
 @dataclass(frozen=True, slots=True)
 class Probe:
     """Whether a host knew a version's own route when it was asked."""
@@ -83,8 +95,9 @@
     All that was seen in one run.
 
     ``versions`` has for each version when the store acknowledged it, in order;
-    ``settled_at`` is when all must have recovered. ``ends`` tells of processes
-    that ended as they should not.
+    ``settled_at`` is when all must have recovered. ``places`` has the hosts, by
+    name, and the targets, by each id they had. ``ends`` tells of processes that
+    ended as they should not.
     """
 
     outcomes: list[Outcome] = field(default_factory=list)
@@ -94,6 +107,7 @@
     troubles: list[Trouble] = field(default_factory=list)
     probes: list[Probe] = field(default_factory=list)
     versions: dict[int, float] = field(default_factory=dict)
+    places: dict[str, Place] = field(default_factory=dict)
     gone: dict[str, list[tuple[float, float]]] = field(default_factory=dict)
     ends: list[str] = field(default_factory=list)
     settled_at: float = 0.0
@@ -209,7 +223,10 @@
         runs = ran.get(outcome.id)
         if outcome.status or outcome.left or not runs:
             continue
-        if any(run.fault for run in runs) or _is_disturbed(evidence, outcome):
+        concerned = _list_concerned(evidence, outcome, runs)
+        if any(run.fault for run in runs):
+            continue
+        if _is_disturbed(evidence, outcome, concerned):
             continue
         yield Violation("lost", f"{_describe(outcome)} ran and ended: {outcome.end}")
 
@@ -219,7 +236,7 @@
     for outcome in evidence.outcomes:
         if outcome.end != "no answer in time" or outcome.status:
             continue
-        if not _is_disturbed(evidence, outcome):
+        if not _is_disturbed(evidence, outcome, None):
             yield Violation(
                 "unanswered",
                 f"{_describe(outcome)} had none after {DEADLINE_S + PATIENCE_S} s",
@@ -293,13 +310,38 @@
         yield Violation("process", detail)
 
 
-def _is_disturbed(evidence: Evidence, outcome: Outcome) -> bool:
-    """Whether any unplanned trouble could have touched a request."""
+def _list_concerned(
+    evidence: Evidence, outcome: Outcome, runs: Sequence[Execution]
+) -> set[str]:
+    """Return the hosts and targets that a request may have passed through."""
+    places = evidence.places
+    here = places.get(outcome.host)
+    concerned = {outcome.host}
+    for run in runs:
+        there = places.get(run.target)
+        if there is None:
+            continue
+        concerned.add(there.subject)
+        if here is None or there.zone != here.zone:
+            # Some host of the target's zone passed it on; which one isn't seen.
+            concerned |= {p.subject for p in places.values() if p.zone == there.zone}
+    return concerned
+
+
+def _is_disturbed(
+    evidence: Evidence, outcome: Outcome, concerned: set[str] | None
+) -> bool:
+    """
+    Whether unplanned trouble could have touched a request.
+
+    ``concerned`` are the hosts and targets whose trouble counts; all if None.
+    """
     since, until = outcome.sent_at - PATIENCE_S, outcome.ended_at
     return any(
         trouble.since < until and trouble.until > since
         for trouble in evidence.troubles
-        if trouble.what not in ("end-host", "reload-host", "configure", "roll")
+        if trouble.what not in PLANNED
+        and (concerned is None or trouble.subject in concerned)
     )
 
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -23,6 +23,7 @@
 
 from .answers import RequestKind
 from .callers import Doors
+from .checks import Place
 from .proxy import open_proxy
 
 if TYPE_CHECKING:
@@ -112,6 +113,7 @@
         self.hosts: list[HostProcess] = []
         self.targets: list[TargetProcess] = []
         self.versions: dict[int, float] = {}
+        self.places: dict[str, Place] = {}
         self.ends: list[str] = []
         self.faulty_share = 0.0
         self._launched: list[Process] = []
@@ -172,6 +174,7 @@
         """Start a target, with a new id."""
         number = next(self._ids)
         target.id = f"i-{number}"
+        self.places[target.id] = Place(target.name, target.zone)
         arguments = [
             "-m",
             "soak.target",
@@ -237,6 +240,7 @@
         settings = self.directory / f"{name}.json"
         host = HostProcess(name, ip, zone, store_link, caller_link, settings)
         self.hosts.append(host)
+        self.places[name] = Place(name, zone)
         self.write_settings(host)
         return host
 
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -62,8 +62,9 @@
 )
 # Of a link, in seconds, each way.
 DELAYS_S = (0.02, 0.1, 0.4)
-# Faults shorter and longer than a host's silence, and than a contact of 6 s.
-LASTING_S = (0.2, 0.6, 1.5, 3.0, 7.0)
+# Shorter and longer than a host's silence, a contact of 6 s, and the time after
+# which directories name no host that is gone.
+LASTING_S = (0.2, 0.6, 1.5, 3.0, 7.0, 11.0)
 # Of all faults, those that follow the one before at once or within its time.
 SERIES_SHARE = 0.4
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -192,10 +192,14 @@
     hosts = run.fleet.hosts
     first = fault.subject % len(hosts)
     taken = max(1, round(len(hosts) * MANY_SHARE))
+    since = time.monotonic()
+    killed = [hosts[number % len(hosts)] for number in range(first, first + taken)]
     async with trio.open_nursery() as nursery:
-        for number in range(first, first + taken):
-            host = hosts[number % len(hosts)]
+        for host in killed:
             nursery.start_soon(run.fleet.kill_host, host, fault.for_s)
+    for host in killed:
+        trouble = Trouble(fault.kind.value, host.name, since, time.monotonic())
+        run.troubles.append(trouble)
 
 
 async def _roll(run: Run) -> None:
@@ -293,6 +297,7 @@
         troubles=run.troubles,
         probes=run.probes,
         versions=fleet.versions,
+        places=fleet.places,
         gone={host.named: host.gone for host in fleet.hosts},
         ends=fleet.ends,
         settled_at=settled_at,
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -15,6 +15,7 @@
     NAMED_AFTER_S,
     Evidence,
     Execution,
+    Place,
     Probe,
     Trouble,
     check_all,
@@ -122,6 +123,28 @@
     assert find(make_evidence(lost)) == []
 
 
+def test_checks_excuse_only_trouble_on_the_way_of_a_request() -> None:
+    lost = make_outcome(status=0)
+    lost.whole, lost.end = False, "closed"
+    places = {
+        "h1": Place("h1", "east"),
+        "h2": Place("h2", "west"),
+        "i-1": Place("plain-1", "east"),
+        "i-2": Place("plain-2", "west"),
+    }
+    for target, subject, found in (
+        ("i-1", "plain-1", []),
+        ("i-1", "plain-2", ["lost"]),
+        ("i-1", "h2", ["lost"]),
+        ("i-2", "h2", []),
+    ):
+        trouble = replace(KILLED, subject=subject)
+        evidence = make_evidence(
+            lost, make_run(target), troubles=[trouble], places=places
+        )
+        assert find(evidence) == found
+
+
 def test_checks_find_requests_that_got_no_answer() -> None:
     silent = make_outcome(status=0)
     silent.whole, silent.end, silent.ended_at = False, "no answer in time", 15.0
