--- a/soak/run.py
+++ b/soak/run.py
@@ -37,7 +37,7 @@
 WATCH_EVERY_S = 0.1
 # Of the requests that targets begin while faults go on.
 FAULTY_SHARE = 0.02
-CALLERS_PER_HOST = 1
+CALLERS_PER_HOST = 2
 # Of the hosts that a KILL_MANY takes.
 MANY_SHARE = 0.5
 MOST_MEMORY_BYTES = 300_000_000
