--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -53,10 +53,7 @@
 
 def _list_runs(options: argparse.Namespace) -> list[tuple[int, Sizes]]:
     if options.regressions:
-        return [
-            (case["seed"], Sizes(case["hosts"], case["targets"], case["seconds"]))
-            for case in read_regressions()
-        ]
+        return [(case["seed"], Sizes(**case["sizes"])) for case in read_regressions()]
     sizes = Sizes(options.hosts, options.targets, options.seconds, options.rate)
     first = options.seed
     if first is None:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -239,8 +239,8 @@
     while True:
         try:
             event = connection.next_event()
-        except h11.RemoteProtocolError as error:
-            outcome.end = f"broken: {error}"
+        except h11.RemoteProtocolError:
+            outcome.end = "broken off"
             return False
         if event is h11.NEED_DATA:
             connection.receive_data(await stream.receive_some(65_536))
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -74,13 +74,15 @@
     """
     How large a run is.
 
-    Faults begin within ``seconds``; ``faults_per_s`` is their mean rate.
+    Faults begin within ``seconds`` and last ``longest_s`` at most, where they
+    last at all; ``faults_per_s`` is their mean rate.
     """
 
     hosts: int
     targets: int
     seconds: float
     faults_per_s: float = 0.8
+    longest_s: float = LASTING_S[-1]
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,7 +123,7 @@
     draw: random.Random, kind: FaultKind, at_s: float, sizes: Sizes
 ) -> Fault:
     subject = draw.randrange(max(sizes.hosts, sizes.targets))
-    for_s = draw.choice(LASTING_S)
+    for_s = draw.choice([each for each in LASTING_S if each <= sizes.longest_s])
     if kind not in LINK_KINDS:
         return Fault(at_s, kind, subject, for_s)
     disturbance = draw.choice(list(Disturbance))
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -12,7 +12,7 @@
     from pathlib import Path
 
 SEED = 4
-SIZES = Sizes(hosts=3, targets=6, seconds=5.0, faults_per_s=1.5)
+SIZES = Sizes(hosts=3, targets=6, seconds=5.0, faults_per_s=1.5, longest_s=3.0)
 LEAST_REQUESTS = 100
 
 
