End a soak's processes on SIGTERM as on Ctrl+C

A SIGTERM in the middle of a run left its gateways and targets behind: raised outside trio's protection, the interrupt broke its loop. It is now handed on as SIGINT, which trio takes.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -29,9 +29,9 @@
 
 def main() -> int:
     """Play the seeds that the command line asks for; 1 if one broke a promise."""
-    # Ends the processes that a run has started, as Ctrl+C does.
-    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    # SIGTERM ends the processes that a run has started, as Ctrl+C does.
     signal.signal(signal.SIGINT, signal.default_int_handler)
+    signal.signal(signal.SIGTERM, lambda *_: signal.raise_signal(signal.SIGINT))
     options = _read_options()
     root = Path(options.directory or tempfile.mkdtemp(prefix="soak-"))
     broken = 0
