--- a/soak/callers.py
+++ b/soak/callers.py
@@ -23,11 +23,14 @@
     import random
     from collections.abc import Callable, Sequence
 
+# What callers say that they wait; several times the routes' aim of 0.4 s.
 DEADLINE_S = 3.0
 # Callers stop waiting for an answer this long after their deadline.
 PATIENCE_S = 2.0
+# For a connection and for a directory's answer, as the platform's callers do.
 CONNECT_S = 1.0
 DIRECTORY_S = 1.0
+# Between two requests of a caller at most, and before it looks for hosts again.
 PAUSE_S = 0.05
 # Of the requests, those whose caller leaves before the end, and after how long.
 LEAVE_SHARE = 0.05
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -29,12 +29,15 @@
 if TYPE_CHECKING:
     from .proxy import Proxy
 
+# From SIGTERM to SIGKILL, as on the first deployments.
 GRACE_S = 8.0
 # From the end of a killed target until the store drops its entry.
 LAPSE_S = 0.6
 # A draining target serves for so long, then ends.
 DRAIN_S = 4.0
+# Far beyond a start (0.5 s of processor time) with dozens at once.
 READY_S = 20.0
+# Between two looks at a process or its ready address.
 POLL_S = 0.02
 LOOPBACK = "127.0.0.1"
 SERVICES = ("plain", "streams")
--- a/soak/run.py
+++ b/soak/run.py
@@ -26,20 +26,25 @@
     from .fleet import HostProcess
     from .proxy import Proxy
 
+# Before the first fault; hosts have met and callers have connections by then.
 WARM_S = 2.0
 # All must be well again this long after the last fault has ended.
 RECOVERY_S = 12.0
+# For the requests that all have to be served, after the recovery.
 CALM_S = 3.0
 # Callers have gone for this long when targets must have stopped their work.
 GONE_S = 1.5
+# Between two probes of one host on average, and for one probe.
 PROBE_EVERY_S = 0.5
 PROBE_S = 1.0
+# Between two looks at processes and their memory.
 WATCH_EVERY_S = 0.1
 # Of the requests that targets begin while faults go on.
 FAULTY_SHARE = 0.02
 CALLERS_PER_HOST = 2
 # Of the hosts that a KILL_MANY takes.
 MANY_SHARE = 0.5
+# The smallest memory of a machine of the first deployments.
 MOST_MEMORY_BYTES = 300_000_000
 
 
