--- a/bench/membership/fleet.py
+++ b/bench/membership/fleet.py
@@ -4,7 +4,6 @@
 
 import json
 import os
-import socket
 import subprocess
 import sys
 import threading
@@ -15,6 +14,7 @@
 from typing import TYPE_CHECKING, Any
 
 from lycheepath.core.membership.model import PublishedHost
+from standins.processes import LOOPBACK, pick_port
 
 if TYPE_CHECKING:
     import signal
@@ -139,19 +139,9 @@
 def _place_hosts(count: int, zones: dict[str, str]) -> list[PublishedHost]:
     names = sorted(zones)
     hosts = []
-    for number, port in enumerate(_free_ports(count)):
+    for number in range(count):
         zone = names[number % len(names)]
-        address = f"127.0.0.1:{port}"
+        address = f"{LOOPBACK}:{pick_port()}"
         host_id = f"{zone}-{number:03d}"
         hosts.append(PublishedHost(host_id, address, address, zone, zones[zone]))
     return hosts
-
-
-def _free_ports(count: int) -> list[int]:
-    sockets = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(count)]
-    for one in sockets:
-        one.bind(("127.0.0.1", 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
-    return ports
