Look the speed of a service up once a choice, default the idle connections

_is_overdue asked the book for the same model again for each candidate (70 on a grown site); the look of the choice has it, and no longer holds the book itself. The usual number of idle connections is the pool's default, not an argument that two callers repeat. Behaviour unchanged.

--- a/src/lycheepath/adapters/http1/pool.py
+++ b/src/lycheepath/adapters/http1/pool.py
@@ -6,7 +6,7 @@
 
     upstream = await pool.take(address, connect_s=0.3, now=now)
     ...
-    pool.give_back(upstream, idle_s=5.0, now=now, most_idle=64)
+    pool.give_back(upstream, idle_s=5.0, now=now)
 """
 
 from __future__ import annotations
@@ -14,6 +14,7 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
+from ...core.placement.connections import MOST_IDLE
 from .sockets import connect
 from .upstream import Upstream
 
@@ -43,7 +44,11 @@
         return Upstream(await connect(address, connect_s), address)
 
     def give_back(
-        self, upstream: Upstream, idle_s: float | None, now: float, most_idle: int
+        self,
+        upstream: Upstream,
+        idle_s: float | None,
+        now: float,
+        most_idle: int = MOST_IDLE,
     ) -> None:
         """
         Keep a connection whose exchange is complete, if it can go on.
--- a/src/lycheepath/core/placement/choice.py
+++ b/src/lycheepath/core/placement/choice.py
@@ -155,7 +155,6 @@
     shared part that has an owner, if there is one.
     """
 
-    book: TargetBook
     wanted: Wanted
     around: Surroundings
     now: float
@@ -186,7 +185,7 @@
         if not _can_reach(target, around, tried, now):
             continue
         placed = _estimate(look, target)
-        if _is_doubtful(target, now) or _is_overdue(book, target, now):
+        if _is_doubtful(target, now) or _is_overdue(look, target):
             if resort is None or placed.first_s < resort.first_s:
                 resort = placed
             continue
@@ -238,7 +237,7 @@
             if shares and (most is None or held > cached[most.entry.id]):
                 richest[target.region] = target
     speed = book.speed(wanted.service)
-    return _Look(book, wanted, around, now, speed, cached, richest, owned)
+    return _Look(wanted, around, now, speed, cached, richest, owned)
 
 
 def _can_reach(
@@ -379,12 +378,12 @@
     return target.cold.may_send(senders, now)
 
 
-def _is_overdue(book: TargetBook, target: TargetState, now: float) -> bool:
+def _is_overdue(look: _Look, target: TargetState) -> bool:
     """Whether a target is silent for longer than its work explains."""
+    now, speed = look.now, look.speed
     waited = target.oldest_wait_s(now)
     if waited < LEAST_OVERDUE_S or now - target.contact_at < LEAST_OVERDUE_S:
         return False
-    speed = book.speed(target.entry.service)
     if target.service is None or target.service.engine is None:
         return waited > OVERDUE_FACTOR * speed.service_s
     work = speed.estimate_read_s(target.count_ahead(LEAST_URGENCY, now))
--- a/src/lycheepath/gateway/calls.py
+++ b/src/lycheepath/gateway/calls.py
@@ -8,7 +8,6 @@
 
 from ..adapters.http1.sockets import ConnectError
 from ..adapters.http1.upstream import BrokenAnswerError
-from ..core.placement.connections import MOST_IDLE
 
 if TYPE_CHECKING:
     from ..core.addresses import Address
@@ -42,7 +41,7 @@
             except BaseException:
                 upstream.close()
                 raise
-            node.pool.give_back(upstream, None, node.now(), MOST_IDLE)
+            node.pool.give_back(upstream, None, node.now())
     except trio.TooSlowError as error:
         raise CallFailedError("no answer in time") from error
     except (ConnectError, BrokenAnswerError) as error:
--- a/src/lycheepath/gateway/relay.py
+++ b/src/lycheepath/gateway/relay.py
@@ -20,7 +20,6 @@
 from ..adapters.http1.upstream import BrokenAnswerError
 from ..core.addresses import Address
 from ..core.placement.book import Ending
-from ..core.placement.connections import MOST_IDLE
 from ..core.reasons import Absent, Reason
 from ..core.serving.events import EventOrderError
 from ..core.serving.retries import Result
@@ -129,7 +128,7 @@
     finally:
         node.book.ended(exchange.number, Ending.LEFT, node.now())
         if kept:
-            node.pool.give_back(upstream, IDLE_S, node.now(), MOST_IDLE)
+            node.pool.give_back(upstream, IDLE_S, node.now())
         else:
             upstream.close()
 
