Place by what estimates turn out to be; serve on in a region whose hosts all leave

Change: EstimateErrors (quantile of seen / expected, by service and region) in the place of AIM_SHARE and QUEUE_DOUBT; Pace, a target's own factor; nothing is learned in the first 1.3 s of a host; waits by urgency; places are scarce from 0.8 of them taken; hosts that leave pass requests on that end in time while their region has no other, and refuse what would be cut.

--- a/src/lycheepath/adapters/beats.py
+++ b/src/lycheepath/adapters/beats.py
@@ -15,8 +15,9 @@
 
 from ..core.catalog.freshness import NO_KNOWLEDGE, Knowledge
 from ..core.fleet.view import HostRow
+from ..core.placement.regions import Queue
 
-FORMAT = 3
+FORMAT = 4
 MOST_BYTES = 16_384
 # Knowledge that is older is of no use to anybody.
 MOST_AGE_S = 60.0
@@ -31,8 +32,8 @@
     """
     One message.
 
-    ``waits`` are the waits for an answer in the sender's region, by service, for
-    hosts of other regions. ``suspects`` are
+    ``waits`` are the waits for an answer in the sender's region, by service
+    and urgency, for hosts of other regions. ``suspects`` are
     fingerprints of requests that broke off, with the targets where they did.
     ``gone`` are targets that leave, or stand at their address no more.
     ``knowledge`` is how far the sender follows the platform's store.
@@ -40,7 +41,7 @@
 
     sender: HostRow
     rows: tuple[HostRow, ...]
-    waits: dict[str, float] = field(default_factory=dict)
+    waits: dict[Queue, float] = field(default_factory=dict)
     suspects: tuple[tuple[int, tuple[str, ...]], ...] = ()
     gone: tuple[str, ...] = ()
     knowledge: Knowledge = NO_KNOWLEDGE
@@ -53,7 +54,7 @@
             FORMAT,
             _encode_row(beat.sender),
             [_encode_row(row) for row in beat.rows],
-            [[name, round(wait_s, 4)] for name, wait_s in beat.waits.items()],
+            [[*queue, round(wait_s, 4)] for queue, wait_s in beat.waits.items()],
             [[number, list(targets)] for number, targets in beat.suspects],
             list(beat.gone),
             _encode_knowledge(beat.knowledge),
@@ -89,7 +90,7 @@
         return Beat(
             _decode_row(sender),
             tuple(_decode_row(row) for row in rows),
-            {str(name): float(wait_s) for name, wait_s in waits},
+            {Queue(str(n), int(u)): float(wait_s) for n, u, wait_s in waits},
             tuple((int(n), tuple(str(t) for t in held)) for n, held in suspects),
             tuple(str(target) for target in gone),
             _decode_knowledge(knowledge),
@@ -99,11 +100,20 @@
 
 
 def _encode_row(row: HostRow) -> list[Any]:
-    return [row.id, row.start, row.beat, row.ip, row.zone, row.region, row.ready]
+    return [
+        row.id,
+        row.start,
+        row.beat,
+        row.ip,
+        row.zone,
+        row.region,
+        row.ready,
+        round(row.left_s, 3),
+    ]
 
 
 def _decode_row(fields: Any) -> HostRow:
-    name, start, beat, ip, zone, region, ready = fields
+    name, start, beat, ip, zone, region, ready, left_s = fields
     return HostRow(
         str(name),
         int(start),
@@ -112,6 +122,7 @@
         str(zone),
         str(region),
         bool(ready),
+        float(left_s),
     )
 
 
--- a/src/lycheepath/core/fleet/view.py
+++ b/src/lycheepath/core/fleet/view.py
@@ -55,7 +55,8 @@
     What a host says of itself.
 
     ``start`` is drawn anew by each process, ``beat`` grows while it runs. A
-    host that isn't ``ready`` can't serve yet, or takes no new callers any more.
+    host that isn't ``ready`` can't serve yet, or takes no new callers any more;
+    in the second case it goes on for ``left_s`` after its beat, else that is 0.
     """
 
     id: str
@@ -65,6 +66,7 @@
     zone: str
     region: str
     ready: bool = False
+    left_s: float = 0.0
 
 
 @dataclass(slots=True)
@@ -85,13 +87,13 @@
         self._near_silence_s = SILENCE_S
         self.beat_s = BEAT_S
 
-    def beat(self, ready: bool) -> HostRow:
+    def beat(self, ready: bool, left_s: float = 0.0) -> HostRow:
         """Count a beat of this host and return its row."""
         self._beats += 1
         near = sum(h.row.region == self.own.region for h in self._heard.values())
         self.beat_s = choose_beat_s(near + 1)
         self._near_silence_s = choose_silence_s(near + 1)
-        self.own = replace(self.own, beat=self.own.beat + 1, ready=ready)
+        self.own = replace(self.own, beat=self.own.beat + 1, ready=ready, left_s=left_s)
         return self.own
 
     def hear(self, row: HostRow, now: float, direct: bool) -> bool:
@@ -144,6 +146,24 @@
         """Return the other hosts that take callers, of one region or of all."""
         return [row for row in self.live(now, region) if row.ready]
 
+    def leaving(self, now: float, region: str | None = None) -> list[HostRow]:
+        """
+        Return the other hosts that leave and aren't gone yet, the last first.
+
+        They can pass on requests that end in time, for hosts of other regions.
+        """
+        ends = [
+            (self._heard[row.id].at + row.left_s, row)
+            for row in self.live(now, region)
+            if not row.ready
+        ]
+        ends.sort(key=lambda end: -end[0])
+        return [row for at, row in ends if at > now]
+
+    def remembered(self, region: str) -> list[HostRow]:
+        """Return the other hosts of a region that were heard of, gone or not."""
+        return [h.row for h in self._heard.values() if h.row.region == region]
+
     def count_known(self) -> int:
         """Return the number of hosts, with those gone lately and this one."""
         return len(self._heard) + 1
--- a/src/lycheepath/core/placement/book.py
+++ b/src/lycheepath/core/placement/book.py
@@ -18,10 +18,12 @@
 
 from ..catalog.catalog import Note, has_restarted, is_new_instance
 from ..routing.health import TargetHealth, may_eject
+from .accuracy import EstimateErrors
 from .candidates import Owners
 from .closures import Closure, PartedClosures
 from .cold import ColdGate
 from .loads import PeerLoads, TargetLoad
+from .pace import Pace
 from .prompts import PromptCache
 from .regions import RegionWaits
 from .speed import SpeedModel
@@ -68,6 +70,8 @@
     ``tokens`` are those of its prompt that the target has to read, ``ahead``
     what had to be read before it. ``placed_at_once`` says that a place was free
     for it, so that the time to its first event tells how fast the target reads.
+    ``expected_s`` is the time to its first event that was expected when it was
+    sent, 0 where nothing was, ``pace`` the target's pace in it.
     """
 
     target: TargetState
@@ -79,6 +83,8 @@
     event_at: float | None = None
     relayed: bool = False
     placed_at_once: bool = True
+    expected_s: float = 0.0
+    pace: float = 1.0
 
     def counts(self, now: float) -> bool:
         """Whether nobody else tells of the request yet."""
@@ -101,6 +107,7 @@
     evacuated: bool = False
     contact_at: float = float("-inf")
     event_s: float = FIRST_EVENT_S
+    pace: Pace = field(default_factory=Pace)
 
     def count_in_flight(self, now: float) -> int:
         """Return the requests under way here, those of peers included."""
@@ -144,7 +151,9 @@
     """
     State: all targets, and the requests that this host has under way.
 
-    ``notes`` are changed beliefs about targets that nobody has logged yet.
+    ``notes`` are changed beliefs about targets that nobody has logged yet. Until
+    ``blind_until`` nothing is learned of speeds, since a host that has just started
+    doesn't know what its answers waited for.
     """
 
     def __init__(self) -> None:
@@ -156,6 +165,8 @@
         self._routes: RouteTable | None = None
         self._flights: dict[int, Flight] = {}
         self.waits = RegionWaits()
+        self.errors = EstimateErrors()
+        self.blind_until = float("-inf")
         self.owners = Owners()
         self._parted = PartedClosures()
 
@@ -182,6 +193,10 @@
             self._by_region = by_region
             self.owners.forget()
 
+    def is_blind(self, now: float) -> bool:
+        """Whether this host may not know yet what others have under way."""
+        return now < self.blind_until
+
     def of_service(self, service: str) -> list[TargetState]:
         """Return the targets of a service, whatever their condition."""
         return self._by_service.get(service, [])
@@ -212,27 +227,45 @@
         now: float,
         ahead: int | None = None,
         placed_at_once: bool = True,
+        expected_s: float = 0.0,
+        pace: float = 1.0,
     ) -> None:
         """
         Note that a request is being sent.
 
         ``ahead`` are the tokens read before it as its target's keeper said;
-        without it they are those that this host knows of.
+        without it they are those that this host knows of. ``expected_s`` is the
+        time to its first event, with the target's ``pace`` in it.
         """
         target.cold.sent(now)
         if ahead is None:
             ahead = target.count_ahead(urgency, now)
         flight = Flight(
-            target, now, urgency, tokens, ahead, placed_at_once=placed_at_once
+            target,
+            now,
+            urgency,
+            tokens,
+            ahead,
+            placed_at_once=placed_at_once,
+            expected_s=expected_s,
+            pace=pace,
         )
         target.flights[key] = flight
         self._flights[key] = flight
 
     def relayed(
-        self, key: int, target: TargetState, urgency: int, tokens: int, now: float
+        self,
+        key: int,
+        target: TargetState,
+        urgency: int,
+        tokens: int,
+        now: float,
+        expected_s: float = 0.0,
     ) -> None:
         """Note that a request goes to a target through a host of its region."""
-        flight = Flight(target, now, urgency, tokens, 0, relayed=True)
+        flight = Flight(
+            target, now, urgency, tokens, 0, relayed=True, expected_s=expected_s
+        )
         target.flights[key] = flight
         self._flights[key] = flight
 
@@ -253,7 +286,9 @@
         before, flight.event_at = flight.event_at, now
         target = flight.target
         if flight.relayed:
-            flight.first_at = flight.first_at or now
+            if flight.first_at is None:
+                flight.first_at = now
+                self._observe_error(flight, now)
             return None
         target.contact_at = now
         if flight.first_at is not None:
@@ -262,8 +297,9 @@
                 target.event_s += EVENT_STEP * (gap_s - target.event_s)
             return None
         flight.first_at = now
+        self._observe_error(flight, now)
         target.health.record_contact()
-        if flight.placed_at_once:
+        if flight.placed_at_once and not self.is_blind(flight.sent_at):
             speed = self.speed(target.entry.service)
             took_s = max(0.0, now - flight.sent_at - target.event_s)
             speed.observe_read(took_s, flight.tokens + flight.ahead)
@@ -291,6 +327,8 @@
         if ending is Ending.WHOLE:
             health.record_success()
             target.contact_at = now
+            if flight.first_at is None:
+                self._observe_error(flight, now)
             began_s = (flight.first_at or now) - flight.sent_at
             speed = self.speed(target.entry.service)
             speed.observe_whole(began_s, now - flight.sent_at)
@@ -386,6 +424,7 @@
             state.cache.clear()
             state.health = TargetHealth()
             state.peers.clear()
+            state.pace = Pace()
             if is_new_instance(state.entry, entry):
                 state.closure = Closure()
         if known is None or entry is not known.entry:
@@ -395,6 +434,16 @@
         state.region = region
         state.service = service
 
+    def _observe_error(self, flight: Flight, now: float) -> None:
+        if self.is_blind(flight.sent_at):
+            return
+        target = flight.target
+        seen_s = now - flight.sent_at
+        service, expected_s = target.entry.service, flight.expected_s
+        self.errors.observe(service, target.region, expected_s, seen_s, now)
+        if not flight.relayed:
+            target.pace.observe(expected_s / flight.pace, seen_s, now)
+
     def _note(self, target: TargetState, event: str, detail: str) -> None:
         self.notes.append(Note(event, target.entry.id, detail))
 
--- a/src/lycheepath/core/placement/choice.py
+++ b/src/lycheepath/core/placement/choice.py
@@ -41,12 +41,6 @@
 # A target that answered with a failure is asked again only if others take
 # longer by this.
 FAILED_COST_S = 0.1
-# Part of the aim up to which estimates are trusted: they are off by a tenth
-# either way where a target is at its limit.
-AIM_SHARE = 0.85
-# What others have under way is known late and in part; it turns out longer by
-# this share where a region is at its limit.
-QUEUE_DOUBT = 0.75
 # A placement is settled without asking further keepers where what waits ahead
 # takes no longer than this, in seconds, and at most this part of the places is
 # taken: no other target would be better by much.
@@ -104,10 +98,11 @@
     look = _look_up(book, wanted, around, now, candidates, asked)
     best, nearest = _find_best(book, look, candidates, random, tried)
     if nearest is not None:
-        book.waits.observe(wanted.service, nearest.ahead_s, now)
+        book.waits.observe(wanted.queue, nearest.ahead_s, now)
     if best is None:
         return explain_closed(service, wanted, now)
-    return _admit(wanted, best)
+    ratio = book.errors.find_ratio(wanted.service, best.target.region, now)
+    return _admit(wanted, best, ratio)
 
 
 def is_settled(placed: Placement | Absent, asked: Asked) -> bool:
@@ -241,24 +236,21 @@
     return not (target.closure.is_shut(now) or target.cold.is_cold(now))
 
 
-def _admit(wanted: Wanted, best: Placement) -> Placement | Absent:
+def _admit(wanted: Wanted, best: Placement, ratio: float) -> Placement | Absent:
     """
     Admit a request that can be answered within its aim; refuse it at once else.
 
-    One that was sent before is worth its time as long as there is any. One that
+    ``ratio`` is how much longer than expected answers take at times. One that was sent before is worth its time as long as there is any. One that
     has nothing before it gains nothing by coming again, and only its answer
     tells whether the estimate is right.
     """
-    in_time_s = AIM_SHARE * wanted.route.aim_s
-    if best.ahead_s <= 0.0 and wanted.elapsed_s < in_time_s:
+    aim_s = wanted.route.aim_s
+    if best.ahead_s <= 0.0 and wanted.elapsed_s < aim_s:
         return best
-    # What waits at a plain service is counted in whole requests.
-    doubt_s = QUEUE_DOUBT * best.ahead_s if wanted.prompt else 0.0
-    expected_s = wanted.elapsed_s + best.first_s + doubt_s
-    over_s = expected_s - in_time_s
+    over_s = wanted.elapsed_s + ratio * best.first_s - aim_s
     if over_s <= 0.0 or (wanted.committed and best.first_s < wanted.left_s):
         return best
-    detail = f"first event expected after {best.first_s:.3f} s"
+    detail = f"first event expected after {best.first_s:.3f} s x {ratio:.2f}"
     return Absent(Reason.OVERLOADED, max(MIN_RETRY_AFTER_S, over_s), detail)
 
 
@@ -288,10 +280,11 @@
     if waited < LEAST_OVERDUE_S or now - target.contact_at < LEAST_OVERDUE_S:
         return False
     speed = book.speed(target.entry.service)
+    pace = max(1.0, target.pace.find(now))
     if target.service is None or target.service.engine is None:
-        return waited > OVERDUE_FACTOR * speed.service_s
+        return waited > OVERDUE_FACTOR * speed.service_s * pace
     tokens = max(flight.ahead + flight.tokens, target.count_ahead(LEAST_URGENCY, now))
     work_s = speed.estimate_read_s(tokens)
     if not flight.placed_at_once:
         work_s += speed.stay_s
-    return waited > OVERDUE_FACTOR * work_s
+    return waited > OVERDUE_FACTOR * work_s * pace
--- a/src/lycheepath/core/placement/estimates.py
+++ b/src/lycheepath/core/placement/estimates.py
@@ -49,6 +49,9 @@
 REST_WEIGHT = 0.05
 # Guesses of an answer's length are often short.
 REST_SHARE = 0.7
+# An answer seldom takes longer than expected by this factor, where it counts that it
+# ends.
+SLOW_FACTOR = 1.5
 # A target whose places are all taken reads and writes more slowly for all that
 # it runs; as seconds, for a full one.
 FULL_COST_S = 0.03
@@ -103,17 +106,19 @@
     prompt = wanted.prompt
     load = _find_load(look, target)
     slots = max(1, target.entry.slots)
+    pace = target.pace.find(look.now)
     if prompt is None:
         each_s = look.speed.service_s
         queue_s = estimate_place_s(load.in_flight, slots, each_s) + load.wait_s
-        first_s = look.speed.begin_s + queue_s + away_s
+        first_s = (look.speed.begin_s + queue_s) * pace + away_s
         return Placement(
             target,
             first_s,
             0,
             away_s,
-            ahead_s=queue_s,
+            ahead_s=queue_s * pace,
             place_s=queue_s,
+            pace=pace,
         )
     cached = look.cached.get(target.entry.id, 0)
     source, fetched = _find_source(look, target, cached)
@@ -127,7 +132,8 @@
     if place_s > 0.0 and not first:
         place_s = max(place_s, look.speed.stay_s)
     place_s += load.wait_s
-    first_s = look.speed.estimate_read_s(ahead + read) + load.event_s + place_s
+    read_s = look.speed.estimate_read_s(ahead + read)
+    first_s = (read_s + load.event_s + place_s) * pace
     if source is not None:
         first_s += FETCH_SETUP_S + fetched * _fetch_token_s(target)
     return Placement(
@@ -136,12 +142,13 @@
         cached + fetched,
         away_s,
         source.entry.address if source else "",
-        ahead * look.speed.token_s + place_s,
+        (ahead * look.speed.token_s + place_s) * pace,
         ahead,
         place_s,
         load.event_s,
         urgency,
         min(1.0, load.in_flight / slots),
+        pace,
     )
 
 
@@ -170,16 +177,25 @@
     return cost_s - _owner_bonus(look, placed.target)
 
 
+def estimate_end_s(prompt: Prompt | None, placed: Placement) -> float:
+    """Return the time within which an answer ends, a slow and long one included."""
+    service = placed.target.service
+    if prompt is None or service is None or service.engine is None:
+        return placed.first_s
+    events = prompt.most_answer_tokens / service.engine.event_tokens
+    return SLOW_FACTOR * (placed.first_s + events * placed.event_s)
+
+
 def _find_load(look: Look, target: TargetState) -> _Load:
     quote = look.quotes.get(target.entry.id) if look.quotes is not None else None
     if quote is not None:
         return _Load(quote.in_flight, quote.unread, 0.0, quote.event_s)
-    service, now = target.entry.service, look.now
+    now = look.now
     wait_s = 0.0
     if target.region != look.around.region:
-        wait_s = look.waits.find_s(target.region, service, now)
+        wait_s = look.waits.find_s(target.region, look.wanted.queue, now)
     elif look.quotes is not None:
-        wait_s = look.waits.find_own_s(service, now)
+        wait_s = look.waits.find_own_s(look.wanted.queue, now)
     in_flight = target.count_in_flight(now)
     unread = target.count_unread(now)
     return _Load(in_flight, unread, wait_s, target.event_s)
--- a/src/lycheepath/core/placement/model.py
+++ b/src/lycheepath/core/placement/model.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from .regions import Queue
+
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
@@ -30,6 +32,11 @@
     left_s: float
     committed: bool = False
 
+    @property
+    def queue(self) -> Queue:
+        """The requests that wait as this one does."""
+        return Queue(self.service, self.route.urgency)
+
 
 @dataclass(frozen=True, slots=True)
 class Surroundings:
@@ -87,7 +94,8 @@
     ``ahead_s`` of it is that work, ``ahead`` the tokens of it and
     ``place_s`` the wait for a place. ``away_s`` is the time to another region and
     back, 0 for this one. ``urgency`` is what the target is told, None for nothing,
-    ``fill`` the part of an engine's places that is taken.
+    ``fill`` the part of an engine's places that is taken. ``pace`` is how much
+    longer than others of its service the target was taken to need.
     """
 
     target: TargetState
@@ -101,6 +109,7 @@
     event_s: float = 0.0
     urgency: int | None = None
     fill: float = 0.0
+    pace: float = 1.0
 
     @property
     def away(self) -> bool:
--- a/src/lycheepath/core/placement/regions.py
+++ b/src/lycheepath/core/placement/regions.py
@@ -3,15 +3,17 @@
 
 A host that places a request learns from the keepers what is ahead of it at the
 best target found. The mean of these tells other regions whether it is worth the
-way, in a few bytes whatever the number of targets::
+way, in a few bytes whatever the number of targets. Requests of one urgency wait for
+others than those of another, so that each has a mean of its own::
 
-    waits.observe("pool", 0.12, now)
+    waits.observe(Queue("pool", 0), 0.12, now)
     waits.own(now)
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import NamedTuple
 
 # A mean counts the last few choices of this host, most the latest.
 STEP = 0.3
@@ -23,6 +25,13 @@
 TOLD_STEP = 0.4
 
 
+class Queue(NamedTuple):
+    """The requests of a service that wait alike."""
+
+    service: str
+    urgency: int
+
+
 @dataclass(slots=True)
 class _Mean:
     """A mean that forgets; it starts anew after ``within_s`` without news."""
@@ -42,33 +51,33 @@
 
 
 class RegionWaits:
-    """State: this host's own means by service, and those told, by region."""
+    """State: this host's own means, and those told, by region."""
 
     def __init__(self) -> None:
-        self._own: dict[str, _Mean] = {}
-        self._told: dict[tuple[str, str], _Mean] = {}
+        self._own: dict[Queue, _Mean] = {}
+        self._told: dict[tuple[str, Queue], _Mean] = {}
 
-    def observe(self, service: str, wait_s: float, now: float) -> None:
+    def observe(self, queue: Queue, wait_s: float, now: float) -> None:
         """Take the wait at the best target found for a request."""
-        mean = self._own.setdefault(service, _Mean(STEP, OWN_S))
+        mean = self._own.setdefault(queue, _Mean(STEP, OWN_S))
         mean.take(wait_s, now)
 
-    def own(self, now: float) -> dict[str, float]:
+    def own(self, now: float) -> dict[Queue, float]:
         """Return this host's means, for hosts of other regions."""
-        means = {name: mean.find_s(now) for name, mean in self._own.items()}
-        return {name: wait_s for name, wait_s in means.items() if wait_s is not None}
+        means = {queue: mean.find_s(now) for queue, mean in self._own.items()}
+        return {queue: wait_s for queue, wait_s in means.items() if wait_s is not None}
 
-    def find_own_s(self, service: str, now: float) -> float:
-        """Return this host's mean for a service, 0 where it has none."""
-        mean = self._own.get(service)
+    def find_own_s(self, queue: Queue, now: float) -> float:
+        """Return this host's mean, 0 where it has none."""
+        mean = self._own.get(queue)
         return (mean.find_s(now) or 0.0) if mean else 0.0
 
-    def hear(self, region: str, service: str, wait_s: float, now: float) -> None:
+    def hear(self, region: str, queue: Queue, wait_s: float, now: float) -> None:
         """Take what a host of another region tells."""
-        mean = self._told.setdefault((region, service), _Mean(TOLD_STEP, TOLD_S))
+        mean = self._told.setdefault((region, queue), _Mean(TOLD_STEP, TOLD_S))
         mean.take(wait_s, now)
 
-    def find_s(self, region: str, service: str, now: float) -> float:
+    def find_s(self, region: str, queue: Queue, now: float) -> float:
         """Return the wait in another region, 0 where nothing is known."""
-        mean = self._told.get((region, service))
+        mean = self._told.get((region, queue))
         return (mean.find_s(now) or 0.0) if mean else 0.0
--- a/src/lycheepath/core/placement/speed.py
+++ b/src/lycheepath/core/placement/speed.py
@@ -31,7 +31,7 @@
 MOST_STAY_S = 20.0
 # Where so large a part of an engine's places was seen taken, places are what the
 # service's engines run out of, for so many seconds.
-CROWDED_SHARE = 0.4
+CROWDED_SHARE = 0.8
 CROWDED_S = 10.0
 # One answer that hung counts for no more in the means of a plain service.
 MOST_SERVICE_S = 1.0
--- a/src/lycheepath/gateway/node.py
+++ b/src/lycheepath/gateway/node.py
@@ -18,18 +18,21 @@
 from ..core.placement.choice import choose_target, is_settled, pick_asked
 from ..core.placement.cold import MOST_SENDERS
 from ..core.placement.connections import count_idle
+from ..core.placement.estimates import estimate_end_s
 from ..core.placement.model import Asked, Placement, Surroundings, Wanted
+from ..core.placement.opening import MIN_RETRY_AFTER_S
+from ..core.reasons import Absent, Reason
 from ..core.retries.window import RetryWindow
 from ..core.serving.suspects import Suspects
 from .discovery import StoreFollower
-from .keeping import Keeping
+from .keeping import REPEAT_S, Keeping
 from .peers import Peers
 from .silence import SilenceWatch
 
 if TYPE_CHECKING:
+    from ..core.fleet.view import HostRow
     from ..core.placement.book import TargetState
     from ..core.placement.quotes import Quote
-    from ..core.reasons import Absent
     from .exchange import Exchange
     from .settings import GatewaySettings
 
@@ -42,6 +45,12 @@
 # A region that had no open target for a service is asked again after this long:
 # a cold target that three hosts share bears a request about as often.
 CLOSED_S = 0.5
+# After a start, until peers have told again what they have under way.
+BLIND_S = REPEAT_S + 0.3
+# A host that leaves tells no longer time than this, in seconds.
+MOST_LEFT_S = 60.0
+# A host that is gone is back after a restart within this time, in seconds.
+RESTART_S = 6.0
 # To another region and back, before it is measured.
 FIRST_AWAY_S = 0.16
 # When this host last looked around, and what it saw.
@@ -72,6 +81,7 @@
     avoided: dict[str, float] = field(default_factory=dict)
     _numbers: count[int] = field(default_factory=lambda: count(1))
     leaving: bool = False
+    ends_at: float = float("inf")
     serving: int = 0
     requests: int = 0
 
@@ -83,12 +93,18 @@
         self.peers = Peers(self)
         self.keeping = Keeping(self)
         self.store = StoreFollower(self)
+        self.book.blind_until = self.now() + BLIND_S
 
     @property
     def ready(self) -> bool:
         """Whether callers may come: a configuration is known, no end in sight."""
         return self.catalog.routes is not None and not self.leaving
 
+    def left_s(self) -> float:
+        """Return how long this host goes on, if it leaves; 0 if it doesn't."""
+        left_s = self.ends_at - self.now() if self.leaving else 0.0
+        return min(MOST_LEFT_S, max(0.0, left_s))
+
     def now(self) -> float:
         """Return the loop's monotonic time in seconds."""
         return trio.current_time()
@@ -115,8 +131,20 @@
             )
             if is_settled(placed, asked):
                 break
+        if self.leaving and isinstance(placed, Placement):
+            return self._admit_while_leaving(wanted, placed)
         return placed
 
+    def _admit_while_leaving(
+        self, wanted: Wanted, placed: Placement
+    ) -> Placement | Absent:
+        """Refuse a request whose answer would be cut by the end of this host."""
+        ends_s, left_s = estimate_end_s(wanted.prompt, placed), self.left_s()
+        if ends_s <= left_s:
+            return placed
+        detail = f"the answer takes {ends_s:.1f} s, this host leaves in {left_s:.1f} s"
+        return Absent(Reason.DRAINING, MIN_RETRY_AFTER_S, detail)
+
     def _describe(self, exchange: Exchange) -> Wanted:
         now = self.now()
         return Wanted(
@@ -146,7 +174,8 @@
             return around
         own = self.settings.region
         away = {}
-        for row in self.peers.view.serving(now):
+        view = self.peers.view
+        for row in view.serving(now) + view.leaving(now):
             if row.region != own:
                 away[row.region] = self.away_s.get(row.region, FIRST_AWAY_S)
         self._closed = {key: at for key, at in self._closed.items() if now < at}
@@ -160,8 +189,9 @@
         Return the addresses at which a caller of a region may connect.
 
         Hosts of its region go before those of regions where the host name's
-        routes are at home, and these before others. This host is named where no
-        other is known to serve.
+        routes are at home, and these before others. Requests that are at home where
+        no host serves for a moment aren't sent elsewhere. This host is named where
+        no other is known to serve.
         """
         rows = self.peers.view.serving(self.now())
         if self.ready:
@@ -170,12 +200,26 @@
         if not near and self.catalog.routes is not None:
             homes = self.catalog.routes.home_regions(name)
             near = [row for row in rows if row.region in homes]
+            near = near or self._find_home_hosts(homes)
         port = self.settings.callers.port
         ips = [row.ip for row in near or rows] or [self.settings.ip]
         if len(ips) > MOST_NAMED:
             ips = self.random.sample(ips, MOST_NAMED)
         return [f"{ip}:{port}" for ip in ips]
 
+    def _find_home_hosts(self, homes: frozenset[str]) -> list[HostRow]:
+        """Return the hosts of some regions that leave, or are gone for a moment."""
+        now = self.now()
+        view = self.peers.view
+        leaving = [row for region in homes for row in view.leaving(now, region)]
+        gone = [
+            row
+            for region in homes
+            for row in view.remembered(region)
+            if now - view.heard_at(row.id) < RESTART_S
+        ]
+        return leaving or gone
+
     def directory_ttl_s(self) -> float:
         """Return how long a caller may keep the directory's answer."""
         return min(DIRECTORY_TTL_S, self.settings.bounds.directory_ttl_s)
@@ -186,8 +230,12 @@
 
     def note_closed(self, service: str, region: str) -> None:
         """Note that no target of a region is open for a service."""
+        known = self._closed.get((service, region), 0.0) > self.now()
         self._closed[service, region] = self.now() + CLOSED_S
-        record_event("region-closed", subject=region, detail=service, for_s=CLOSED_S)
+        if not known:
+            record_event(
+                "region-closed", subject=region, detail=service, for_s=CLOSED_S
+            )
         self.forget_surroundings()
 
     def share_cold_targets(self) -> dict[str, int]:
--- a/src/lycheepath/gateway/peers.py
+++ b/src/lycheepath/gateway/peers.py
@@ -77,7 +77,7 @@
 
     async def tell_leaving(self) -> None:
         """Tell all hosts of the region at once that this one takes no new callers."""
-        own = self.view.beat(ready=False)
+        own = self.view.beat(False, self._node.left_s())
         data = encode_beat(Beat(own, ()))
         for row in list(self._live.values()):
             await self._send(data, row.ip)
@@ -100,7 +100,7 @@
                 self.view.forgive(now - woken)
                 record_event("paused", for_s=round(now - woken, 3))
             woken = now
-            self.view.beat(node.ready)
+            self.view.beat(node.ready, node.left_s())
             await self._send_beats(now)
             self._note_changes(now)
 
@@ -156,8 +156,8 @@
             self.view.hear(row, now, direct=False)
         node.store.hear(beat.sender, beat.knowledge, now)
         if beat.sender.region != self.view.own.region:
-            for service, wait_s in beat.waits.items():
-                node.book.waits.hear(beat.sender.region, service, wait_s, now)
+            for queue, wait_s in beat.waits.items():
+                node.book.waits.hear(beat.sender.region, queue, wait_s, now)
         for number, targets in beat.suspects:
             for target_id in targets:
                 node.suspects.note_break(number, target_id, now)
@@ -174,10 +174,10 @@
             record_event("host-silent", subject=host, hosts=len(live) + 1)
             self._node.book.drop_peer(host)
         self._live = live
-        keepers = [row.id for row in live.values() if row.ready]
-        if own.ready:
-            keepers.append(own.id)
-        self._node.keeping.keepers.set_hosts(keepers)
+        rows = [*live.values(), own]
+        # Hosts that leave pass requests on while their region has no other.
+        keepers = [row for row in rows if row.ready] or [r for r in rows if r.left_s]
+        self._node.keeping.keepers.set_hosts(row.id for row in keepers)
         if now - self._expired_at >= EXPIRE_S:
             self._expired_at = now
             self.view.expire(now)
--- a/src/lycheepath/gateway/process.py
+++ b/src/lycheepath/gateway/process.py
@@ -113,10 +113,11 @@
 
 async def drain(node: GatewayNode) -> None:
     """Take no new callers, serve those who are here, and end in time."""
-    node.leaving = True
     started = node.now()
     requests = node.requests
     grace_s = node.settings.bounds.grace_s - LAST_WORDS_S
+    node.leaving = True
+    node.ends_at = started + grace_s
     record_event("leaving", serving=node.serving)
     await node.peers.tell_leaving()
     served_at = started
--- a/src/lycheepath/gateway/relay.py
+++ b/src/lycheepath/gateway/relay.py
@@ -115,6 +115,7 @@
         placed.urgency or 0,
         prompt.tokens - placed.cached_tokens if prompt else 0,
         node.now(),
+        placed.first_s,
     )
     try:
         limit_s = bound_first_silence(exchange)
@@ -284,12 +285,14 @@
 
 def _pick_host(node: GatewayNode, region: str) -> HostRow | None:
     now = node.now()
-    hosts = [
-        row
-        for row in node.peers.view.serving(now, region)
-        if node.avoided.get(row.id, 0.0) <= now
-    ]
-    return node.random.choice(hosts) if hosts else None
+    view = node.peers.view
+    serving, leaving = (
+        [row for row in rows if node.avoided.get(row.id, 0.0) <= now]
+        for rows in (view.serving(now, region), view.leaving(now, region))
+    )
+    if serving:
+        return node.random.choice(serving)
+    return leaving[0] if leaving else None
 
 
 def _note_away(node: GatewayNode, region: str, took_s: float) -> None:
--- a/tests/core/fleet/test_view.py
+++ b/tests/core/fleet/test_view.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 
 import pytest
 
@@ -184,3 +185,24 @@
         for view in fleet.views.values()
         if view.own.region == "east"
     )
+
+
+def test_view_names_hosts_that_leave_while_they_go_on_the_last_first() -> None:
+    view = make_view()
+    view.hear(replace(make_row(1), left_s=4.0), 0.0, True)
+    view.hear(replace(make_row(2), left_s=7.0), 0.1, True)
+    view.hear(make_row(3), 0.1, True)
+    view.hear(replace(make_row(4), ready=True), 0.1, True)
+    assert [row.id for row in view.leaving(0.2)] == ["host-2", "host-1"]
+    view.hear(replace(make_row(1, beat=2), left_s=0.0), 0.3, True)
+    assert [row.id for row in view.leaving(0.4, "east")] == ["host-2"]
+    assert view.leaving(0.4, "west") == []
+    assert view.leaving(0.1 + SILENCE_S + 0.1) == []
+
+
+def test_view_remembers_hosts_that_are_gone() -> None:
+    view = make_view()
+    view.hear(make_row(1), 0.0, True)
+    view.hear(make_row(2, "west"), 0.0, True)
+    assert view.live(30.0) == []
+    assert [row.id for row in view.remembered("west")] == ["host-2"]
--- a/tests/core/placement/played_region.py
+++ b/tests/core/placement/played_region.py
@@ -208,6 +208,8 @@
             now,
             placed.ahead,
             placed.place_s <= 0.0,
+            placed.first_s,
+            placed.pace,
         )
         book.read_parts(placed.target, caller.prompt.parts)
         self.tell(host, name, caller.prompt, now)
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -419,3 +419,49 @@
         with trio.fail_after(QUIET_S + 1.0):
             await ended.wait()
     assert target.seen
+
+
+async def test_region_whose_hosts_all_leave_goes_on_serving_others(site: Site) -> None:
+    site.bounds = {"grace_s": 8.0}
+    target = await site.add_target("books", answer_text(b"done"), "west-a")
+    site.configure(make_route("books", "unsafe"))
+    east = await site.start_gateway("east")
+    west = await site.start_gateway("west", "west-a")
+    await wait_until_live(east, west)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(drain, west)
+        await trio.sleep(0.3)
+        assert not east.peers.view.serving(east.now(), "west")
+        answer = await site.ask(east, b"POST", "/books/1", b"x")
+        assert (answer.status, answer.body) == (200, b"done")
+        # What is left is too short for an answer: refused, and not run.
+        west.ends_at = west.now()
+        late = await site.ask(east, b"POST", "/books/1", b"x", "r2")
+        assert late.status == 503
+        own = await site.ask(west, b"POST", "/books/1", b"x", "r3")
+        assert own.status == 503
+        assert float(own.headers["retry-after"]) > 0
+        nursery.cancel_scope.cancel()
+    assert len(target.seen) == 1
+
+
+async def test_directory_names_the_only_home_host_while_it_restarts(
+    site: Site, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Requests may not be sent to another region, not even to be passed on."""
+    site.configure(make_route("books", home_regions=["west"]))
+    east = await site.start_gateway("east")
+    west = await site.start_gateway("west", "west-a")
+    await wait_until_live(east, west)
+    named = [str(west.settings.callers)]
+    assert await resolve(east, "west") == named
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(drain, west)
+        await trio.sleep(0.3)
+        assert not east.peers.view.serving(east.now(), "west")
+        assert await resolve(east, "west") == named
+        nursery.cancel_scope.cancel()
+    monkeypatch.setattr(east.peers.view, "live", lambda now, region=None: [])
+    assert await resolve(east, "west") == named
+    monkeypatch.setattr("lycheepath.gateway.node.RESTART_S", -1.0)
+    assert await resolve(east, "west") == [str(east.settings.callers)]
