Bound what a target may send without end; stalled streams end by their events

Cause: a read of any bytes began a stream's gap anew, so that a byte or a comment now and then held it until the deadline; interim heads and trailers were read without a bound; an event that never ends was kept up to 1 MiB, times the requests under way; a late copy of an answer that names no request was taken for the next answer on a kept connection.

Change: the gap is renewed by whole events that say something; 16 interim heads, 16 KiB of trailers, 64 KiB an event; an answer without an id on a used connection is no success. The end of a connection is told in words instead of h11's.

Heads, chunk lines and sizes and long bodies were bounded before.

--- a/src/lycheepath/adapters/http1/chunks.py
+++ b/src/lycheepath/adapters/http1/chunks.py
@@ -16,7 +16,7 @@
 SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,20})(;[^\n]*)?[ \t]*")
 TRAILER_LINE = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\x00\n\r]*")
 LINE_END = b"\r\n"
-# Of a size with its extensions, and of the trailers; as for heads.
+# Of a size with its extensions, and of all trailers; as for heads.
 MOST_LINE_BYTES = 16_384
 
 
@@ -32,6 +32,7 @@
         self._rest = b""
         self._left = 0
         self._in_trailers = False
+        self._trailer_bytes = 0
 
     @property
     def rest(self) -> bytes:
@@ -70,6 +71,9 @@
 
     def _take_line(self, line: bytes) -> None:
         if self._in_trailers:
+            self._trailer_bytes += len(line) + len(LINE_END)
+            if self._trailer_bytes > MOST_LINE_BYTES:
+                raise ChunkError("the trailers are too long")
             if line and not TRAILER_LINE.fullmatch(line):
                 raise ChunkError("a trailer can't be read")
             self.ended = not line
--- a/src/lycheepath/adapters/http1/upstream.py
+++ b/src/lycheepath/adapters/http1/upstream.py
@@ -25,6 +25,8 @@
 RECEIVE_BYTES = 65_536
 # Larger bodies are sent beside the reading of the answer, which may come early.
 SENT_AT_ONCE_BYTES = 32_768
+# Interim heads that may come before an answer's own.
+MOST_INTERIM_HEADS = 16
 # Answers to earlier requests that are skipped before a connection is given up.
 MOST_STALE_ANSWERS = 2
 
@@ -50,6 +52,7 @@
         self._request: h11.Request | None = None
         self._body = b""
         self._sent = False
+        self._ended = False
         self._chunks: ChunkReader | None = None
         # Bytes of a chunked body that came with its head.
         self._pending = b""
@@ -175,13 +178,18 @@
             head = await self._read_head()
             status, headers = head
             answered = dict(headers).get(b"request-id")
-            if request_id is None or answered in (None, request_id):
+            if request_id is None or answered == request_id:
+                return status, headers
+            if answered is None:
+                # It may be a late copy of an answer to an earlier request.
+                if self.exchanges > 1 and 200 <= status < 300:
+                    raise BrokenAnswerError("the answer doesn't say which it is")
                 return status, headers
             await self._skip_stale_answer()
         raise BrokenAnswerError("the answers belong to other requests")
 
     async def _read_head(self) -> tuple[int, list[tuple[bytes, bytes]]]:
-        while True:
+        for _ in range(MOST_INTERIM_HEADS + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 headers = list(event.headers)
@@ -189,6 +197,7 @@
                 return event.status_code, headers
             if not isinstance(event, h11.InformationalResponse):
                 raise BrokenAnswerError("the connection ended without an answer")
+        raise BrokenAnswerError(f"over {MOST_INTERIM_HEADS} interim heads came")
 
     def _take_framing(self, headers: Headers) -> None:
         """Read a chunked body without h11, which parses the head."""
@@ -240,12 +249,18 @@
             try:
                 event = self._h11.next_event()
             except h11.RemoteProtocolError as error:
-                raise BrokenAnswerError(f"the answer is wrong: {error}") from error
+                if self._ended:
+                    reason = "the connection ended before the answer was whole"
+                else:
+                    reason = f"the answer is wrong: {error}"
+                raise BrokenAnswerError(reason) from error
             if event is h11.PAUSED:
                 raise BrokenAnswerError("the connection changed its protocol")
             if event is not h11.NEED_DATA:
                 return event
-            self._h11.receive_data(await self._receive())
+            data = await self._receive()
+            self._ended = not data
+            self._h11.receive_data(data)
 
     async def _receive(self) -> bytes:
         try:
--- a/src/lycheepath/core/serving/events.py
+++ b/src/lycheepath/core/serving/events.py
@@ -13,8 +13,11 @@
 
 END = b"\n\n"
 ID = b"id:"
-# An event that is larger is no event of an engine.
-MOST_EVENT_BYTES = 1 << 20
+# A line that begins so is a comment.
+COMMENT = b":"
+# An event that is larger is no event of an engine. Five hundred streams that send
+# no end of one take 32 MB of a host.
+MOST_EVENT_BYTES = 1 << 16
 
 
 class EventOrderError(Exception):
@@ -22,10 +25,15 @@
 
 
 class EventCutter:
-    """State: the id of the last event passed on, and what is not yet whole."""
+    """
+    State: the id of the last event passed on, and what is not yet whole.
+
+    ``made`` counts the events that say something, which comments don't.
+    """
 
     def __init__(self, last_id: int | None) -> None:
         self.last_id = last_id
+        self.made = 0
         self._rest = b""
 
     def feed(self, data: bytes) -> bytes:
@@ -61,6 +69,7 @@
         """Whether an event is to be passed on, by its id."""
         number = read_id(event)
         if number is None:
+            self.made += not is_comment(event)
             return True
         last = self.last_id
         if last is not None and number <= last:
@@ -68,9 +77,15 @@
         if last is not None and number != last + 1:
             raise EventOrderError(f"event {number} follows event {last}")
         self.last_id = number
+        self.made += 1
         return True
 
 
+def is_comment(event: bytes) -> bool:
+    """Whether an event has nothing but comments."""
+    return all(line.startswith(COMMENT) for line in event.split(b"\n") if line)
+
+
 def read_id(event: bytes) -> int | None:
     """Return the number in an event's ``id`` line."""
     at = 0 if event.startswith(ID) else event.find(b"\n" + ID) + 1
--- a/src/lycheepath/gateway/sending.py
+++ b/src/lycheepath/gateway/sending.py
@@ -248,16 +248,20 @@
 ) -> None:
     """Pass on whole events as they come, and end the answer with the last."""
     exchange.cutter.restart()
-    with node.silence.guard(exchange.number, NO_LIMIT_S, last_sign) as guard:
-        while True:
-            guard.expect(_gap_s(exchange))
-            data = await upstream.read_body()
-            guard.rest()
-            if data is None:
-                break
+    made = exchange.cutter.made
+    with node.silence.guard(exchange.number, _gap_s(exchange), last_sign) as guard:
+        while (data := await upstream.read_body()) is not None:
             events = exchange.cutter.feed(data)
-            if events:
-                await _pass_events(node, exchange, facts, events)
+            if not events:
+                continue
+            limit_s = guard.rest()
+            await _pass_events(node, exchange, facts, events)
+            if exchange.cutter.made == made:
+                # Comments don't show that the answer goes on.
+                guard.resume(limit_s)
+                continue
+            made = exchange.cutter.made
+            guard.expect(_gap_s(exchange))
     if not exchange.cutter.complete:
         raise BrokenAnswerError("the stream ended within an event")
     head = b""
--- a/src/lycheepath/gateway/silence.py
+++ b/src/lycheepath/gateway/silence.py
@@ -41,9 +41,14 @@
         self.since = trio.current_time()
         self.limit_s = limit_s
 
-    def rest(self) -> None:
-        """Expect nothing while what came is passed on."""
-        self.limit_s = NO_LIMIT_S
+    def rest(self) -> float:
+        """Expect nothing while what came is passed on; return the limit until then."""
+        limit_s, self.limit_s = self.limit_s, NO_LIMIT_S
+        return limit_s
+
+    def resume(self, limit_s: float) -> None:
+        """Go on with a wait that ``rest`` put off."""
+        self.limit_s = limit_s
 
 
 class SilenceWatch:
--- a/tests/adapters/http1/test_upstream.py
+++ b/tests/adapters/http1/test_upstream.py
@@ -88,3 +88,83 @@
     upstream = await open_upstream(nursery, [wrong])
     with pytest.raises(BrokenAnswerError):
         await ask(upstream, "a")
+
+
+def answer_plain(request_id: str, body: str) -> bytes:
+    named = f"Request-Id: {request_id}\r\n" if request_id else ""
+    return (
+        f"HTTP/1.1 200 OK\r\n{named}Content-Length: {len(body)}\r\n\r\n{body}".encode()
+    )
+
+
+async def test_late_copy_that_names_no_request_is_not_taken_for_the_next_answer(
+    nursery: trio.Nursery,
+) -> None:
+    answers = [answer_plain("a", "one"), answer_plain("", "one")]
+    upstream = await open_upstream(nursery, answers)
+    assert await ask(upstream, "a") == b"one"
+    assert upstream.finish()
+    with pytest.raises(BrokenAnswerError):
+        await ask(upstream, "b")
+
+
+async def test_first_answer_of_a_connection_need_not_name_its_request(
+    nursery: trio.Nursery,
+) -> None:
+    upstream = await open_upstream(nursery, [answer_plain("", "one")])
+    assert await ask(upstream, "a") == b"one"
+
+
+@pytest.mark.parametrize(
+    ("begun", "again"),
+    [
+        (b"HTTP/1.1 200 OK\r\nX: ", b"x" * 1000),
+        (b"HTTP/1.1 200 OK\r\n", b"X-A: b\r\n" * 100),
+        (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 10),
+        (HEAD.format("a").encode() + b"3", b";x=1" * 200),
+        (HEAD.format("a").encode(), b"ffffffff\r\n" + b"x" * 1000),
+        (HEAD.format("a").encode() + b"0\r\n", b"X-A: b\r\n" * 100),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 999999999\r\n\r\n", b"x" * 1000),
+        (b"HTTP/1.1 200 OK\r\n\r\n", b"x" * 1000),
+    ],
+    ids=[
+        "long line",
+        "many lines",
+        "interim heads",
+        "chunk extension",
+        "chunk size",
+        "trailers",
+        "long body",
+        "body without a length",
+    ],
+)
+async def test_answer_without_end_is_given_up_within_a_bound(
+    nursery: trio.Nursery, begun: bytes, again: bytes
+) -> None:
+    sent = 0
+
+    async def serve(stream: trio.SocketStream) -> None:
+        nonlocal sent
+        await stream.receive_some(4096)
+        try:
+            await stream.send_all(begun)
+            while True:
+                await stream.send_all(again)
+                sent += len(again)
+        except trio.BrokenResourceError:
+            pass
+
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    nursery.start_soon(trio.serve_listeners, serve, listeners)
+    ip, port = listeners[0].socket.getsockname()
+    upstream = Upstream(await connect(Address(ip, port), 1.0), Address(ip, port))
+    with trio.fail_after(2.0), pytest.raises(BrokenAnswerError):
+        await ask(upstream, "a")
+    assert not upstream.finish()
+    upstream.close()
+
+
+async def test_end_of_a_connection_is_told_in_words(nursery: trio.Nursery) -> None:
+    upstream = await open_upstream(nursery, [b""])
+    with pytest.raises(BrokenAnswerError, match="the connection ended before"):
+        await ask(upstream, "a")
--- a/tests/core/serving/test_events.py
+++ b/tests/core/serving/test_events.py
@@ -3,7 +3,12 @@
 import pytest
 from hypothesis import given, strategies
 
-from lycheepath.core.serving.events import EventCutter, EventOrderError, read_id
+from lycheepath.core.serving.events import (
+    MOST_EVENT_BYTES,
+    EventCutter,
+    EventOrderError,
+    read_id,
+)
 
 
 def make_event(number: int) -> bytes:
@@ -65,3 +70,18 @@
     assert read_id(b"id: 7\ndata: a") == 7
     assert read_id(b"weight-versions: 3\nid:8\ndata: a") == 8
     assert read_id(b"data: id: 9") is None
+
+
+def test_cutter_counts_events_that_say_something() -> None:
+    cutter = EventCutter(None)
+    assert cutter.feed(b": alive\n\n:\n\n") == b": alive\n\n:\n\n"
+    assert cutter.made == 0
+    cutter.feed(make_event(1) + b"data: x\n\n: a\ndata: y\n\n")
+    assert cutter.made == 3
+
+
+def test_cutter_gives_up_an_event_without_end_within_a_bound() -> None:
+    cutter = EventCutter(None)
+    with pytest.raises(EventOrderError):
+        for _ in range(MOST_EVENT_BYTES // 1000 + 1):
+            cutter.feed(b"x" * 1000)
