Sum up what callers lost from logs; use regions whose hosts all leave last

Change: a region whose hosts all leave costs 0.3 s more; lycheepath losses; answered and refused lines name the aim and the route.

--- a/src/lycheepath/console/application.py
+++ b/src/lycheepath/console/application.py
@@ -10,6 +10,7 @@
 from .commands.diff import DiffCommand
 from .commands.explain import ExplainCommand
 from .commands.gateway import GatewayCommand
+from .commands.losses import LossesCommand
 from .commands.promote import PromoteCommand
 from .commands.serve import ServeCommand
 from .commands.status import StatusCommand
@@ -20,6 +21,7 @@
     DiffCommand,
     ExplainCommand,
     GatewayCommand,
+    LossesCommand,
     PromoteCommand,
     ServeCommand,
     StatusCommand,
--- /dev/null
+++ b/src/lycheepath/console/commands/losses.py
@@ -0,0 +1,55 @@
+"""The command that sums up what callers lost, from hosts' logs."""
+
+from __future__ import annotations
+
+from typing import ClassVar
+
+from cleo.commands.command import Command
+from cleo.helpers import option
+
+from ...core.explaining.causes import gather_stories
+from ...core.explaining.losses import sum_losses
+from ..loss_tables import print_losses
+from ..request_logs import LogError, read_log_lines
+
+
+class LossesCommand(Command):
+    """
+    Prints what callers lost by cause, kind of request and time.
+
+    The logs are those of all hosts::
+
+        lycheepath losses --log east.log --log west.log
+        lycheepath losses --window 5 --log - < all.log
+    """
+
+    name = "losses"
+    description = "Sums up what callers lost, by cause."
+    options: ClassVar = [
+        option(
+            "log",
+            "l",
+            "A log file, or - for standard input.",
+            flag=False,
+            multiple=True,
+        ),
+        option("window", "w", "Seconds of a row in time.", flag=False, default="2"),
+    ]
+
+    def handle(self) -> int:
+        """Return 0, or 2 when the logs can't be read."""
+        paths = list(self.option("log"))
+        window = str(self.option("window"))
+        if not paths or not window.isdigit() or window == "0":
+            self.line_error(
+                "<error>Name logs with --log FILE, and whole seconds with --window."
+                "</error>"
+            )
+            return 2
+        try:
+            stories = gather_stories(read_log_lines(paths))
+        except LogError as error:
+            self.line_error(f"<error>{error}</error>")
+            return 2
+        print_losses(self, sum_losses(stories, float(window)))
+        return 0
--- /dev/null
+++ b/src/lycheepath/core/explaining/losses.py
@@ -0,0 +1,162 @@
+"""
+Sums up from log lines what callers lost, by cause, kind of request and time.
+
+A request is lost in part if its first event came after its route's aim, and whole
+if it got no answer. Its route tells its kind. Callers that no host heard of leave
+no lines: ``hosts_away`` names the seconds in which none of a region ran::
+
+    losses = sum_losses(gather_stories(lines), window_s=2.0)
+    losses.by_cause[Loss.REFUSED_LATE]
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import TYPE_CHECKING, Any
+
+from .causes import FAILED_ENDS
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping, Sequence
+
+    from .causes import Stories
+
+    Line = Mapping[str, Any]
+
+# Beginnings of the reasons that hosts log.
+EXPECTED_LATE = "first event expected"
+NOTHING_OPEN = "no target is"
+LEAVING = "the answer takes"
+# An answer that took longer than its estimate by this factor was estimated wrongly.
+WRONG_FACTOR = 1.5
+
+
+class Loss(Enum):
+    """Why a request was lost, or was late."""
+
+    REFUSED_LATE = "refused as too late"
+    CLOSED = "no target was open"
+    HOST_LEAVING = "its host was leaving"
+    BARRED = "targets went down under it"
+    TARGET_FAILED = "its target failed or broke off"
+    HOST_STOPPED = "its host stopped"
+    CALLER_LEFT = "its caller left"
+    TIME_OVER = "its time was over"
+    LATE_WRONG = "late, estimated too short"
+    LATE_RETRIED = "late after another sending"
+    LATE_KNOWN = "late as estimated"
+    OTHER = "other"
+
+
+@dataclass(slots=True)
+class Losses:
+    """What was counted; keys of ``by_window`` are the beginnings of windows."""
+
+    requests: int = 0
+    in_aim: int = 0
+    by_cause: Counter[Loss] = field(default_factory=Counter)
+    by_route: Counter[tuple[str, Loss]] = field(default_factory=Counter)
+    by_window: Counter[tuple[float, Loss]] = field(default_factory=Counter)
+    asked_by_window: Counter[float] = field(default_factory=Counter)
+    hosts_away: list[tuple[str, float, float]] = field(default_factory=list)
+
+
+def sum_losses(stories: Stories, window_s: float) -> Losses:
+    """Return the losses that the lines of all hosts tell."""
+    losses = Losses()
+    first_at = min((_begun_at(s) for s in stories.by_request.values()), default=0.0)
+    for story in stories.by_request.values():
+        if not any(line.get("route") for line in story):
+            continue
+        window = (_begun_at(story) - first_at) // window_s * window_s
+        losses.requests += 1
+        losses.asked_by_window[window] += 1
+        loss = find_loss(story)
+        if loss is None:
+            losses.in_aim += 1
+            continue
+        losses.by_cause[loss] += 1
+        losses.by_route[_find_route(story), loss] += 1
+        losses.by_window[window, loss] += 1
+    losses.hosts_away = [
+        (region, begin - first_at, end - first_at)
+        for region, begin, end in _find_absences(stories)
+    ]
+    return losses
+
+
+def find_loss(story: Sequence[Line]) -> Loss | None:
+    """Return why a request was lost or late; None if it was in its aim."""
+    answers = [line for line in story if line.get("event") == "answered"]
+    if answers:
+        return _judge_answer(answers[-1])
+    ends = [line for line in story if line.get("event") in FAILED_ENDS]
+    if not ends:
+        return Loss.HOST_STOPPED
+    if any(line.get("event") == "send-failed" for line in story):
+        return Loss.TARGET_FAILED
+    return _judge_end(ends[0])
+
+
+def _judge_answer(answer: Line) -> Loss | None:
+    aim_s = answer.get("aim_s")
+    first_s = answer.get("first_s") or answer.get("took_s")
+    if aim_s is None or first_s is None or first_s <= aim_s:
+        return None
+    if int(answer.get("sends") or 1) > 1:
+        return Loss.LATE_RETRIED
+    expected_s = float(answer.get("expected_s") or 0.0)
+    return Loss.LATE_WRONG if first_s > WRONG_FACTOR * expected_s else Loss.LATE_KNOWN
+
+
+def _judge_end(end: Line) -> Loss:
+    reason = str(end.get("reason") or "")
+    if end.get("event") == "left":
+        return Loss.CALLER_LEFT
+    if end.get("event") == "failure-passed-on":
+        return Loss.TARGET_FAILED
+    for begin, loss in (
+        (EXPECTED_LATE, Loss.REFUSED_LATE),
+        (NOTHING_OPEN, Loss.CLOSED),
+        (LEAVING, Loss.HOST_LEAVING),
+        ("targets went down", Loss.BARRED),
+        ("the time is over", Loss.TIME_OVER),
+    ):
+        if reason.startswith(begin):
+            return loss
+    return Loss.OTHER
+
+
+def _find_absences(stories: Stories) -> Iterable[tuple[str, float, float]]:
+    """Return when all hosts of a region had stopped, as far as they log it."""
+    regions: dict[str, dict[str, list[Line]]] = {}
+    for host, lines in stories.by_host.items():
+        region = next((str(li["region"]) for li in lines if li.get("region")), "")
+        regions.setdefault(region, {})[host] = lines
+    for region, hosts in regions.items():
+        changes = sorted(
+            (float(line["at"]), 1 if line["event"] == "start" else -1)
+            for lines in hosts.values()
+            for line in lines
+            if line["event"] in ("start", "stop")
+        )
+        running = 0
+        stopped_at: float | None = None
+        for at, change in changes:
+            running = max(0, running + change)
+            if running == 0:
+                stopped_at = at
+            elif stopped_at is not None:
+                yield region, stopped_at, at
+                stopped_at = None
+
+
+def _begun_at(story: list[Line]) -> float:
+    first = story[0]
+    return float(first.get("at", 0.0)) - float(first.get("took_s") or 0.0)
+
+
+def _find_route(story: list[Line]) -> str:
+    return next(str(line["route"]) for line in story if line.get("route"))
--- a/src/lycheepath/core/placement/estimates.py
+++ b/src/lycheepath/core/placement/estimates.py
@@ -36,6 +36,8 @@
 # What a request to another region costs beyond its way there and back, as
 # time: its bytes are priced, and it depends on more.
 AWAY_COST_S = 0.03
+# Hosts that leave turn many requests away, and tell no waits of theirs.
+LEAVING_COST_S = 0.3
 # Part of the way there and back that doesn't count while the aim isn't at risk.
 AWAY_DISCOUNT = 0.8
 # Weight of an engine's own time against one caller's waiting: two more callers
@@ -49,9 +51,6 @@
 REST_WEIGHT = 0.05
 # Guesses of an answer's length are often short.
 REST_SHARE = 0.7
-# An answer seldom takes longer than expected by this factor, where it counts that it
-# ends.
-SLOW_FACTOR = 1.5
 # A target whose places are all taken reads and writes more slowly for all that
 # it runs; as seconds, for a full one.
 FULL_COST_S = 0.03
@@ -166,6 +165,8 @@
     cost_s = placed.first_s + LATE_WEIGHT * late_s
     if placed.away:
         cost_s += AWAY_COST_S - AWAY_DISCOUNT * placed.away_s
+        if placed.target.region in look.around.leaving:
+            cost_s += LEAVING_COST_S
     if wanted.prompt is not None:
         read = wanted.prompt.tokens - placed.cached_tokens
         cost_s += ENGINE_WEIGHT * read * look.speed.token_s
@@ -178,12 +179,12 @@
 
 
 def estimate_end_s(prompt: Prompt | None, placed: Placement) -> float:
-    """Return the time within which an answer ends, a slow and long one included."""
+    """Return the time until an answer ends, if it is as long as it may be."""
     service = placed.target.service
     if prompt is None or service is None or service.engine is None:
         return placed.first_s
     events = prompt.most_answer_tokens / service.engine.event_tokens
-    return SLOW_FACTOR * (placed.first_s + events * placed.event_s)
+    return placed.first_s + events * placed.event_s
 
 
 def _find_load(look: Look, target: TargetState) -> _Load:
--- a/src/lycheepath/core/placement/model.py
+++ b/src/lycheepath/core/placement/model.py
@@ -47,12 +47,14 @@
     ``cold_senders`` are the hosts that share a cold target with this one; cold
     targets that it doesn't name are left to others. ``closed`` are services
     that have no open target in a region, as hosts there said a moment ago.
+    ``leaving`` are regions whose hosts all leave.
     """
 
     region: str
     away_s: Mapping[str, float]
     cold_senders: Mapping[str, int]
     closed: frozenset[tuple[str, str]] = frozenset()
+    leaving: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/lycheepath/gateway/node.py
+++ b/src/lycheepath/gateway/node.py
@@ -47,6 +47,12 @@
 CLOSED_S = 0.5
 # After a start, until peers have told again what they have under way.
 BLIND_S = REPEAT_S + 0.3
+# Callers learn from the directory within this time that this host leaves: the
+# longest that they keep an answer, and what is on its way then.
+LEAVE_S = 3.0
+# An answer seldom takes longer than estimated by this factor. What comes to a host
+# after ``LEAVE_S`` has to end for certain.
+SLOW_FACTOR = 1.5
 # A host that leaves tells no longer time than this, in seconds.
 MOST_LEFT_S = 60.0
 # A host that is gone is back after a restart within this time, in seconds.
@@ -81,6 +87,7 @@
     avoided: dict[str, float] = field(default_factory=dict)
     _numbers: count[int] = field(default_factory=lambda: count(1))
     leaving: bool = False
+    left_at: float = float("inf")
     ends_at: float = float("inf")
     serving: int = 0
     requests: int = 0
@@ -140,6 +147,8 @@
     ) -> Placement | Absent:
         """Refuse a request whose answer would be cut by the end of this host."""
         ends_s, left_s = estimate_end_s(wanted.prompt, placed), self.left_s()
+        if self.now() - self.left_at > LEAVE_S:
+            ends_s *= SLOW_FACTOR
         if ends_s <= left_s:
             return placed
         detail = f"the answer takes {ends_s:.1f} s, this host leaves in {left_s:.1f} s"
@@ -175,12 +184,15 @@
         own = self.settings.region
         away = {}
         view = self.peers.view
-        for row in view.serving(now) + view.leaving(now):
-            if row.region != own:
-                away[row.region] = self.away_s.get(row.region, FIRST_AWAY_S)
+        serving = {row.region for row in view.serving(now)} - {own}
+        leaving = {row.region for row in view.leaving(now)} - {own} - serving
+        for region in serving | leaving:
+            away[region] = self.away_s.get(region, FIRST_AWAY_S)
         self._closed = {key: at for key, at in self._closed.items() if now < at}
         closed = frozenset(self._closed)
-        around = Surroundings(own, away, self.share_cold_targets(), closed)
+        around = Surroundings(
+            own, away, self.share_cold_targets(), closed, frozenset(leaving)
+        )
         self._around = now, around
         return around
 
--- a/src/lycheepath/gateway/process.py
+++ b/src/lycheepath/gateway/process.py
@@ -21,7 +21,7 @@
     listen,
     serve_host,
 )
-from .node import GatewayNode
+from .node import LEAVE_S, GatewayNode
 from .serving import serve_request
 from .telemetry import watch_node
 
@@ -36,9 +36,6 @@
 RESTART_S = 0.5
 # Before SIGKILL comes, for the last lines of the log.
 LAST_WORDS_S = 0.5
-# Callers learn from the directory within this time that this host leaves: the
-# longest that they keep an answer, and what is on its way then.
-LEAVE_S = 3.0
 # A host that leaves goes once it had no request for so long.
 QUIET_S = 0.5
 IDLE_CHECK_S = 1.0
@@ -117,7 +114,7 @@
     requests = node.requests
     grace_s = node.settings.bounds.grace_s - LAST_WORDS_S
     node.leaving = True
-    node.ends_at = started + grace_s
+    node.left_at, node.ends_at = started, started + grace_s
     record_event("leaving", serving=node.serving)
     await node.peers.tell_leaving()
     served_at = started
--- a/src/lycheepath/gateway/serving.py
+++ b/src/lycheepath/gateway/serving.py
@@ -162,11 +162,12 @@
         await caller.answer(held.status, held.headers, held.body)
         return
     reason = exchange.reason or ("" if absent is None else absent.detail)
+    request_id, route = exchange.facts.id, exchange.route.name
     if exchange.tries.runs:
-        await _refuse(node, caller, exchange.facts.id, UNKNOWN, None, reason)
+        await _refuse(node, caller, request_id, UNKNOWN, None, reason, route)
         return
     wait_s = SOON_S if absent is None else absent.retry_after_s
-    await _refuse(node, caller, exchange.facts.id, NOT_RUN, wait_s, reason)
+    await _refuse(node, caller, request_id, NOT_RUN, wait_s, reason, route)
 
 
 async def _end_late(node: GatewayNode, exchange: Exchange) -> None:
@@ -175,8 +176,15 @@
     if exchange.begun:
         _break_off(node, exchange)
         return
-    request_id = exchange.facts.id
-    await _refuse(node, exchange.caller, request_id, TOO_LATE, None, exchange.reason)
+    await _refuse(
+        node,
+        exchange.caller,
+        exchange.facts.id,
+        TOO_LATE,
+        None,
+        exchange.reason,
+        exchange.route.name,
+    )
 
 
 def _break_off(node: GatewayNode, exchange: Exchange) -> None:
@@ -192,6 +200,7 @@
     status: int,
     wait_s: float | None,
     reason: str,
+    route: str = "",
 ) -> None:
     headers = []
     if request_id:
@@ -202,6 +211,7 @@
     record_event(
         "refused",
         request=request_id,
+        route=route,
         status=status,
         reason=reason,
         retry_after_s=wait_s,
@@ -228,6 +238,7 @@
         status=status,
         reason=exchange.reason,
         took_s=round(took, 4),
+        aim_s=exchange.route.aim_s,
         sends=exchange.tries.sends,
         target=placed.target.entry.id if placed else "",
         target_running=exchange.load and exchange.load.running,
--- /dev/null
+++ b/tests/core/explaining/test_losses.py
@@ -0,0 +1,62 @@
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from lycheepath.core.explaining.causes import gather_stories
+from lycheepath.core.explaining.losses import Loss, find_loss, sum_losses
+from tests.core.explaining.test_causes import FAILED_SEND, PLACED, make_line
+
+
+def make_answer(first_s: float, **fields: Any) -> dict[str, Any]:
+    line = make_line(2.0, "answered", aim_s=0.6, first_s=first_s, took_s=1.0)
+    return line | {"sends": 1, "expected_s": 0.4} | fields
+
+
+@pytest.mark.parametrize(
+    ("lines", "loss"),
+    [
+        ([PLACED, make_answer(0.5)], None),
+        ([PLACED, make_answer(0.9)], Loss.LATE_WRONG),
+        ([PLACED, make_answer(0.9, expected_s=0.7)], Loss.LATE_KNOWN),
+        ([PLACED, make_answer(0.9, sends=2)], Loss.LATE_RETRIED),
+        ([PLACED], Loss.HOST_STOPPED),
+        ([PLACED, FAILED_SEND, make_line(2.0, "refused")], Loss.TARGET_FAILED),
+        ([PLACED, make_line(2.0, "left")], Loss.CALLER_LEFT),
+        ([make_line(2.0, "refused", reason="odd")], Loss.OTHER),
+        (
+            [make_line(2.0, "refused", reason="first event expected after 0.9 s")],
+            Loss.REFUSED_LATE,
+        ),
+        (
+            [make_line(2.0, "refused", reason="no target is open: 2 cold")],
+            Loss.CLOSED,
+        ),
+        (
+            [make_line(2.0, "refused", reason="the answer takes 3.0 s, this host")],
+            Loss.HOST_LEAVING,
+        ),
+    ],
+)
+def test_loss_of_a_request_is_found(
+    lines: list[dict[str, Any]], loss: Loss | None
+) -> None:
+    assert find_loss(lines) is loss
+
+
+def test_losses_are_summed_by_cause_route_and_time() -> None:
+    lines = []
+    for number, first_s in enumerate((0.2, 0.9, 0.9)):
+        named = {"request": f"r{number}", "route": "books", "at": 10.0 + 2 * number}
+        lines.append({**PLACED, **named})
+        lines.append({**make_answer(first_s), **named})
+    for at, event in ((1.0, "start"), (11.0, "stop"), (13.5, "start")):
+        line = {"at": at, "event": event, "host": "host-1", "region": "east"}
+        lines.append(line)
+    losses = sum_losses(gather_stories(lines), 2.0)
+    assert (losses.requests, losses.in_aim) == (3, 1)
+    assert losses.by_cause == {Loss.LATE_WRONG: 2}
+    assert losses.by_route == {("books", Loss.LATE_WRONG): 2}
+    assert losses.by_window == {(2.0, Loss.LATE_WRONG): 1, (4.0, Loss.LATE_WRONG): 1}
+    assert losses.hosts_away == [("east", 1.0, 3.5)]
--- a/tests/core/placement/test_choice.py
+++ b/tests/core/placement/test_choice.py
@@ -418,3 +418,44 @@
     less = make_wanted(small, replace(ROUTE, urgency=2))
     book.waits.hear("west", less.queue, 0.01, 0.1)
     assert chosen_id(choose(book, less, now=0.2)) == "i-2"
+
+
+def test_region_whose_hosts_all_leave_is_used_where_others_are_busy() -> None:
+    book = make_book(make_entry(1), make_entry(2, "west-a"))
+    around = replace(EAST, leaving=frozenset({"west"}))
+    near = book.targets["i-1"]
+    book.started(0, near, 0, int(0.2 / book.speed("pool").token_s), 0.0)
+    assert chosen_id(choose(book)) == "i-2"
+    assert chosen_id(choose(book, around=around)) == "i-1"
+    for key in range(1, 9):
+        book.started(key, near, 0, 9000, 0.0)
+    assert chosen_id(choose(book, around=around)) == "i-2"
+
+
+def test_requests_are_admitted_by_how_long_answers_took() -> None:
+    """A queue that is read sooner than expected refuses nobody, and the reverse."""
+    expected_s = 0.9 * ROUTE.aim_s
+    for seen, admitted in ((0.7, True), (1.6, False)):
+        book = make_book(make_entry(1))
+        for _ in range(30):
+            book.errors.observe("pool", "east", 0.4, 0.4 * seen, 0.0)
+        speed = book.speed("pool")
+        ahead = (expected_s - 0.05 - speed.base_s) / speed.token_s - 500
+        book.note_load("host-2", "i-1", TargetLoad(5, {0: int(ahead)}, 0.05), 0.0)
+        small = Prompt("m", 500, 50, (PromptPart("own", 500),), 50)
+        placed = choose(book, make_wanted(small))
+        assert isinstance(placed, Placement) is admitted
+
+
+def test_host_that_has_just_started_learns_nothing_from_its_answers() -> None:
+    book = make_book(make_entry(1))
+    book.blind_until = 1.0
+    target = book.targets["i-1"]
+    learned = book.speed("pool").token_s, book.speed("pool").base_s
+    for key in range(40):
+        book.started(key, target, 0, 1000, 0.5, expected_s=0.2)
+        book.next_events(key, 1, 6.0)
+        book.ended(key, Ending.WHOLE, 6.1)
+    assert (book.speed("pool").token_s, book.speed("pool").base_s) == learned
+    assert target.pace.find(6.1) == 1.0
+    assert book.errors.find_ratio("pool", "east", 6.1) == PRIOR_RATIO
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -7,7 +7,8 @@
 
 from lycheepath.core.catalog.freshness import EAGER_S, READERS
 from lycheepath.core.serving.retries import Result
-from lycheepath.gateway.process import LEAVE_S, QUIET_S, drain
+from lycheepath.gateway.node import LEAVE_S
+from lycheepath.gateway.process import QUIET_S, drain
 from standins.site import (
     HOST,
     Site,
