--- a/src/lycheepath/core/placement/accuracy.py
+++ b/src/lycheepath/core/placement/accuracy.py
@@ -8,13 +8,18 @@
 the estimate is off by so much::
 
     errors = EstimateErrors()
-    errors.observe("pool", "east", expected_s=0.4, seen_s=0.3, now=now)
-    errors.find_ratio("pool", "east", now)
+    errors.observe(Expected(Queue("pool", 0), 0.4), "east", seen_s=0.3, now=now)
+    errors.find_ratio(Queue("pool", 0), "east", now)
 """
 
 from __future__ import annotations
 
 from collections import deque
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from .regions import Queue
 
 # Part of the latest answers that came within their corrected estimates.
 LEVEL = 0.9
@@ -33,24 +38,37 @@
 MOST_RATIO = 8.0
 
 
+@dataclass(frozen=True, slots=True)
+class Expected:
+    """
+    When the first event of a request was expected, from its sending on.
+
+    ``pace`` is how much longer than others its target was taken to need for it.
+    """
+
+    queue: Queue
+    first_s: float
+    pace: float = 1.0
+
+
 class EstimateErrors:
-    """State: the ratios seen lately, by service and region."""
+    """State: the ratios seen lately, by queue and region."""
 
     def __init__(self) -> None:
-        self._seen: dict[tuple[str, str], _Ratios] = {}
+        self._seen: dict[tuple[Queue, str], _Ratios] = {}
 
     def observe(
-        self, service: str, region: str, expected_s: float, seen_s: float, now: float
+        self, expected: Expected, region: str, seen_s: float, now: float
     ) -> None:
         """Take when a first event was expected and when it came."""
-        if expected_s < LEAST_EXPECTED_S:
+        if expected.first_s < LEAST_EXPECTED_S:
             return
-        ratio = min(MOST_RATIO, max(0.0, seen_s) / expected_s)
-        self._seen.setdefault((service, region), _Ratios()).add(ratio, now)
+        ratio = min(MOST_RATIO, max(0.0, seen_s) / expected.first_s)
+        self._seen.setdefault((expected.queue, region), _Ratios()).add(ratio, now)
 
-    def find_ratio(self, service: str, region: str, now: float) -> float:
+    def find_ratio(self, queue: Queue, region: str, now: float) -> float:
         """Return the factor that turns an estimate into a time that mostly holds."""
-        ratios = self._seen.get((service, region))
+        ratios = self._seen.get((queue, region))
         return PRIOR_RATIO if ratios is None else ratios.find(now)
 
 
--- a/src/lycheepath/core/placement/book.py
+++ b/src/lycheepath/core/placement/book.py
@@ -35,6 +35,7 @@
     from ..catalog.model import Service, TargetEntry
     from ..catalog.routes import RouteTable
     from ..serving.requests import PromptPart
+    from .accuracy import Expected
 
 # A relayed request is told of by the hosts of the other region after this long.
 RELAYED_S = 0.6
@@ -70,8 +71,7 @@
     ``tokens`` are those of its prompt that the target has to read, ``ahead``
     what had to be read before it. ``placed_at_once`` says that a place was free
     for it, so that the time to its first event tells how fast the target reads.
-    ``expected_s`` is the time to its first event that was expected when it was
-    sent, 0 where nothing was, ``pace`` the target's pace in it.
+    ``expected`` is what was expected of it when it was sent.
     """
 
     target: TargetState
@@ -83,8 +83,7 @@
     event_at: float | None = None
     relayed: bool = False
     placed_at_once: bool = True
-    expected_s: float = 0.0
-    pace: float = 1.0
+    expected: Expected | None = None
 
     def counts(self, now: float) -> bool:
         """Whether nobody else tells of the request yet."""
@@ -227,15 +226,13 @@
         now: float,
         ahead: int | None = None,
         placed_at_once: bool = True,
-        expected_s: float = 0.0,
-        pace: float = 1.0,
+        expected: Expected | None = None,
     ) -> None:
         """
         Note that a request is being sent.
 
         ``ahead`` are the tokens read before it as its target's keeper said;
-        without it they are those that this host knows of. ``expected_s`` is the
-        time to its first event, with the target's ``pace`` in it.
+        without it they are those that this host knows of.
         """
         target.cold.sent(now)
         if ahead is None:
@@ -247,8 +244,7 @@
             tokens,
             ahead,
             placed_at_once=placed_at_once,
-            expected_s=expected_s,
-            pace=pace,
+            expected=expected,
         )
         target.flights[key] = flight
         self._flights[key] = flight
@@ -260,11 +256,11 @@
         urgency: int,
         tokens: int,
         now: float,
-        expected_s: float = 0.0,
+        expected: Expected | None = None,
     ) -> None:
         """Note that a request goes to a target through a host of its region."""
         flight = Flight(
-            target, now, urgency, tokens, 0, relayed=True, expected_s=expected_s
+            target, now, urgency, tokens, 0, relayed=True, expected=expected
         )
         target.flights[key] = flight
         self._flights[key] = flight
@@ -435,14 +431,14 @@
         state.service = service
 
     def _observe_error(self, flight: Flight, now: float) -> None:
-        if self.is_blind(flight.sent_at):
+        expected = flight.expected
+        if expected is None or self.is_blind(flight.sent_at):
             return
         target = flight.target
         seen_s = now - flight.sent_at
-        service, expected_s = target.entry.service, flight.expected_s
-        self.errors.observe(service, target.region, expected_s, seen_s, now)
+        self.errors.observe(expected, target.region, seen_s, now)
         if not flight.relayed:
-            target.pace.observe(expected_s / flight.pace, seen_s, now)
+            target.pace.observe(expected.first_s / expected.pace, seen_s, now)
 
     def _note(self, target: TargetState, event: str, detail: str) -> None:
         self.notes.append(Note(event, target.entry.id, detail))
--- a/src/lycheepath/core/placement/choice.py
+++ b/src/lycheepath/core/placement/choice.py
@@ -101,7 +101,7 @@
         book.waits.observe(wanted.queue, nearest.ahead_s, now)
     if best is None:
         return explain_closed(service, wanted, now)
-    ratio = book.errors.find_ratio(wanted.service, best.target.region, now)
+    ratio = book.errors.find_ratio(wanted.queue, best.target.region, now)
     return _admit(wanted, best, ratio)
 
 
--- a/src/lycheepath/core/placement/estimates.py
+++ b/src/lycheepath/core/placement/estimates.py
@@ -118,6 +118,7 @@
             ahead_s=queue_s * pace,
             place_s=queue_s,
             pace=pace,
+            queue=wanted.queue,
         )
     cached = look.cached.get(target.entry.id, 0)
     source, fetched = _find_source(look, target, cached)
@@ -148,6 +149,7 @@
         urgency,
         min(1.0, load.in_flight / slots),
         pace,
+        wanted.queue,
     )
 
 
--- a/src/lycheepath/core/placement/model.py
+++ b/src/lycheepath/core/placement/model.py
@@ -5,7 +5,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from .regions import Queue
+from .accuracy import Expected
+from .regions import NO_QUEUE, Queue
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
@@ -97,7 +98,8 @@
     ``place_s`` the wait for a place. ``away_s`` is the time to another region and
     back, 0 for this one. ``urgency`` is what the target is told, None for nothing,
     ``fill`` the part of an engine's places that is taken. ``pace`` is how much
-    longer than others of its service the target was taken to need.
+    longer than others of its service the target was taken to need, ``queue`` the
+    requests that wait as this one does.
     """
 
     target: TargetState
@@ -112,6 +114,12 @@
     urgency: int | None = None
     fill: float = 0.0
     pace: float = 1.0
+    queue: Queue = NO_QUEUE
+
+    @property
+    def expected(self) -> Expected:
+        """What is expected of the request once it is sent."""
+        return Expected(self.queue, self.first_s, self.pace)
 
     @property
     def away(self) -> bool:
--- a/src/lycheepath/core/placement/regions.py
+++ b/src/lycheepath/core/placement/regions.py
@@ -32,6 +32,9 @@
     urgency: int
 
 
+NO_QUEUE = Queue("", 0)
+
+
 @dataclass(slots=True)
 class _Mean:
     """A mean that forgets; it starts anew after ``within_s`` without news."""
--- a/src/lycheepath/gateway/relay.py
+++ b/src/lycheepath/gateway/relay.py
@@ -115,7 +115,7 @@
         placed.urgency or 0,
         prompt.tokens - placed.cached_tokens if prompt else 0,
         node.now(),
-        placed.first_s,
+        placed.expected,
     )
     try:
         limit_s = bound_first_silence(exchange)
--- a/src/lycheepath/gateway/sending.py
+++ b/src/lycheepath/gateway/sending.py
@@ -76,8 +76,7 @@
         node.now(),
         placed.ahead,
         placed.place_s <= 0.0,
-        placed.first_s,
-        placed.pace,
+        placed.expected,
     )
     if prompt:
         node.book.read_parts(target, prompt.parts)
--- a/tests/core/placement/played_region.py
+++ b/tests/core/placement/played_region.py
@@ -208,8 +208,7 @@
             now,
             placed.ahead,
             placed.place_s <= 0.0,
-            placed.first_s,
-            placed.pace,
+            placed.expected,
         )
         book.read_parts(placed.target, caller.prompt.parts)
         self.tell(host, name, caller.prompt, now)
--- a/tests/core/placement/test_choice.py
+++ b/tests/core/placement/test_choice.py
@@ -18,7 +18,7 @@
     ServiceShare,
     TargetEntry,
 )
-from lycheepath.core.placement.accuracy import PRIOR_RATIO
+from lycheepath.core.placement.accuracy import PRIOR_RATIO, Expected
 from lycheepath.core.placement.book import Ending, TargetBook
 from lycheepath.core.placement.choice import choose_target
 from lycheepath.core.placement.loads import PEER_LOAD_S, TargetLoad
@@ -435,10 +435,11 @@
 def test_requests_are_admitted_by_how_long_answers_took() -> None:
     """A queue that is read sooner than expected refuses nobody, and the reverse."""
     expected_s = 0.9 * ROUTE.aim_s
+    expected = Expected(make_wanted().queue, 0.4)
     for seen, admitted in ((0.7, True), (1.6, False)):
         book = make_book(make_entry(1))
         for _ in range(30):
-            book.errors.observe("pool", "east", 0.4, 0.4 * seen, 0.0)
+            book.errors.observe(expected, "east", 0.4 * seen, 0.0)
         speed = book.speed("pool")
         ahead = (expected_s - 0.05 - speed.base_s) / speed.token_s - 500
         book.note_load("host-2", "i-1", TargetLoad(5, {0: int(ahead)}, 0.05), 0.0)
@@ -451,11 +452,12 @@
     book = make_book(make_entry(1))
     book.blind_until = 1.0
     target = book.targets["i-1"]
+    expected = Expected(make_wanted().queue, 0.2)
     learned = book.speed("pool").token_s, book.speed("pool").base_s
     for key in range(40):
-        book.started(key, target, 0, 1000, 0.5, expected_s=0.2)
+        book.started(key, target, 0, 1000, 0.5, expected=expected)
         book.next_events(key, 1, 6.0)
         book.ended(key, Ending.WHOLE, 6.1)
     assert (book.speed("pool").token_s, book.speed("pool").base_s) == learned
     assert target.pace.find(6.1) == 1.0
-    assert book.errors.find_ratio("pool", "east", 6.1) == PRIOR_RATIO
+    assert book.errors.find_ratio(expected.queue, "east", 6.1) == PRIOR_RATIO
