Move what a leaving host takes into the core; name the leaving host itself

Cause: reading the change again, the decision stood in the gateway without a test of its own, and a host that is the only one at home and leaves named hosts of other regions when it was asked itself.

--- a/src/lycheepath/core/explaining/losses.py
+++ b/src/lycheepath/core/explaining/losses.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from collections import Counter
 from dataclasses import dataclass, field
 from enum import Enum
@@ -41,7 +42,7 @@
     HOST_LEAVING = "its host was leaving"
     BARRED = "targets went down under it"
     TARGET_FAILED = "its target failed or broke off"
-    HOST_STOPPED = "its host stopped"
+    NO_END = "no end logged: its host stopped, or left lines out"
     CALLER_LEFT = "its caller left"
     TIME_OVER = "its time was over"
     LATE_WRONG = "late, estimated too short"
@@ -94,7 +95,7 @@
         return _judge_answer(answers[-1])
     ends = [line for line in story if line.get("event") in FAILED_ENDS]
     if not ends:
-        return Loss.HOST_STOPPED
+        return Loss.NO_END
     if any(line.get("event") == "send-failed" for line in story):
         return Loss.TARGET_FAILED
     return _judge_end(ends[0])
@@ -130,27 +131,45 @@
 
 
 def _find_absences(stories: Stories) -> Iterable[tuple[str, float, float]]:
-    """Return when all hosts of a region had stopped, as far as they log it."""
-    regions: dict[str, dict[str, list[Line]]] = {}
+    """
+    Return when no host of a region ran, as far as their lines tell.
+
+    A host that was killed logs no end: it was away from its last line before a start.
+    """
+    seen_at = _gather_times(stories)
+    changes: dict[str, list[tuple[float, int]]] = {}
+    hosts: Counter[str] = Counter()
     for host, lines in stories.by_host.items():
         region = next((str(li["region"]) for li in lines if li.get("region")), "")
-        regions.setdefault(region, {})[host] = lines
-    for region, hosts in regions.items():
-        changes = sorted(
-            (float(line["at"]), 1 if line["event"] == "start" else -1)
-            for lines in hosts.values()
-            for line in lines
-            if line["event"] in ("start", "stop")
-        )
-        running = 0
-        stopped_at: float | None = None
-        for at, change in changes:
-            running = max(0, running + change)
-            if running == 0:
-                stopped_at = at
-            elif stopped_at is not None:
-                yield region, stopped_at, at
-                stopped_at = None
+        hosts[region] += 1
+        times = seen_at[host]
+        for line in lines:
+            started_at = float(line["at"])
+            before = bisect_left(times, started_at) - 1
+            if line["event"] == "start" and before >= 0:
+                ends = [(times[before], 1), (started_at, -1)]
+                changes.setdefault(region, []).extend(ends)
+    for region, ends in changes.items():
+        away, away_since = 0, 0.0
+        for at, change in sorted(ends):
+            if away == hosts[region]:
+                yield region, away_since, at
+            away += change
+            away_since = at
+
+
+def _gather_times(stories: Stories) -> dict[str, list[float]]:
+    """Return the times of each host's lines, in order."""
+    times: dict[str, list[float]] = {host: [] for host in stories.by_host}
+    groups = [*stories.by_request.values(), *stories.by_host.values(), stories.beliefs]
+    for lines in groups:
+        for line in lines:
+            host = str(line.get("host", ""))
+            if host in times:
+                times[host].append(float(line["at"]))
+    for held in times.values():
+        held.sort()
+    return times
 
 
 def _begun_at(story: list[Line]) -> float:
--- a/src/lycheepath/core/placement/choice.py
+++ b/src/lycheepath/core/placement/choice.py
@@ -240,7 +240,8 @@
     """
     Admit a request that can be answered within its aim; refuse it at once else.
 
-    ``ratio`` is how much longer than expected answers take at times. One that was sent before is worth its time as long as there is any. One that
+    ``ratio`` is how much longer than expected answers take at times. One that was
+    sent before is worth its time as long as there is any. One that
     has nothing before it gains nothing by coming again, and only its answer
     tells whether the estimate is right.
     """
--- a/src/lycheepath/core/placement/estimates.py
+++ b/src/lycheepath/core/placement/estimates.py
@@ -180,15 +180,6 @@
     return cost_s - _owner_bonus(look, placed.target)
 
 
-def estimate_end_s(prompt: Prompt | None, placed: Placement) -> float:
-    """Return the time until an answer ends, if it is as long as it may be."""
-    service = placed.target.service
-    if prompt is None or service is None or service.engine is None:
-        return placed.first_s
-    events = prompt.most_answer_tokens / service.engine.event_tokens
-    return placed.first_s + events * placed.event_s
-
-
 def _find_load(look: Look, target: TargetState) -> _Load:
     quote = look.quotes.get(target.entry.id) if look.quotes is not None else None
     if quote is not None:
--- a/src/lycheepath/gateway/node.py
+++ b/src/lycheepath/gateway/node.py
@@ -18,10 +18,8 @@
 from ..core.placement.choice import choose_target, is_settled, pick_asked
 from ..core.placement.cold import MOST_SENDERS
 from ..core.placement.connections import count_idle
-from ..core.placement.estimates import estimate_end_s
+from ..core.placement.leaving import admit_while_leaving
 from ..core.placement.model import Asked, Placement, Surroundings, Wanted
-from ..core.placement.opening import MIN_RETRY_AFTER_S
-from ..core.reasons import Absent, Reason
 from ..core.retries.window import RetryWindow
 from ..core.serving.suspects import Suspects
 from .discovery import StoreFollower
@@ -33,6 +31,7 @@
     from ..core.fleet.view import HostRow
     from ..core.placement.book import TargetState
     from ..core.placement.quotes import Quote
+    from ..core.reasons import Absent
     from .exchange import Exchange
     from .settings import GatewaySettings
 
@@ -47,12 +46,6 @@
 CLOSED_S = 0.5
 # After a start, until peers have told again what they have under way.
 BLIND_S = REPEAT_S + 0.3
-# Callers learn from the directory within this time that this host leaves: the
-# longest that they keep an answer, and what is on its way then.
-LEAVE_S = 3.0
-# An answer seldom takes longer than estimated by this factor. What comes to a host
-# after ``LEAVE_S`` has to end for certain.
-SLOW_FACTOR = 1.5
 # A host that leaves tells no longer time than this, in seconds.
 MOST_LEFT_S = 60.0
 # A host that is gone is back after a restart within this time, in seconds.
@@ -139,21 +132,10 @@
             if is_settled(placed, asked):
                 break
         if self.leaving and isinstance(placed, Placement):
-            return self._admit_while_leaving(wanted, placed)
+            leaving_s = self.now() - self.left_at
+            return admit_while_leaving(wanted, placed, self.left_s(), leaving_s)
         return placed
 
-    def _admit_while_leaving(
-        self, wanted: Wanted, placed: Placement
-    ) -> Placement | Absent:
-        """Refuse a request whose answer would be cut by the end of this host."""
-        ends_s, left_s = estimate_end_s(wanted.prompt, placed), self.left_s()
-        if self.now() - self.left_at > LEAVE_S:
-            ends_s *= SLOW_FACTOR
-        if ends_s <= left_s:
-            return placed
-        detail = f"the answer takes {ends_s:.1f} s, this host leaves in {left_s:.1f} s"
-        return Absent(Reason.DRAINING, MIN_RETRY_AFTER_S, detail)
-
     def _describe(self, exchange: Exchange) -> Wanted:
         now = self.now()
         return Wanted(
@@ -224,6 +206,8 @@
         now = self.now()
         view = self.peers.view
         leaving = [row for region in homes for row in view.leaving(now, region)]
+        if self.leaving and view.own.region in homes:
+            leaving.append(view.own)
         gone = [
             row
             for region in homes
--- a/src/lycheepath/gateway/process.py
+++ b/src/lycheepath/gateway/process.py
@@ -12,6 +12,7 @@
 
 from ..adapters.events import record_event, set_up_events
 from ..core.addresses import Address
+from ..core.placement.leaving import LEAVE_S
 from .listeners import (
     answer_directory,
     answer_metrics,
@@ -21,7 +22,7 @@
     listen,
     serve_host,
 )
-from .node import LEAVE_S, GatewayNode
+from .node import GatewayNode
 from .serving import serve_request
 from .telemetry import watch_node
 
--- a/tests/core/explaining/test_losses.py
+++ b/tests/core/explaining/test_losses.py
@@ -21,7 +21,7 @@
         ([PLACED, make_answer(0.9)], Loss.LATE_WRONG),
         ([PLACED, make_answer(0.9, expected_s=0.7)], Loss.LATE_KNOWN),
         ([PLACED, make_answer(0.9, sends=2)], Loss.LATE_RETRIED),
-        ([PLACED], Loss.HOST_STOPPED),
+        ([PLACED], Loss.NO_END),
         ([PLACED, FAILED_SEND, make_line(2.0, "refused")], Loss.TARGET_FAILED),
         ([PLACED, make_line(2.0, "left")], Loss.CALLER_LEFT),
         ([make_line(2.0, "refused", reason="odd")], Loss.OTHER),
@@ -51,12 +51,19 @@
         named = {"request": f"r{number}", "route": "books", "at": 10.0 + 2 * number}
         lines.append({**PLACED, **named})
         lines.append({**make_answer(first_s), **named})
-    for at, event in ((1.0, "start"), (11.0, "stop"), (13.5, "start")):
-        line = {"at": at, "event": event, "host": "host-1", "region": "east"}
-        lines.append(line)
+    # One host ends as told, the other one is killed; both are back at last.
+    for host, at, event in (
+        ("host-2", 1.0, "start"),
+        ("host-2", 10.5, "stop"),
+        ("host-3", 1.0, "start"),
+        ("host-3", 11.0, "host-live"),
+        ("host-2", 13.0, "start"),
+        ("host-3", 13.5, "start"),
+    ):
+        lines.append({"at": at, "event": event, "host": host, "region": "east"})
     losses = sum_losses(gather_stories(lines), 2.0)
     assert (losses.requests, losses.in_aim) == (3, 1)
     assert losses.by_cause == {Loss.LATE_WRONG: 2}
     assert losses.by_route == {("books", Loss.LATE_WRONG): 2}
     assert losses.by_window == {(2.0, Loss.LATE_WRONG): 1, (4.0, Loss.LATE_WRONG): 1}
-    assert losses.hosts_away == [("east", 1.0, 3.5)]
+    assert losses.hosts_away == [("east", 1.0, 3.0)]
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -6,8 +6,8 @@
 import trio
 
 from lycheepath.core.catalog.freshness import EAGER_S, READERS
+from lycheepath.core.placement.leaving import LEAVE_S
 from lycheepath.core.serving.retries import Result
-from lycheepath.gateway.node import LEAVE_S
 from lycheepath.gateway.process import QUIET_S, drain
 from standins.site import (
     HOST,
@@ -461,6 +461,7 @@
         await trio.sleep(0.3)
         assert not east.peers.view.serving(east.now(), "west")
         assert await resolve(east, "west") == named
+        assert await resolve(west, "west") == named
         nursery.cancel_scope.cancel()
     monkeypatch.setattr(east.peers.view, "live", lambda now, region=None: [])
     assert await resolve(east, "west") == named
