Hold requests at a host that has just started until it knows a target

Change: core/serving/starting; a request is held for at most 1.5 s and 0.3 of its time at a host that runs for less than 5 s and knows no target of its service. Elsewhere and later it is refused at once as before.

--- a/src/lycheepath/core/placement/book.py
+++ b/src/lycheepath/core/placement/book.py
@@ -200,6 +200,11 @@
         """Return the targets of a service, whatever their condition."""
         return self._by_service.get(service, [])
 
+    def knows_any(self, service: str, homes: frozenset[str]) -> bool:
+        """Whether a target of a service is known, in some regions if any are named."""
+        targets = self.of_service(service)
+        return any(not homes or target.region in homes for target in targets)
+
     def in_region(self, service: str, region: str) -> list[TargetState]:
         """Return the targets of a service in one region."""
         return self._by_region.get((service, region), [])
--- a/src/lycheepath/gateway/discovery.py
+++ b/src/lycheepath/gateway/discovery.py
@@ -250,3 +250,5 @@
     node.book.update(node.catalog, node.settings.zone_regions, node.now())
     if node.catalog.routes is not None:
         node.configured.set()
+    if notes:
+        node.note_learned()
--- a/src/lycheepath/gateway/node.py
+++ b/src/lycheepath/gateway/node.py
@@ -21,6 +21,7 @@
 from ..core.placement.leaving import admit_while_leaving
 from ..core.placement.model import Asked, Placement, Surroundings, Wanted
 from ..core.retries.window import RetryWindow
+from ..core.serving.starting import find_hold_s
 from ..core.serving.suspects import Suspects
 from .discovery import StoreFollower
 from .keeping import REPEAT_S, Keeping
@@ -68,6 +69,8 @@
     catalog: Catalog = field(default_factory=Catalog)
     book: TargetBook = field(default_factory=TargetBook)
     configured: trio.Event = field(default_factory=trio.Event)
+    learned: trio.Event = field(default_factory=trio.Event)
+    started_at: float = field(default_factory=trio.current_time)
     retries: RetryWindow = field(init=False)
     peers: Peers = field(init=False)
     keeping: Keeping = field(init=False)
@@ -105,6 +108,16 @@
         left_s = self.ends_at - self.now() if self.leaving else 0.0
         return min(MOST_LEFT_S, max(0.0, left_s))
 
+    def find_hold_s(self, left_s: float) -> float:
+        """Return how long a request may be held until this host knows more."""
+        return find_hold_s(self.now() - self.started_at, left_s)
+
+    def note_learned(self) -> None:
+        """Let requests that were held look at the targets anew."""
+        self.forget_surroundings()
+        self.learned.set()
+        self.learned = trio.Event()
+
     def now(self) -> float:
         """Return the loop's monotonic time in seconds."""
         return trio.current_time()
--- a/src/lycheepath/gateway/serving.py
+++ b/src/lycheepath/gateway/serving.py
@@ -37,9 +37,8 @@
 # Callers take these for a promise that the request has not run, which a target
 # that says so by its status alone has not made.
 PROMISES = frozenset({408, 421, 429, 503})
-# A host that has just started reads the store within this time; less than a
-# caller loses by coming again.
-FIRST_READING_S = 0.6
+# Taken for a caller that names no time.
+NO_DEADLINE_S = 60.0
 # Before a configuration is known, or while no target is.
 SOON_S = 0.5
 # Refused callers come back spread over this part of the named time.
@@ -80,7 +79,7 @@
     """Return the exchange of a request that has a route; answer others."""
     facts = read_request(request.headers)
     if node.catalog.routes is None:
-        with trio.move_on_after(FIRST_READING_S):
+        with trio.move_on_after(node.find_hold_s(facts.deadline_s or NO_DEADLINE_S)):
             await node.configured.wait()
     table = node.catalog.routes
     if table is None:
@@ -113,6 +112,7 @@
             barred = Absent(Reason.QUARANTINED, barred_s, detail)
             await _give_up(node, exchange, barred)
             return
+        await _wait_for_targets(node, exchange)
         placed = await node.place(exchange, node.surroundings())
         if isinstance(placed, Absent):
             await _give_up(node, exchange, placed)
@@ -133,6 +133,16 @@
             return
 
 
+async def _wait_for_targets(node: GatewayNode, exchange: Exchange) -> None:
+    """Hold a request at a host that has just started until it knows a target."""
+    homes = exchange.route.home_regions
+    if node.book.knows_any(exchange.service, homes):
+        return
+    with trio.move_on_after(node.find_hold_s(exchange.deadline - node.now())):
+        while not node.book.knows_any(exchange.service, homes):
+            await node.learned.wait()
+
+
 def _add_tried(tried: Tried, placed: Placement, result: Result) -> Tried:
     target = placed.target
     if placed.away:
