--- a/src/lycheepath/console/commands/explain.py
+++ b/src/lycheepath/console/commands/explain.py
@@ -12,7 +12,7 @@
 from ...core.explaining.causes import gather_stories
 from ..documents import print_text
 from ..operator_pages import PageProblem, fetch_page
-from ..request_logs import LogError, read_log_lines
+from ..request_logs import LOG_OPTION, LogError, read_log_lines
 from ..stories import print_drawn_causes, print_story
 
 
@@ -34,13 +34,7 @@
         argument("request", "The request's id, from X-Request-Id.", True),
     ]
     options: ClassVar = [
-        option(
-            "log",
-            "l",
-            "A log file, or - for standard input.",
-            flag=False,
-            multiple=True,
-        ),
+        LOG_OPTION,
         option("draw", "d", "Failed requests to draw from the logs.", flag=False),
         option("seed", None, "The seed of the draw.", flag=False, default="1"),
     ]
--- a/src/lycheepath/console/commands/losses.py
+++ b/src/lycheepath/console/commands/losses.py
@@ -10,7 +10,7 @@
 from ...core.explaining.causes import gather_stories
 from ...core.explaining.losses import sum_losses
 from ..loss_tables import print_losses
-from ..request_logs import LogError, read_log_lines
+from ..request_logs import LOG_OPTION, LogError, read_log_lines
 
 
 class LossesCommand(Command):
@@ -26,13 +26,7 @@
     name = "losses"
     description = "Sums up what callers lost, by cause."
     options: ClassVar = [
-        option(
-            "log",
-            "l",
-            "A log file, or - for standard input.",
-            flag=False,
-            multiple=True,
-        ),
+        LOG_OPTION,
         option("window", "w", "Seconds of a row in time.", flag=False, default="2"),
     ]
 
--- a/src/lycheepath/console/request_logs.py
+++ b/src/lycheepath/console/request_logs.py
@@ -7,11 +7,17 @@
 from typing import TYPE_CHECKING, Any
 
 import orjson
+from cleo.helpers import option
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
 
+LOG_OPTION = option(
+    "log", "l", "A log file, or - for standard input.", flag=False, multiple=True
+)
+
+
 class LogError(Exception):
     """A log can't be read; the text says which and why."""
 
--- a/tests/console/test_commands.py
+++ b/tests/console/test_commands.py
@@ -176,3 +176,20 @@
     assert tester.execute(f"r1 --log {tmp_path / 'none'}") == 2
     assert tester.execute(f"--log {log}") == 2
     assert tester.execute("r1") == 2
+
+
+def test_losses_are_summed_from_log_files(tmp_path: Path) -> None:
+    log = tmp_path / "east.log"
+    lines = [
+        {"at": 1.0, "event": "placed", "request": "r1", "route": "books"},
+        {"at": 2.0, "event": "answered", "request": "r1", "route": "books"}
+        | {"aim_s": 0.4, "first_s": 0.9, "took_s": 1.0, "sends": 1, "expected_s": 0.2},
+    ]
+    log.write_text("".join(f"{json.dumps(line)}\n" for line in lines))
+    code, text, _ = _run(f"losses --log {log}")
+    assert code == 0
+    assert "1 requests, 0 in their aim" in text
+    assert "late, estimated too short" in text
+    assert _run("losses")[0] == 2
+    assert _run(f"losses --log {log} --window x")[0] == 2
+    assert _run(f"losses --log {tmp_path / 'none.log'}")[0] == 2
