Test a planned stop under load, and answers cut at any byte

Both pass on the code as it is: SIGTERM to a real gateway while 12 callers send on kept, new and pipelined connections (fails with SIGKILL in its place); chunked and counted answers cut at each byte; a copy that comes while a connection is idle.

--- a/tests/adapters/http1/test_upstream.py
+++ b/tests/adapters/http1/test_upstream.py
@@ -168,3 +168,54 @@
     upstream = await open_upstream(nursery, [b""])
     with pytest.raises(BrokenAnswerError, match="the connection ended before"):
         await ask(upstream, "a")
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [answer_chunks("a", "one", "two"), answer_plain("a", "one")],
+    ids=["chunks", "length"],
+)
+async def test_answer_that_is_cut_at_any_byte_is_never_whole(
+    nursery: trio.Nursery, answer: bytes
+) -> None:
+    cuts = iter(range(1, len(answer)))
+
+    async def serve(stream: trio.SocketStream) -> None:
+        await stream.receive_some(4096)
+        await stream.send_all(answer[: next(cuts)])
+        await stream.aclose()
+
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    nursery.start_soon(trio.serve_listeners, serve, listeners)
+    ip, port = listeners[0].socket.getsockname()
+    for _ in range(1, len(answer)):
+        upstream = Upstream(await connect(Address(ip, port), 1.0), Address(ip, port))
+        with pytest.raises(BrokenAnswerError):
+            await ask(upstream, "a")
+        assert not upstream.finish()
+        upstream.close()
+
+
+async def test_copy_that_comes_while_a_connection_is_idle_ends_its_use(
+    nursery: trio.Nursery,
+) -> None:
+    copied = trio.Event()
+
+    async def serve(stream: trio.SocketStream) -> None:
+        await stream.receive_some(4096)
+        await stream.send_all(answer_plain("a", "one"))
+        await trio.sleep(0.02)
+        await stream.send_all(answer_plain("a", "one"))
+        copied.set()
+        await trio.sleep_forever()
+
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    nursery.start_soon(trio.serve_listeners, serve, listeners)
+    ip, port = listeners[0].socket.getsockname()
+    upstream = Upstream(await connect(Address(ip, port), 1.0), Address(ip, port))
+    assert await ask(upstream, "a") == b"one"
+    assert upstream.finish()
+    assert upstream.is_usable(trio.current_time(), 0.0)
+    await copied.wait()
+    await trio.sleep(0.02)
+    assert not upstream.is_usable(trio.current_time(), 0.0)
--- /dev/null
+++ b/tests/gateway/test_planned_stop.py
@@ -0,0 +1,162 @@
+"""
+SIGTERM to a real gateway under load: what it took is answered, or was never sent.
+
+Callers keep connections and send one request after the other, two at a time, or on
+new connections. A connection that ends without an answer may have lost only requests
+that no target has seen.
+"""
+
+from __future__ import annotations
+
+import signal
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import orjson
+import pytest
+import trio
+
+from standins.processes import launch_process
+from standins.site import (
+    HOST,
+    PORTS,
+    Answer,
+    Seen,
+    Site,
+    answer_text,
+    draw_network,
+    make_route,
+    make_settings,
+    read_answer,
+)
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+GRACE_S = 8.0
+READY_S = 10.0
+ANSWER_S = 0.05
+CALLERS = 12
+PIPELINED = 2
+STOP_AFTER_S = 0.5
+STOPS = 3
+
+
+@dataclass
+class Load:
+    """State: what callers sent, by id, with what came back."""
+
+    ip: str
+    answers: dict[str, Answer] = field(default_factory=dict)
+    closed: bool = False
+
+    async def call(self, name: str, at_once: int) -> None:
+        """Send requests until the gateway takes no more connections."""
+        number = 0
+        while True:
+            try:
+                stream = await trio.open_tcp_stream(self.ip, PORTS["front"])
+            except OSError:
+                self.closed = True
+                return
+            async with stream:
+                kept = True
+                while kept:
+                    names = [f"{name}-{number + n}" for n in range(at_once)]
+                    number += at_once
+                    kept = await self._exchange(stream, names)
+
+    async def _exchange(self, stream: trio.SocketStream, names: list[str]) -> bool:
+        for request_id in names:
+            self.answers[request_id] = Answer()
+        heads = [
+            f"POST /books/1 HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {name}\r\n"
+            "Deadline-Ms: 3000\r\nContent-Length: 1\r\n\r\nx"
+            for name in names
+        ]
+        try:
+            if len(names) == 1:
+                await stream.send_all(heads[0].encode())
+                return (await read_answer(stream, self.answers[names[0]])).kept
+            # What is sent ahead is read with the answers to all.
+            await stream.send_all("".join(heads).encode())
+            return await self._read_ahead(stream, names)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return False
+
+    async def _read_ahead(self, stream: trio.SocketStream, names: list[str]) -> bool:
+        data = b""
+        while data.count(b"HTTP/1.1 ") < len(names):
+            more = await stream.receive_some(65_536)
+            if not more:
+                break
+            data += more
+        for name in names:
+            at = data.find(f"request-id: {name}\r\n".encode())
+            at = at if at >= 0 else data.find(f"Request-Id: {name}\r\n".encode())
+            if at >= 0:
+                head = data.rfind(b"HTTP/1.1 ", 0, at)
+                self.answers[name].status = int(data[head + 9 : head + 12])
+                self.answers[name].whole = True
+        return b"connection: close" not in data.lower() and bool(data)
+
+
+async def answer_later(seen: Seen, stream: trio.SocketStream) -> None:
+    await trio.sleep(ANSWER_S)
+    await answer_text(b"done")(seen, stream)
+
+
+@pytest.mark.parametrize("stop", range(STOPS))
+async def test_planned_stop_under_load_cuts_nothing_that_was_taken(
+    site: Site, tmp_path: Path, stop: int
+) -> None:
+    target = await site.add_target("books", answer_later, slots=64)
+    site.configure(make_route("books", "unsafe", timeout_ms=3000))
+    ip = f"{draw_network()}.1"
+    fields = make_settings("east-0", ip, "east-a", site.store.address)
+    fields["bounds"] = {"grace_s": GRACE_S}
+    settings = tmp_path / "settings.json"
+    settings.write_bytes(orjson.dumps(fields))
+    arguments = ["-m", "lycheepath", "gateway", "--settings", str(settings)]
+    process = launch_process("east-0", arguments, tmp_path)
+    load = Load(ip)
+    try:
+        await wait_until_ready(ip)
+        async with trio.open_nursery() as nursery:
+            for number in range(CALLERS):
+                at_once = PIPELINED if number % 3 == 0 else 1
+                nursery.start_soon(load.call, f"r{number}", at_once)
+            await trio.sleep(STOP_AFTER_S + 0.017 * stop)
+            process.popen.send_signal(signal.SIGTERM)
+            with trio.fail_after(GRACE_S + 2.0):
+                while process.running:
+                    await trio.sleep(0.05)
+            nursery.cancel_scope.deadline = trio.current_time() + 2.0
+    finally:
+        process.terminate()
+
+    assert load.closed
+    assert process.popen.returncode == 0
+    ran = {seen.headers["request-id"] for seen in target.seen}
+    assert len(ran) > CALLERS
+    for request_id, answer in load.answers.items():
+        if answer.whole:
+            assert answer.status == 200 or request_id not in ran
+        else:
+            assert request_id not in ran, (request_id, answer)
+
+
+async def wait_until_ready(ip: str) -> None:
+    """Wait until a gateway says that callers may come."""
+    with trio.fail_after(READY_S):
+        while True:
+            try:
+                async with await trio.open_tcp_stream(ip, PORTS["ready"]) as stream:
+                    await stream.send_all(
+                        b"GET /lycheepath/readyz HTTP/1.1\r\nHost: x\r\n\r\n"
+                    )
+                    if (await read_answer(stream)).status == 200:
+                        return
+            except OSError:
+                pass
+            await trio.sleep(0.05)
