Keep the reasons of refusals in one table; find a request's route once

Reading the change again: losses searched each story for its route twice and listed the beginnings of reasons in two places.

--- a/src/lycheepath/core/explaining/losses.py
+++ b/src/lycheepath/core/explaining/losses.py
@@ -26,10 +26,6 @@
 
     Line = Mapping[str, Any]
 
-# Beginnings of the reasons that hosts log.
-EXPECTED_LATE = "first event expected"
-NOTHING_OPEN = "no target is"
-LEAVING = "the answer takes"
 # An answer that took longer than its estimate by this factor was estimated wrongly.
 WRONG_FACTOR = 1.5
 
@@ -51,6 +47,16 @@
     OTHER = "other"
 
 
+# How the reasons that hosts log for a refusal begin.
+REASONS = (
+    ("first event expected", Loss.REFUSED_LATE),
+    ("no target is", Loss.CLOSED),
+    ("the answer takes", Loss.HOST_LEAVING),
+    ("targets went down", Loss.BARRED),
+    ("the time is over", Loss.TIME_OVER),
+)
+
+
 @dataclass(slots=True)
 class Losses:
     """What was counted; keys of ``by_window`` are the beginnings of windows."""
@@ -69,7 +75,8 @@
     losses = Losses()
     first_at = min((_begun_at(s) for s in stories.by_request.values()), default=0.0)
     for story in stories.by_request.values():
-        if not any(line.get("route") for line in story):
+        route = _find_route(story)
+        if not route:
             continue
         window = (_begun_at(story) - first_at) // window_s * window_s
         losses.requests += 1
@@ -79,7 +86,7 @@
             losses.in_aim += 1
             continue
         losses.by_cause[loss] += 1
-        losses.by_route[_find_route(story), loss] += 1
+        losses.by_route[route, loss] += 1
         losses.by_window[window, loss] += 1
     losses.hosts_away = [
         (region, begin - first_at, end - first_at)
@@ -118,16 +125,8 @@
         return Loss.CALLER_LEFT
     if end.get("event") == "failure-passed-on":
         return Loss.TARGET_FAILED
-    for begin, loss in (
-        (EXPECTED_LATE, Loss.REFUSED_LATE),
-        (NOTHING_OPEN, Loss.CLOSED),
-        (LEAVING, Loss.HOST_LEAVING),
-        ("targets went down", Loss.BARRED),
-        ("the time is over", Loss.TIME_OVER),
-    ):
-        if reason.startswith(begin):
-            return loss
-    return Loss.OTHER
+    found = (loss for begin, loss in REASONS if reason.startswith(begin))
+    return next(found, Loss.OTHER)
 
 
 def _find_absences(stories: Stories) -> Iterable[tuple[str, float, float]]:
@@ -178,4 +177,4 @@
 
 
 def _find_route(story: list[Line]) -> str:
-    return next(str(line["route"]) for line in story if line.get("route"))
+    return next((str(line["route"]) for line in story if line.get("route")), "")
