--- a/src/lycheepath/console/commands/explain.py
+++ b/src/lycheepath/console/commands/explain.py
@@ -9,11 +9,10 @@
 from cleo.commands.command import Command
 from cleo.helpers import argument, option
 
-from ...core.explaining.causes import gather_stories
 from ..documents import print_text
 from ..operator_pages import PageProblem, fetch_page
-from ..request_logs import LOG_OPTION, LogError, read_log_lines
-from ..stories import print_drawn_causes, print_story
+from ..request_logs import LOG_OPTION
+from ..stories import load_stories, print_drawn_causes, print_story
 
 
 class ExplainCommand(Command):
@@ -62,10 +61,8 @@
         if not request and not draw.isdigit():
             self.line_error("<error>Name a request, or --draw NUMBER.</error>")
             return 2
-        try:
-            stories = gather_stories(read_log_lines(paths))
-        except LogError as error:
-            self.line_error(f"<error>{error}</error>")
+        stories = load_stories(self, paths)
+        if stories is None:
             return 2
         if request:
             return print_story(self, str(request), stories)
--- a/src/lycheepath/console/commands/losses.py
+++ b/src/lycheepath/console/commands/losses.py
@@ -7,10 +7,10 @@
 from cleo.commands.command import Command
 from cleo.helpers import option
 
-from ...core.explaining.causes import gather_stories
 from ...core.explaining.losses import sum_losses
 from ..loss_tables import print_losses
-from ..request_logs import LOG_OPTION, LogError, read_log_lines
+from ..request_logs import LOG_OPTION
+from ..stories import load_stories
 
 
 class LossesCommand(Command):
@@ -40,10 +40,8 @@
                 "</error>"
             )
             return 2
-        try:
-            stories = gather_stories(read_log_lines(paths))
-        except LogError as error:
-            self.line_error(f"<error>{error}</error>")
+        stories = load_stories(self, paths)
+        if stories is None:
             return 2
         print_losses(self, sum_losses(stories, float(window)))
         return 0
--- a/src/lycheepath/console/stories.py
+++ b/src/lycheepath/console/stories.py
@@ -5,10 +5,13 @@
 import random
 from typing import TYPE_CHECKING
 
-from ..core.explaining.causes import find_cause, find_gaps, has_failed
+from ..core.explaining.causes import find_cause, find_gaps, gather_stories, has_failed
 from .documents import print_text
+from .request_logs import LogError, read_log_lines
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from cleo.commands.command import Command
 
     from ..core.explaining.causes import Stories
@@ -16,6 +19,15 @@
 HIDDEN = frozenset({"at", "host", "event", "level", "request"})
 
 
+def load_stories(command: Command, paths: Iterable[str]) -> Stories | None:
+    """Return the stories that logs tell, or print why they can't be read."""
+    try:
+        return gather_stories(read_log_lines(paths))
+    except LogError as error:
+        command.line_error(f"<error>{error}</error>")
+        return None
+
+
 def print_story(command: Command, request: str, stories: Stories) -> int:
     """Print a request's lines and the cause of its failure; 1 if none is found."""
     story = stories.by_request.get(request)
