Log the request rate that a target names, and the attempt of each placement

Server-Limit is decoded in platform/headers, with invalid values reported like those of other headers. Hosts log 'target-limit' when a target's limit changes, and 'target-header-unread' once for each instance and invalid header. 'placed' lines have the limit known to the host and the number of the attempt. Nothing is decided by it.

--- a/src/lycheepath/core/placement/availability.py
+++ b/src/lycheepath/core/placement/availability.py
@@ -16,10 +16,11 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from ..catalog.catalog import is_new_instance
+from .rate_limit import RateLimit
 
 if TYPE_CHECKING:
     from ..catalog.model import TargetEntry
@@ -40,13 +41,16 @@
     ``leaving`` means that the instance is draining, and stays set for its lifetime.
     ``refused_until`` and ``withdrawn_until`` are times of this host's monotonic
     clock. ``observed_at`` is when this host itself last saw the target draining or
-    gone.
+    gone. ``rate_limit`` is the request rate that the instance accepts,
+    ``unreadable_headers`` are the invalid headers of its answers that were logged.
     """
 
     leaving: bool = False
     refused_until: float = float("-inf")
     withdrawn_until: float = float("-inf")
     observed_at: float = float("-inf")
+    rate_limit: RateLimit = field(default_factory=RateLimit)
+    unreadable_headers: set[str] = field(default_factory=set)
 
     def record_draining(self, now: float) -> bool:
         """Record that the target says it is draining; return whether that is new."""
@@ -98,7 +102,7 @@
 
     def save(self, entry: TargetEntry, availability: Availability, now: float) -> None:
         """Save the availability of a removed target, dropping the oldest ones."""
-        if availability.is_available(now):
+        if availability.is_available(now) and availability.rate_limit.rate is None:
             return
         self._saved.pop(entry.id, None)
         self._saved[entry.id] = entry, availability
--- a/src/lycheepath/core/serving/answers.py
+++ b/src/lycheepath/core/serving/answers.py
@@ -24,6 +24,9 @@
     long the target keeps an idle connection; ``closes_connection`` means that it
     closes this one. ``draining`` means that the target accepts no new requests until
     it ends, ``busy_s`` is the time for which it refuses requests of this host.
+    ``rate_limit`` is the number of requests per second that it accepts from all
+    hosts together; ``rate_limit_unreadable`` means that it states one that can't be
+    read.
     ``unreadable_headers`` names the headers that couldn't be parsed and are ignored.
     """
 
@@ -38,6 +41,8 @@
     target_replaced: bool = False
     draining: bool = False
     busy_s: float | None = None
+    rate_limit: float | None = None
+    rate_limit_unreadable: bool = False
     unreadable_headers: tuple[str, ...] = ()
 
     @property
--- a/src/lycheepath/gateway/relay.py
+++ b/src/lycheepath/gateway/relay.py
@@ -128,6 +128,7 @@
         node.now(),
         placed.expected,
     )
+    sent_at = node.now()
     try:
         timeout_s = find_head_timeout_s(exchange)
         last_activity = partial(node.peers.view.last_heartbeat_at, host.id)
@@ -147,7 +148,7 @@
             end_to_end = [h for h in headers if h[0] not in RELAY_HEADERS]
             answer_head = read_answer(status, end_to_end)
             target_id = fields.get(TARGET_HEADER, b"").decode("latin-1")
-            record_answer_head(node, target_id, answer_head)
+            record_answer_head(node, target_id, answer_head, sent_at)
             answering = node.registry.targets.get(target_id)
             if answering is not None and prompt and answer_head.succeeded:
                 node.registry.record_prompt_parts(answering, prompt.parts)
--- a/src/lycheepath/gateway/sending.py
+++ b/src/lycheepath/gateway/sending.py
@@ -16,6 +16,7 @@
 from ..core.addresses import parse_address
 from ..core.catalog.model import RouteKind
 from ..core.placement.registry import AttemptOutcome
+from ..core.placement.statements import record_rate_limit, record_unreadable_headers
 from ..core.serving.attempts import AttemptResult, may_run_again
 from ..core.serving.events import EVENT_END, EventOrderError
 from ..core.serving.requests import Dispatch
@@ -158,6 +159,7 @@
     if body or exchange.request.method not in (b"GET", b"HEAD", b"DELETE"):
         headers.append((b"content-length", b"%d" % len(body)))
     timeout_s = find_head_timeout_s(exchange)
+    sent_at = node.now()
     with node.inactivity.watch(
         exchange.number, timeout_s, lambda: target.last_contact_at
     ):
@@ -170,18 +172,20 @@
         )
     answer_head = read_answer(status, answer_headers)
     exchange.reported_load = answer_head.load
-    record_answer_head(node, target.entry.id, answer_head)
+    record_answer_head(node, target.entry.id, answer_head, sent_at)
     if answer_head.busy_s is not None:
         node.registry.record_busy(target.entry.id, answer_head.busy_s, node.now())
     return answer_head
 
 
 def record_answer_head(
-    node: GatewayNode, target_id: str, answer_head: AnswerHead
+    node: GatewayNode, target_id: str, answer_head: AnswerHead, sent_at: float
 ) -> None:
     """Apply what the head of an answer states about its target."""
     for name in answer_head.unreadable_headers:
         node.metrics.count("answer_headers_unread_total", header=name)
+    record_unreadable_headers(node.registry, target_id, answer_head)
+    record_rate_limit(node.registry, target_id, answer_head, sent_at, node.now())
     if answer_head.draining and not answer_head.target_replaced:
         node.metrics.count("answers_of_leaving_targets_total")
         node.registry.record_draining(target_id, node.now())
--- a/src/lycheepath/gateway/serving.py
+++ b/src/lycheepath/gateway/serving.py
@@ -288,6 +288,8 @@
         expected_s=round(placed.first_event_s, 4),
         cached_tokens=placed.cached_tokens,
         in_flight=target.count_in_flight(node.now()),
+        rate_limit=target.availability.rate_limit.rate,
+        attempt=exchange.attempts.sends + 1,
         left_s=round(exchange.deadline - node.now(), 3),
         version=node.catalog.version,
         revision=node.catalog.revision,
--- a/src/lycheepath/platform/headers.py
+++ b/src/lycheepath/platform/headers.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING
 
 from ..core.serving.answers import AnswerHead, ReportedLoad
@@ -58,6 +59,11 @@
 # Longest retry-after time that is accepted, in seconds. A longer one is treated as a
 # mistake, as it would take the target out of service for good.
 MAX_BUSY_S = 300.0
+# A decimal number, optionally with an exponent.
+DECIMAL = re.compile(rb"(\d+\.?\d*|\.\d+)([eE][+-]?\d+)?")
+# Largest request rate that is accepted as a target's limit, in requests per second; no
+# target takes as many, so a larger value is treated as a mistake.
+MAX_RATE_LIMIT = 1e6
 # Largest number of parts of a prompt that are read from its header.
 MAX_PROMPT_PARTS = 64
 
@@ -117,6 +123,8 @@
         target_replaced=status == OTHER_INSTANCE_STATUS,
         draining=_read_draining(fields.get(b"server-leaving"), unreadable),
         busy_s=_read_busy_s(status, fields.get(b"retry-after"), unreadable),
+        rate_limit=_read_rate_limit(headers, unreadable),
+        rate_limit_unreadable="server-limit" in unreadable,
         unreadable_headers=tuple(unreadable),
     )
 
@@ -144,6 +152,19 @@
     return None
 
 
+def _read_rate_limit(headers: Headers, unreadable: list[str]) -> float | None:
+    """Return the requests per second that a target takes from all hosts together."""
+    values = [value.strip() for name, value in headers if name == b"server-limit"]
+    if not values:
+        return None
+    if len(values) == 1 and DECIMAL.fullmatch(values[0]):
+        rate_limit = float(values[0])
+        if 0.0 < rate_limit <= MAX_RATE_LIMIT:
+            return rate_limit
+    unreadable.append("server-limit")
+    return None
+
+
 def _connection_names(headers: Headers) -> frozenset[bytes]:
     """Return the headers that the ``Connection`` header lists as hop-by-hop."""
     for name, value in headers:
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -128,3 +128,33 @@
 def test_invalid_server_leaving_is_ignored_and_reported(text: bytes) -> None:
     head = read_answer(200, ((b"server-leaving", text),))
     assert (head.draining, head.unreadable_headers) == (False, ("server-leaving",))
+
+
+def test_rate_limit_is_read_as_a_decimal_number() -> None:
+    for text, rate in ((b"1", 1.0), (b" 1.2 ", 1.2), (b".5", 0.5), (b"1e-3", 0.001)):
+        head = read_answer(200, ((b"server-limit", text),))
+        assert (head.rate_limit, head.rate_limit_unreadable) == (rate, False)
+    assert read_answer(200, ()).rate_limit is None
+
+
+@pytest.mark.parametrize(
+    "values",
+    [
+        [b""],
+        [b"0"],
+        [b"-1"],
+        [b"nan"],
+        [b"inf"],
+        [b"1e9"],
+        [b"1_0"],
+        [b"1,2"],
+        [b"lots"],
+        [b"0x1"],
+        [b"1 2"],
+        [b"2", b"2"],
+    ],
+)
+def test_invalid_rate_limit_is_ignored_and_reported(values: list[bytes]) -> None:
+    head = read_answer(200, [(b"server-limit", value) for value in values])
+    assert (head.rate_limit, head.rate_limit_unreadable) == (None, True)
+    assert head.unreadable_headers == ("server-limit",)
