Keep the request rate that a target states with permits of its coordinator

Callers saw little: a target under pressure went on getting requests by cost alone, and answered late or not at all.

One host alone exceeded the limit with first sends, so neither unequal shares of hosts nor retries and relays were needed to break it.

A limit is now a fact of the target's instance, learned from its own answers, reported to the target's coordinator, and told to hosts that start or ask for the target's load. Before each request to a limited target a host takes a permit from the coordinator, which grants them at the stated rate; retries, resumes and relayed requests take them alike. If the coordinator doesn't answer, the next in rank grants; if none does, hosts send equal shares. A host without a permit places the request elsewhere, or refuses it at once with a Retry-After that spreads the returns. Messages are new datagrams; the formats of heartbeats and load messages are unchanged, so hosts of both versions hear each other.

--- a/src/lycheepath/core/placement/availability.py
+++ b/src/lycheepath/core/placement/availability.py
@@ -90,8 +90,10 @@
         return max(0.0, self.refused_until - now)
 
     def is_available(self, now: float) -> bool:
-        """Whether the target is neither withdrawn nor refusing requests."""
-        return not self.is_withdrawn(now) and now >= self.refused_until
+        """Whether the target is neither withdrawn, refusing requests nor at its limit."""
+        if self.is_withdrawn(now) or now < self.refused_until:
+            return False
+        return self.rate_limit.may_ask(now)
 
 
 class SavedAvailability:
--- a/src/lycheepath/core/placement/coordinators.py
+++ b/src/lycheepath/core/placement/coordinators.py
@@ -51,13 +51,17 @@
 
     def find(self, target: str, now: float) -> str:
         """Return the coordinator of a target, this host if no other is available."""
+        return self.find_reachable(target, now) or self._self_id
+
+    def find_reachable(self, target: str, now: float) -> str | None:
+        """Return the coordinator of a target, None if none has answered lately."""
         ranked = self._ranks.get(target)
         if ranked is None:
             ranked = self._ranks[target] = rank(target, self._hosts)[:MAX_RANKED_HOSTS]
         for host in ranked:
             if host == self._self_id or self._excluded_until.get(host, now) <= now:
                 return host
-        return self._self_id
+        return None
 
     def record_answer(self, host: str) -> None:
         """Record that a coordinator has answered."""
--- a/src/lycheepath/core/placement/refusals.py
+++ b/src/lycheepath/core/placement/refusals.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from ..reasons import Absent, Reason
+from .rate_limit import describe_rate
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -23,6 +24,10 @@
 # Time in seconds after which a caller may retry if it isn't known when a target will be
 # available: by then the store has been read again.
 NO_TARGET_RETRY_S = 1.0
+# Largest number of targets whose limits are named in a refusal.
+MAX_NAMED_LIMITS = 3
+# The state of a target that has no permit left for a request.
+AT_LIMIT = "at the limit"
 
 
 def explain_unavailable(
@@ -36,13 +41,20 @@
     homes = request.route.home_regions
     counts: Counter[str] = Counter()
     soonest_s: float | None = None
+    limits = []
     for target in service:
         if homes and target.region not in homes:
             continue
-        counts[_name_state(target, now)] += 1
+        state = _name_state(target, now)
+        counts[state] += 1
+        if state == AT_LIMIT:
+            rate = describe_rate(target.availability.rate_limit.rate)
+            limits.append(f"{target.entry.id} takes {rate}")
         if target.accepts_requests and not target.availability.is_withdrawn(now):
             available_in_s = max(
-                target.availability.busy_s(now), target.cold.left_s(now)
+                target.availability.busy_s(now),
+                target.availability.rate_limit.left_s(now),
+                target.cold.left_s(now),
             )
             if available_in_s > 0.0 and (
                 soonest_s is None or available_in_s < soonest_s
@@ -50,8 +62,12 @@
                 soonest_s = available_in_s
     states = ", ".join(f"{n} {state}" for state, n in sorted(counts.items()))
     detail = f"no target is open: {states}" if states else "no target is at home"
-    # A target that refuses requests of this host may accept those of others.
-    reason = Reason.TARGETS_BUSY if counts["busy"] else Reason.NO_TARGET
+    if limits:
+        detail += f" ({', '.join(limits[:MAX_NAMED_LIMITS])})"
+    reason = Reason.RATE_LIMITED if limits else Reason.NO_TARGET
+    if counts["busy"]:
+        # A target that refuses requests of this host may accept those of others.
+        reason = Reason.TARGETS_BUSY
     return Absent(reason, _bound_wait_s(soonest_s), detail)
 
 
@@ -64,6 +80,8 @@
         return "busy"
     if target.cold.is_cold(now):
         return "cold"
+    if target.availability.rate_limit.left_s(now) > 0.0:
+        return AT_LIMIT
     return "tried or out of reach"
 
 
--- a/src/lycheepath/core/placement/statements.py
+++ b/src/lycheepath/core/placement/statements.py
@@ -5,11 +5,11 @@
 from typing import TYPE_CHECKING
 
 from ..catalog.catalog import StateChange
-from .rate_limit import describe_rate
+from .rate_limit import MAX_AGE_S, LimitStatement, describe_rate
 
 if TYPE_CHECKING:
     from ..serving.answers import AnswerHead
-    from .registry import TargetRegistry
+    from .registry import TargetRegistry, TargetState
 
 
 def record_rate_limit(
@@ -55,3 +55,49 @@
             registry.state_changes.append(
                 StateChange("target-header-unread", target_id, header)
             )
+
+
+def make_limit_statement(target: TargetState, now: float) -> LimitStatement:
+    """Return what this host knows of a target's limit, for its peers."""
+    limit = target.availability.rate_limit
+    age_s = min(MAX_AGE_S, max(0.0, now - limit.observed_at))
+    return LimitStatement(target.entry.id, target.entry.born_ms, limit.rate, age_s)
+
+
+def find_instance(
+    registry: TargetRegistry, statement: LimitStatement
+) -> TargetState | None:
+    """Return the target of a statement, None if another instance is known."""
+    target = registry.targets.get(statement.target)
+    if target is None:
+        return None
+    born_ms = target.entry.born_ms
+    same = not (born_ms and statement.born_ms) or born_ms == statement.born_ms
+    return target if same else None
+
+
+def apply_limit_statement(
+    registry: TargetRegistry, statement: LimitStatement, host: str, now: float
+) -> bool:
+    """
+    Apply a peer's statement of a limit if it is newer than this host's observation.
+
+    Returns whether it contradicts what this host itself knows to be newer.
+    """
+    target = find_instance(registry, statement)
+    if target is None:
+        return False
+    limit = target.availability.rate_limit
+    before = limit.rate
+    if limit.apply_report(statement.rate, now - statement.age_s):
+        detail = f"{describe_rate(before)} to {describe_rate(limit.rate)}, by {host}"
+        registry.state_changes.append(
+            StateChange("target-limit", statement.target, detail)
+        )
+    return limit.rate != statement.rate
+
+
+def count_limited(registry: TargetRegistry) -> int:
+    """Return the number of targets that limit their request rate."""
+    targets = registry.targets.values()
+    return sum(target.availability.rate_limit.rate is not None for target in targets)
--- a/src/lycheepath/core/reasons.py
+++ b/src/lycheepath/core/reasons.py
@@ -24,6 +24,7 @@
     NO_SUCH_SERVICE = "no-such-service"
     NO_TARGET = "no-target"
     TARGETS_BUSY = "targets-busy"
+    RATE_LIMITED = "rate-limited"
     RESIDENCY = "residency"
     OVERLOADED = "overloaded"
     DEADLINE = "deadline"
--- a/src/lycheepath/gateway/coordination.py
+++ b/src/lycheepath/gateway/coordination.py
@@ -125,6 +125,7 @@
                 for name in message.targets
                 if (target := node.registry.targets.get(name)) is not None
             }
+            await node.permits.tell_limits(message.host, message.targets)
             reply = LoadReply(message.number, node.settings.host, reports)
             await self._send(message.host, reply)
         elif isinstance(message, LoadReply):
--- a/src/lycheepath/gateway/node.py
+++ b/src/lycheepath/gateway/node.py
@@ -24,7 +24,9 @@
     PlacementRequest,
     QueriedTargets,
 )
+from ..core.placement.refusals import MIN_RETRY_AFTER_S
 from ..core.placement.registry import TargetRegistry
+from ..core.reasons import Absent, Reason
 from ..core.retries.window import RetryWindow
 from ..core.serving.startup import find_hold_s
 from ..core.serving.suspects import Suspects
@@ -32,15 +34,17 @@
 from .discovery import StoreFollower
 from .inactivity import InactivityMonitor
 from .peers import Peers
+from .permits import RatePermits
 
 if TYPE_CHECKING:
     from ..core.fleet.view import HostRow
     from ..core.placement.load_reports import TargetLoadReport
     from ..core.placement.registry import TargetState
-    from ..core.reasons import Absent
     from .exchange import Exchange
     from .settings import GatewaySettings
 
+# Largest number of targets at their limits that one request asks for a permit.
+MAX_PERMIT_QUERIES = 8
 # Time for which callers may cache an answer of the directory. Some use it for three
 # times as long; a host that shuts down goes on serving for DRAIN_NOTICE_S because of that.
 DIRECTORY_TTL_S = 1.0
@@ -89,6 +93,7 @@
     retries: RetryWindow = field(init=False)
     peers: Peers = field(init=False)
     coordination: TargetCoordination = field(init=False)
+    permits: RatePermits = field(init=False)
     store: StoreFollower = field(init=False)
     suspects: Suspects = field(default_factory=Suspects)
     inactivity: InactivityMonitor = field(default_factory=InactivityMonitor)
@@ -110,6 +115,7 @@
         )
         self.peers = Peers(self)
         self.coordination = TargetCoordination(self)
+        self.permits = RatePermits(self)
         self.store = StoreFollower(self)
         self.registry.unsynchronized_until = self.now() + SYNCHRONIZATION_S
 
@@ -145,10 +151,34 @@
         self, exchange: Exchange, context: PlacementContext
     ) -> Placement | Absent:
         """
-        Query the coordinators of some targets and choose a target.
+        Choose a target, and take a permit if the target limits its request rate.
 
         Returns the reason if no target can be chosen.
         """
+        for _ in range(MAX_PERMIT_QUERIES):
+            placed = await self._choose(exchange, context)
+            if isinstance(placed, Absent):
+                return self.permits.spread_returns(exchange.service, placed)
+            if placed.is_remote:
+                return placed
+            wait_s = await self.permits.acquire(placed.target)
+            if wait_s <= 0.0:
+                return placed
+            record_event(
+                "limit-reached",
+                request=exchange.request_head.id,
+                target=placed.target.entry.id,
+                rate_limit=placed.target.availability.rate_limit.rate,
+                wait_s=round(wait_s, 3),
+            )
+        detail = f"{MAX_PERMIT_QUERIES} targets are at their limits"
+        absent = Absent(Reason.RATE_LIMITED, max(MIN_RETRY_AFTER_S, wait_s), detail)
+        return self.permits.spread_returns(exchange.service, absent)
+
+    async def _choose(
+        self, exchange: Exchange, context: PlacementContext
+    ) -> Placement | Absent:
+        """Query the coordinators of some targets and choose a target."""
         request = self._build_placement_request(exchange)
         previous = exchange.previous_attempts
         targets = pick_targets_to_query(
--- a/src/lycheepath/gateway/peers.py
+++ b/src/lycheepath/gateway/peers.py
@@ -15,6 +15,7 @@
     encode_heartbeat,
     parse_datagram,
 )
+from ..adapters.limit_messages import decode_limit_message, is_limit_message
 from ..adapters.load_messages import MessageError, decode_message, is_load_message
 from ..core.fleet.view import FleetView, HostRow
 
@@ -107,7 +108,9 @@
             woken_at = now
             self.view.advance_heartbeat(node.ready, node.remaining_s())
             await self._send_heartbeats(now)
-            self._update_live_hosts(now)
+            found = self._update_live_hosts(now)
+            if found:
+                await node.permits.tell_hosts(found)
 
     async def _send_heartbeats(self, now: float) -> None:
         node = self._node
@@ -155,6 +158,8 @@
     async def _handle_datagram(self, fields: list[Any], now: float) -> None:
         if is_load_message(fields[0]):
             await self._node.coordination.handle_message(decode_message(fields))
+        elif is_limit_message(fields[0]):
+            await self._node.permits.handle_message(decode_limit_message(fields))
         else:
             self._apply_heartbeat(decode_heartbeat_fields(fields), now)
 
@@ -175,11 +180,12 @@
         for target_id in heartbeat.gone_targets:
             node.registry.apply_gone_report(target_id, now)
 
-    def _update_live_hosts(self, now: float) -> None:
-        """Update the live hosts of the region and log which came or went."""
+    def _update_live_hosts(self, now: float) -> set[str]:
+        """Update the live hosts of the region, log changes; return the new ones."""
         local_row = self.view.local_row
         live = {row.id: row for row in self.view.live_hosts(now, local_row.region)}
-        for host in live.keys() - self._live.keys():
+        found = live.keys() - self._live.keys()
+        for host in found:
             record_event("host-live", subject=host, hosts=len(live) + 1)
         for host in self._live.keys() - live.keys():
             record_event("host-silent", subject=host, hosts=len(live) + 1)
@@ -190,8 +196,11 @@
         coordinating = [row for row in rows if row.ready] or [
             r for r in rows if r.drain_remaining_s
         ]
-        self._node.coordination.coordinators.set_hosts(row.id for row in coordinating)
+        hosts = [row.id for row in coordinating]
+        self._node.coordination.coordinators.set_hosts(hosts)
+        self._node.permits.coordinators.set_hosts(hosts)
         if now - self._expired_at >= EXPIRY_INTERVAL_S:
             self._expired_at = now
             self.view.remove_expired(now)
             self._node.registry.expire_peer_loads(now)
+        return found
--- a/src/lycheepath/gateway/relay.py
+++ b/src/lycheepath/gateway/relay.py
@@ -224,7 +224,7 @@
     context = replace(node.build_context(), remote_rtt_s={})
     placed = await node.place(exchange, context)
     if isinstance(placed, Absent):
-        closed = placed.reason is Reason.NO_TARGET
+        closed = placed.reason in (Reason.NO_TARGET, Reason.RATE_LIMITED)
         await _answer_result(
             exchange.caller, AttemptResult.NOT_RUN, placed.detail, closed
         )
--- a/src/lycheepath/gateway/sending.py
+++ b/src/lycheepath/gateway/sending.py
@@ -172,7 +172,8 @@
         )
     answer_head = read_answer(status, answer_headers)
     exchange.reported_load = answer_head.load
-    record_answer_head(node, target.entry.id, answer_head, sent_at)
+    if record_answer_head(node, target.entry.id, answer_head, sent_at):
+        await node.permits.report_limit(target)
     if answer_head.busy_s is not None:
         node.registry.record_busy(target.entry.id, answer_head.busy_s, node.now())
     return answer_head
@@ -180,15 +181,15 @@
 
 def record_answer_head(
     node: GatewayNode, target_id: str, answer_head: AnswerHead, sent_at: float
-) -> None:
-    """Apply what the head of an answer states about its target."""
+) -> bool:
+    """Apply what an answer states about its target; return if its limit changed."""
     for name in answer_head.unreadable_headers:
         node.metrics.count("answer_headers_unread_total", header=name)
     record_unreadable_headers(node.registry, target_id, answer_head)
-    record_rate_limit(node.registry, target_id, answer_head, sent_at, node.now())
     if answer_head.draining and not answer_head.target_replaced:
         node.metrics.count("answers_of_leaving_targets_total")
         node.registry.record_draining(target_id, node.now())
+    return record_rate_limit(node.registry, target_id, answer_head, sent_at, node.now())
 
 
 def find_head_timeout_s(exchange: Exchange) -> float:
--- a/src/lycheepath/gateway/telemetry.py
+++ b/src/lycheepath/gateway/telemetry.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from ..core.placement.statements import count_limited
+
 if TYPE_CHECKING:
     from .exchange import Exchange
     from .node import GatewayNode
@@ -19,6 +21,7 @@
     metrics.watch_gauge("configuration_version", lambda: float(node.catalog.version))
     metrics.watch_gauge("store_revision", lambda: float(node.catalog.revision))
     metrics.watch_gauge("targets_known", lambda: float(len(node.registry.targets)))
+    metrics.watch_gauge("targets_limited", lambda: float(count_limited(node.registry)))
     metrics.watch_gauge(
         "hosts_live", lambda: float(len(node.peers.view.live_hosts(node.now())) + 1)
     )
--- a/standins/limited_target.py
+++ b/standins/limited_target.py
@@ -61,7 +61,8 @@
         host = seen.headers["request-id"].rpartition("/")[0]
         self.arrivals.append(Arrival(trio.current_time(), host))
         await trio.sleep(self.work_s)
-        text = self.text or (None if self.rate is None else f"{self.rate:g}")
+        text = None if self.rate is None else f"{self.rate:g}"
+        text = text if self.text is None else self.text
         headers = [] if text is None else [f"{LIMIT_HEADER}: {text}"]
         await answer_text(b"done", 200, *headers)(seen, stream)
 
