Grant half of a limited rate in place of a coordinator that is still live

Found by reading: a host that twice gets no permit in time asks the next in rank, while other hosts go on asking the first, so both would grant the whole rate: up to 9 requests per 4 s at 1 a second and 4 buckets' bursts, and 2 times the rate for higher limits. The substitute grants half until it is itself the first; hosts that reach none begin with their share of one permit.

--- a/src/lycheepath/core/placement/coordinators.py
+++ b/src/lycheepath/core/placement/coordinators.py
@@ -55,14 +55,15 @@
 
     def find_reachable(self, target: str, now: float) -> str | None:
         """Return the coordinator of a target, None if none has answered lately."""
-        ranked = self._ranks.get(target)
-        if ranked is None:
-            ranked = self._ranks[target] = rank(target, self._hosts)[:MAX_RANKED_HOSTS]
-        for host in ranked:
+        for host in self._rank(target):
             if host == self._self_id or self._excluded_until.get(host, now) <= now:
                 return host
         return None
 
+    def find_first(self, target: str) -> str:
+        """Return the coordinator of a target while all hosts answer."""
+        return self._rank(target)[0]
+
     def record_answer(self, host: str) -> None:
         """Record that a coordinator has answered."""
         self._timeouts.pop(host, None)
@@ -78,3 +79,10 @@
         self._timeouts[host] = MAX_TIMEOUTS - 1
         self._excluded_until[host] = now + EXCLUSION_S
         return True
+
+    def _rank(self, target: str) -> tuple[str, ...]:
+        ranked = self._ranks.get(target)
+        if ranked is None:
+            hosts = self._hosts or (self._self_id,)
+            ranked = self._ranks[target] = rank(target, hosts)[:MAX_RANKED_HOSTS]
+        return ranked
--- a/src/lycheepath/core/placement/rate_limit.py
+++ b/src/lycheepath/core/placement/rate_limit.py
@@ -84,7 +84,8 @@
         rate = max(self.rate, MIN_RATE) * share
         burst = 1.0 + rate * BURST_S
         if self._bucket is None:
-            self._bucket = TokenBucket(rate, burst, 1.0, now)
+            # Hosts that begin to send shares have one permit together.
+            self._bucket = TokenBucket(rate, burst, share, now)
         self._bucket.resize(rate, burst, now)
         return self._bucket.take(1.0, now)
 
--- a/src/lycheepath/gateway/permits.py
+++ b/src/lycheepath/gateway/permits.py
@@ -44,6 +44,9 @@
 QUERY_TIMEOUTS_S = (0.05, 0.1)
 # Time after which a permit is asked for again if the coordinator can't grant any.
 UNDECIDED_WAIT_S = 0.25
+# Part of the rate that a host grants in place of a coordinator that is still live: some
+# hosts may go on asking that one.
+SUBSTITUTE_SHARE = 0.5
 
 
 @dataclass(slots=True)
@@ -74,10 +77,13 @@
         if coordinator is None:
             # No host that could grant it answers: all send their equal shares.
             wait_s = limit.take_permit(now, 1.0 / node.peers.count_local_hosts())
-        elif coordinator == node.settings.host:
-            wait_s = self._grant(target, now)
-        else:
+        elif coordinator != node.settings.host:
             wait_s = await self._query(coordinator, target)
+        elif node.registry.is_unsynchronized(now):
+            # The hosts that grant permits may not be known yet.
+            wait_s = UNDECIDED_WAIT_S
+        else:
+            wait_s = self._grant(target, now)
         if wait_s > 0.0:
             limit.record_denial(wait_s, node.now())
         result = "denied" if wait_s > 0.0 else "granted"
@@ -158,11 +164,10 @@
                 await self._send(message.host, report)
 
     def _grant(self, target: TargetState, now: float) -> float:
-        node = self._node
-        if node.registry.is_unsynchronized(now):
-            # The hosts that grant permits may not be known yet.
-            return UNDECIDED_WAIT_S
-        return target.availability.rate_limit.take_permit(now)
+        """Grant a permit, at a part of the rate if another host should grant it."""
+        first = self.coordinators.find_first(target.entry.id)
+        share = 1.0 if first == self._node.settings.host else SUBSTITUTE_SHARE
+        return target.availability.rate_limit.take_permit(now, share)
 
     async def _answer(self, query: PermitQuery) -> None:
         node = self._node
