Soak targets that state limits, and check that hosts keep them

The check counts arrivals as the rule does: windows of 4 s, 6 s after the first limit, hosts that had passed on an answer half a second before, and without those that had a fault in the last 6 s. A short seeded run is part of the tests; runs without limits draw the same plans as before.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -54,7 +54,13 @@
 def _list_runs(options: argparse.Namespace) -> list[tuple[int, Sizes]]:
     if options.regressions:
         return [(case["seed"], Sizes(**case["sizes"])) for case in read_regressions()]
-    sizes = Sizes(options.hosts, options.targets, options.seconds, options.rate)
+    sizes = Sizes(
+        options.hosts,
+        options.targets,
+        options.seconds,
+        options.rate,
+        limited_share=options.limited_share,
+    )
     first = options.seed
     if first is None:
         first = random.SystemRandom().randrange(1 << 31)
@@ -82,6 +88,9 @@
     parser.add_argument("--hosts", type=int, default=6)
     parser.add_argument("--targets", type=int, default=12)
     parser.add_argument("--rate", type=float, default=0.8, help="faults a second")
+    parser.add_argument(
+        "--limited-share", type=float, default=0.0, help="of targets that state limits"
+    )
     parser.add_argument(
         "--regressions", action="store_true", help="play the seeds that ever failed"
     )
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -12,8 +12,11 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from standins.limited_target import LIMIT_HEADER, NOTICE_S
+
 from .answers import RequestKind, is_valid_body, is_valid_prefix, read_path
 from .callers import ANSWER_GRACE_S, DEADLINE_S, is_signed
+from .limits import CONTACT_S, Sent, StatedLimit, find_excess
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Sequence
@@ -101,6 +104,7 @@
     outcomes: list[Outcome] = field(default_factory=list)
     directory_answers: list[DirectoryAnswer] = field(default_factory=list)
     executions: list[Execution] = field(default_factory=list)
+    limits: list[StatedLimit] = field(default_factory=list)
     still_running: list[str] = field(default_factory=list)
     applied_faults: list[AppliedFault] = field(default_factory=list)
     probes: list[Probe] = field(default_factory=list)
@@ -126,18 +130,25 @@
         find_failed_recovery,
         find_leaks,
         find_process_failures,
+        find_exceeded_limits,
     )
     return [violation for check in checks for violation in check(evidence)]
 
 
-def read_records(directory: Path) -> tuple[list[Execution], list[str]]:
-    """Return all recorded executions, and the names of those without an end."""
+def read_records(
+    directory: Path,
+) -> tuple[list[Execution], list[str], list[StatedLimit]]:
+    """Return recorded executions, the names of those without an end, and limits."""
     executions: list[Execution] = []
+    limits: list[StatedLimit] = []
     unfinished: list[str] = []
     for path in sorted(directory.glob("*.record")):
         running: set[str] = set()
         for line in path.read_bytes().splitlines():
             entry = json.loads(line)
+            if entry["what"] == "limit":
+                limits.append(StatedLimit(entry["target"], entry["at"], entry["rate"]))
+                continue
             if entry["what"] == "end":
                 running.discard(entry["id"])
                 continue
@@ -154,7 +165,7 @@
                 )
             )
         unfinished += [f"{path.stem}/{request_id}" for request_id in running]
-    return executions, unfinished
+    return executions, unfinished, limits
 
 
 def find_repeated(evidence: Evidence) -> Iterator[Violation]:
@@ -320,6 +331,32 @@
         yield Violation("process", detail)
 
 
+def find_exceeded_limits(evidence: Evidence) -> Iterator[Violation]:
+    """Yield targets that got more requests than the limits that they stated."""
+    outcomes = {each.id: each for each in evidence.outcomes}
+    told_at: dict[tuple[str, str], float] = {}
+    arrivals = []
+    for run in evidence.executions:
+        outcome = outcomes.get(run.id)
+        if outcome is None or _is_host_disturbed(evidence, outcome.host, run.at):
+            continue
+        arrivals.append(Sent(run.target, run.at, outcome.host))
+        if LIMIT_HEADER in outcome.answer.headers:
+            key = run.target, outcome.host
+            told_at[key] = min(told_at.get(key, float("inf")), outcome.ended_at)
+    for detail in find_excess(evidence.limits, arrivals, told_at):
+        yield Violation("limit", detail)
+
+
+def _is_host_disturbed(evidence: Evidence, host: str, at: float) -> bool:
+    """Whether a host was restarted, paused or cut off shortly before a time."""
+    return any(
+        fault.since - NOTICE_S <= at <= fault.until + CONTACT_S
+        for fault in evidence.applied_faults
+        if fault.subject in (host, "many")
+    )
+
+
 def _list_involved(
     evidence: Evidence, outcome: Outcome, runs: Sequence[Execution]
 ) -> set[str]:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -133,6 +133,7 @@
         self.locations: dict[str, Location] = {}
         self.process_failures: list[str] = []
         self.faulty_share = 0.0
+        self.limited_share = 0.0
         self._launched: list[Process] = []
         self._seed = seed
         self._ids = itertools.count()
@@ -194,6 +195,7 @@
             f"--port={target.port}",
             f"--seed={self._seed + number}",
             f"--faulty-share={self.faulty_share}",
+            f"--limited-share={self.limited_share}",
             f"--sound={self.faults_off_file}",
         ]
         target.process = await start_process(target.id, arguments, self.directory)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -77,7 +77,8 @@
     The size of a run.
 
     Faults begin within ``seconds`` and last at most ``longest_s``, if they have a
-    duration; ``faults_per_s`` is their mean rate.
+    duration; ``faults_per_s`` is their mean rate. ``limited_share`` is the share of
+    targets that state limits on their request rate.
     """
 
     hosts: int
@@ -85,6 +86,7 @@
     seconds: float
     faults_per_s: float = 0.8
     longest_s: float = FAULT_DURATIONS_S[-1]
+    limited_share: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/soak/run.py
+++ b/soak/run.py
@@ -96,6 +96,7 @@
     """Run a plan; return the time by which everything must have recovered."""
     fleet = run.fleet
     fleet.faulty_share = FAULTY_SHARE
+    fleet.limited_share = sizes.limited_share
     await _start(fleet, sizes)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_watch, run)
@@ -296,7 +297,7 @@
 
 
 def _collect_evidence(run: Run, settled_at: float, directory: Path) -> Evidence:
-    executions, running = read_records(directory)
+    executions, running, limits = read_records(directory)
     fleet = run.fleet
     # A target that was killed could not record the end of its requests.
     alive = {target.id for target in fleet.targets}
@@ -306,6 +307,7 @@
         outcomes=run.caller_log.outcomes,
         directory_answers=run.caller_log.directory_answers,
         executions=executions,
+        limits=limits,
         still_running=[name for name in running if name.split("/")[0] in alive],
         applied_faults=run.applied_faults,
         probes=run.probes,
--- a/soak/target.py
+++ b/soak/target.py
@@ -4,7 +4,8 @@
 It writes a line to its record before a request begins to run and one when it
 has ended, so that a run can tell what ran even where no answer came. Until
 the file ``--sound`` is there some requests go wrong: the answer is lost, breaks
-off, or is followed by bytes that belong to nobody.
+off, or is followed by bytes that belong to nobody. A target may also state limits on
+its request rate, which change until then.
 """
 
 from __future__ import annotations
@@ -17,6 +18,7 @@
 import time
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Any
 
 import h11
 import trio
@@ -24,6 +26,7 @@
 from standins.site import Seen, read_request
 
 from .answers import Work, make_body, make_event, read_path, sign
+from .limits import draw_limits
 
 # Processing time of a plain request, and of one event of a stream.
 WORK_S = 0.02
@@ -44,6 +47,7 @@
     faults_off_file: Path
     running: int = 0
     waiting: int = 0
+    rate_limit: float | None = None
     random: random.Random = field(default_factory=random.Random)
 
     async def serve(self, stream: trio.SocketStream) -> None:
@@ -59,6 +63,14 @@
         finally:
             stream.socket.close()
 
+    def write_head(
+        self, status: int, request_id: str, length: int | None, *more: str
+    ) -> bytes:
+        """Return the head of an answer, with the target's limit."""
+        if self.rate_limit is not None:
+            more = (*more, f"Server-Limit: {self.rate_limit}")
+        return write_head(status, request_id, length, *more)
+
     async def _answer(self, seen: Seen, stream: trio.SocketStream) -> bool:
         """Answer one request; return whether the connection stays open."""
         work = read_path(seen.target)
@@ -72,7 +84,9 @@
         fault = self._draw_fault()
         full = self.running >= self.slots and self.waiting >= QUEUE
         if full or fault == "refuse":
-            await stream.send_all(write_head(503, request_id, 0, "Not-Executed: 1"))
+            await stream.send_all(
+                self.write_head(503, request_id, 0, "Not-Executed: 1")
+            )
             return True
         await self._wait_for_slot()
         self.running += 1
@@ -125,7 +139,7 @@
         request_id = seen.headers["request-id"]
         body = make_body(request_id, work.size)
         load = f"Server-Load: {self.running},{self.waiting},{self.slots}"
-        head = write_head(200, request_id, len(body), load)
+        head = self.write_head(200, request_id, len(body), load)
         if fault == "break":
             await stream.send_all(head + body[: len(body) // 2])
             return "broken"
@@ -139,7 +153,7 @@
     ) -> str:
         request_id = seen.headers["request-id"]
         first = int(seen.headers.get("last-event-id", "0")) + 1
-        head = write_head(200, request_id, None, "Content-Type: text/event-stream")
+        head = self.write_head(200, request_id, None, "Content-Type: text/event-stream")
         for number in range(first, work.size + 1):
             await trio.sleep(EVENT_S)
             event = make_event(request_id, number)
@@ -167,6 +181,14 @@
             "bytes": len(seen.body),
             "how": ending,
         }
+        self._write_line(line)
+
+    def write_limit(self) -> None:
+        """Write the limit that is stated from now on to the record."""
+        line = {"what": "limit", "at": time.monotonic(), "target": self.id}
+        self._write_line(line | {"rate": self.rate_limit})
+
+    def _write_line(self, line: dict[str, Any]) -> None:
         os.write(self.record, json.dumps(line).encode() + b"\n")
 
 
@@ -186,16 +208,33 @@
     return b"%x\r\n%s\r\n" % (len(data), data)
 
 
+async def _change_limits(target: Target, draw: random.Random) -> None:
+    """State the limits that are drawn, and none once faults are off."""
+    for wait_s, rate in draw_limits(draw):
+        with trio.move_on_after(wait_s):
+            while not target.faults_off_file.exists():
+                await trio.sleep(WORK_S)
+        off = target.faults_off_file.exists()
+        target.rate_limit = None if off else rate
+        target.write_limit()
+        if off:
+            return
+
+
 async def _serve(options: argparse.Namespace) -> None:
     record = os.open(options.record, os.O_WRONLY | os.O_CREAT | os.O_APPEND)
     target = Target(
         options.id, options.slots, record, options.faulty_share, options.sound
     )
     target.random.seed(options.seed)
+    draw = random.Random(f"limits/{options.seed}")
     listeners = await trio.open_tcp_listeners(options.port, host="127.0.0.1")
     port = listeners[0].socket.getsockname()[1]
     print(json.dumps({"ready": True, "port": port}), flush=True)
-    await trio.serve_listeners(target.serve, listeners)
+    async with trio.open_nursery() as nursery:
+        if draw.random() < options.limited_share:
+            nursery.start_soon(_change_limits, target, draw)
+        await trio.serve_listeners(target.serve, listeners)
 
 
 def _read_options() -> argparse.Namespace:
@@ -206,6 +245,7 @@
     parser.add_argument("--slots", type=int, default=4)
     parser.add_argument("--seed", type=int, default=0)
     parser.add_argument("--faulty-share", type=float, default=0.0)
+    parser.add_argument("--limited-share", type=float, default=0.0)
     parser.add_argument("--sound", type=Path, default=Path("sound"))
     return parser.parse_args()
 
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -212,6 +212,6 @@
     ]
     text = "".join(json.dumps(line) + "\n" for line in lines)
     (tmp_path / "i-1.record").write_text(text)
-    executions, running = read_records(tmp_path)
+    executions, running, _ = read_records(tmp_path)
     assert [each.id for each in executions] == ["r1", "r2"]
     assert running == ["i-1/r2"]
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from soak.__main__ import read_regressions
+from soak.checks import read_records
 from soak.plan import Sizes
 from soak.run import run_seed
 
@@ -13,6 +14,14 @@
 
 SEED = 4
 SIZES = Sizes(hosts=3, targets=6, seconds=5.0, faults_per_s=1.5, longest_s=3.0)
+LIMITED_SIZES = Sizes(
+    hosts=6,
+    targets=6,
+    seconds=12.0,
+    faults_per_s=0.4,
+    longest_s=3.0,
+    limited_share=1.0,
+)
 MIN_REQUESTS = 100
 
 
@@ -24,6 +33,14 @@
     assert len(result.outcomes) > MIN_REQUESTS
 
 
+async def test_short_run_keeps_the_limits_that_targets_state(tmp_path: Path) -> None:
+    result = await run_seed(LIMITED_SIZES, SEED, tmp_path)
+
+    assert result.violations == []
+    _, _, limits = read_records(tmp_path)
+    assert len({limit.target for limit in limits}) >= LIMITED_SIZES.targets
+
+
 def test_regressions_state_their_cause() -> None:
     cases = read_regressions()
     assert len({case["seed"] for case in cases}) == len(cases)
