--- a/soak/checks.py
+++ b/soak/checks.py
@@ -12,11 +12,11 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from standins.limited_target import LIMIT_HEADER, NOTICE_S
+from standins.stated_limits import LIMIT_HEADER, NOTICE_S
 
 from .answers import RequestKind, is_valid_body, is_valid_prefix, read_path
 from .callers import ANSWER_GRACE_S, DEADLINE_S, is_signed
-from .limits import CONTACT_S, Sent, StatedLimit, find_excess
+from .limits import CONTACT_S, Sent, StatedLimit, find_exceeded
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Sequence
@@ -344,7 +344,7 @@
         if LIMIT_HEADER in outcome.answer.headers:
             key = run.target, outcome.host
             told_at[key] = min(told_at.get(key, float("inf")), outcome.ended_at)
-    for detail in find_excess(evidence.limits, arrivals, told_at):
+    for detail in find_exceeded(evidence.limits, arrivals, told_at):
         yield Violation("limit", detail)
 
 
--- a/soak/limits.py
+++ b/soak/limits.py
@@ -8,12 +8,11 @@
 
 from __future__ import annotations
 
-from bisect import bisect_left
 from collections import defaultdict
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from standins.limited_target import EXCESS_FACTOR, EXCESS_REQUESTS, NOTICE_S, WINDOW_S
+from standins.stated_limits import NOTICE_S, find_excess
 
 if TYPE_CHECKING:
     import random
@@ -52,7 +51,7 @@
         yield draw.uniform(*LIMITED_S), None
 
 
-def find_excess(
+def find_exceeded(
     limits: Sequence[StatedLimit],
     arrivals: Sequence[Sent],
     told_at: Mapping[tuple[str, str], float],
@@ -63,40 +62,18 @@
     ``told_at`` maps a target and a host to when that host first passed on a limit of
     the target. ``arrivals`` leaves out those of hosts with a fault.
     """
-    changes: dict[str, list[StatedLimit]] = defaultdict(list)
+    changes: dict[str, list[tuple[float, float | None]]] = defaultdict(list)
     for limit in limits:
-        changes[limit.target].append(limit)
+        changes[limit.target].append((limit.at, limit.rate))
     times: dict[str, list[float]] = defaultdict(list)
     for sent in arrivals:
         told = told_at.get((sent.target, sent.host))
-        if told is not None and told + NOTICE_S <= sent.at:
+        stated = changes.get(sent.target)
+        if told is None or stated is None:
+            continue
+        if sent.at >= max(told + NOTICE_S, stated[0][0] + CONTACT_S):
             times[sent.target].append(sent.at)
     for target, arrived in times.items():
-        arrived.sort()
-        stated = changes[target]
-        for first, since in enumerate(arrived):
-            if not stated or since < stated[0].at + CONTACT_S:
-                continue
-            count = bisect_left(arrived, since + WINDOW_S) - first
-            rate = _find_highest_rate(stated, since - NOTICE_S, since + WINDOW_S)
-            allowed = EXCESS_FACTOR * rate * WINDOW_S + EXCESS_REQUESTS
-            if count > allowed:
-                yield (
-                    f"{target} got {count} requests in {WINDOW_S} s from {since:.3f},"
-                    f" allowed {allowed:g} at {rate:g} a second"
-                )
-                break
-
-
-def _find_highest_rate(
-    changes: Sequence[StatedLimit], since: float, until: float
-) -> float:
-    rate = float("inf")
-    highest = 0.0
-    for change in changes:
-        if change.at > until:
+        for excess in find_excess(sorted(arrived), changes[target]):
+            yield f"{target} got {excess}"
             break
-        if change.at >= since:
-            highest = max(highest, rate)
-        rate = float("inf") if change.rate is None else change.rate
-    return max(highest, rate)
--- a/standins/limited_target.py
+++ b/standins/limited_target.py
@@ -1,7 +1,7 @@
 """
 A target that states a request rate in its answers, and the check that it is kept.
 
-The check counts, in each window of ``WINDOW_S``, the requests of the hosts that had
+The check counts, in each window, the requests of the hosts that had
 passed on an answer with the limit ``NOTICE_S`` before or earlier::
 
     limited = LimitedTarget(rate=1.0)
@@ -12,7 +12,6 @@
 
 from __future__ import annotations
 
-from bisect import bisect_left
 from collections import Counter
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -20,19 +19,13 @@
 import trio
 
 from .site import Answer, Seen, Site, answer_text
+from .stated_limits import LIMIT_HEADER, NOTICE_S, Excess, find_excess
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
     from lycheepath.gateway.node import GatewayNode
 
-WINDOW_S = 4.0
-NOTICE_S = 0.5
-# More requests than the limit that a window may have: a factor, and a number.
-EXCESS_FACTOR = 1.5
-EXCESS_REQUESTS = 5
-LIMIT_HEADER = "server-limit"
-
 
 @dataclass(frozen=True)
 class Arrival:
@@ -54,7 +47,10 @@
     text: str | None = None
     work_s: float = 0.01
     arrivals: list[Arrival] = field(default_factory=list)
-    _changes: list[tuple[float, float | None]] = field(default_factory=list)
+    changes: list[tuple[float, float | None]] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.changes.append((float("-inf"), self.rate))
 
     async def answer(self, seen: Seen, stream: trio.SocketStream) -> None:
         """Answer one request, with the limit in force when the answer begins."""
@@ -68,39 +64,22 @@
 
     def set_rate(self, rate: float | None) -> None:
         """State another limit, or none, from now on."""
-        self._changes.append((trio.current_time(), self.rate))
+        self.changes.append((trio.current_time(), rate))
         self.rate = rate
 
-    def find_excess(self, told_at: Mapping[str, float]) -> list[str]:
-        """Return a description of each window with more requests than allowed."""
+    def find_excess(self, told_at: Mapping[str, float]) -> list[Excess]:
+        """Return the windows with more requests than allowed."""
         times = [
             arrival.at
             for arrival in self.arrivals
             if told_at.get(arrival.host, float("inf")) + NOTICE_S <= arrival.at
         ]
-        found = []
-        for first, since in enumerate(times):
-            count = bisect_left(times, since + WINDOW_S) - first
-            rate = self._find_highest_rate(since - NOTICE_S, since + WINDOW_S)
-            allowed = EXCESS_FACTOR * rate * WINDOW_S + EXCESS_REQUESTS
-            if count > allowed:
-                found.append(f"{count} requests from {since:.3f}, allowed {allowed:g}")
-        return found
+        return list(find_excess(times, self.changes))
 
     def count_since(self, at: float) -> int:
         """Return the number of requests that arrived after a time."""
         return sum(arrival.at >= at for arrival in self.arrivals)
 
-    def _find_highest_rate(self, since: float, until: float) -> float:
-        """Return the highest limit of a period, infinite if there was none at times."""
-        begun = float("-inf")
-        rates = []
-        for ended, rate in [*self._changes, (float("inf"), self.rate)]:
-            if ended >= since and begun <= until:
-                rates.append(float("inf") if rate is None else rate)
-            begun = ended
-        return max(rates)
-
 
 @dataclass
 class Load:
