Log the parts of prompts, and how answers end

The logs don't tell which requests share a part of their prompts, how far an answer had come when its target ended, nor whether an answer that counts as complete had any framing; the hypotheses can't be told apart. Change: 'placed' names the parts (at most 8), 'send-failed' the events passed on, 'answered' whether the answer ended with its connection. Conclusion: log fields only, no decision uses them.

--- a/src/lycheepath/adapters/http1/upstream.py
+++ b/src/lycheepath/adapters/http1/upstream.py
@@ -31,6 +31,10 @@
 # Largest number of answers to earlier requests that are skipped on one connection.
 MAX_STALE_ANSWERS = 2
 
+# Headers that show where a body ends, and statuses of answers without a body.
+FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
+EMPTY_BODY_STATUSES = frozenset({204, 304})
+
 
 class BrokenAnswerError(Exception):
     """
@@ -49,6 +53,8 @@
         self.exchanges = 0
         self.idle_since = 0.0
         self.idle_s: float | None = None
+        # Whether the current answer has no framing and ends with its connection.
+        self.ends_with_connection = False
         self._h11 = h11.Connection(h11.CLIENT)
         self._request: h11.Request | None = None
         self._body = b""
@@ -194,6 +200,7 @@
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 headers = list(event.headers)
+                self.ends_with_connection = _ends_with_connection(event)
                 self._start_chunk_reader(headers)
                 return event.status_code, headers
             if not isinstance(event, h11.InformationalResponse):
@@ -268,3 +275,10 @@
             return await receive(self.stream, RECEIVE_BYTES)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise BrokenAnswerError(f"the connection broke: {error}") from error
+
+
+def _ends_with_connection(head: h11.Response) -> bool:
+    """Whether the body of an answer has neither a length nor chunks."""
+    if head.status_code in EMPTY_BODY_STATUSES:
+        return False
+    return not FRAMING_HEADERS.intersection(name for name, _ in head.headers)
--- a/src/lycheepath/core/serving/requests.py
+++ b/src/lycheepath/core/serving/requests.py
@@ -29,6 +29,11 @@
     parts: tuple[PromptPart, ...]
     expected_answer_tokens: int | None = None
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """The ids of the parts that other requests may share: all but the last."""
+        return tuple(part.id for part in self.parts[:-1])
+
 
 @dataclass(frozen=True, slots=True)
 class RequestHead:
--- a/src/lycheepath/gateway/exchange.py
+++ b/src/lycheepath/gateway/exchange.py
@@ -39,7 +39,8 @@
     added to the answer for the host that relayed the request. ``first_event_s`` is
     the time from the request to the first event of its answer, ``longest_gap_s`` the
     longest pause between two events. ``outcome_logged`` says that the outcome of the
-    request has been logged.
+    request has been logged, ``ended_with_connection`` that its last answer had no
+    framing and ended with its connection.
     """
 
     caller: CallerConnection
@@ -63,6 +64,7 @@
     last_event_at: float = 0.0
     longest_gap_s: float = 0.0
     outcome_logged: bool = False
+    ended_with_connection: bool = False
 
     def __post_init__(self) -> None:
         self.cutter = EventSplitter(self.request_head.last_event_id)
@@ -71,6 +73,12 @@
             request.method, request.target, request.body
         )
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """The ids of the parts of the prompt that other requests may share."""
+        prompt = self.request_head.prompt
+        return prompt.shared_parts if prompt else ()
+
     @property
     def answer_started(self) -> bool:
         """Whether the answer to the caller has been started."""
--- a/src/lycheepath/gateway/sending.py
+++ b/src/lycheepath/gateway/sending.py
@@ -171,6 +171,7 @@
             exchange.request_head.id.encode("latin-1"),
         )
     answer_head = read_answer(status, answer_headers)
+    exchange.ended_with_connection = upstream.ends_with_connection
     exchange.reported_load = answer_head.load
     if record_answer_head(node, target.entry.id, answer_head, sent_at):
         await node.permits.report_limit(target)
--- a/src/lycheepath/gateway/serving.py
+++ b/src/lycheepath/gateway/serving.py
@@ -41,6 +41,8 @@
 DEFAULT_DEADLINE_S = 60.0
 # Retry-after time while no configuration or no target is known.
 RETRY_SOON_S = 0.5
+# Largest number of parts of a prompt that are named in a log line.
+MAX_LOGGED_PARTS = 8
 # Retry-after times are increased randomly by up to this share, so that refused callers
 # don't retry all at once.
 RETRY_SPREAD = 0.5
@@ -273,6 +275,7 @@
         expected_s=round(placed.first_event_s, 4) if placed else None,
         first_s=exchange.first_event_s and round(exchange.first_event_s, 4),
         longest_gap_s=round(exchange.longest_gap_s, 4),
+        ended_with_connection=exchange.ended_with_connection,
         version=node.catalog.version,
     )
 
@@ -287,6 +290,7 @@
         away=target.region if placed.is_remote else "",
         expected_s=round(placed.first_event_s, 4),
         cached_tokens=placed.cached_tokens,
+        parts=exchange.shared_parts[:MAX_LOGGED_PARTS],
         in_flight=target.count_in_flight(node.now()),
         rate_limit=target.availability.rate_limit.rate,
         attempt=exchange.attempts.sends + 1,
@@ -306,5 +310,6 @@
         target=placed.target.entry.id,
         result=outcome.result.value,
         reason=outcome.reason,
+        events=exchange.cutter.event_count,
         revision=node.catalog.revision,
     )
