--- a/standins/site.py
+++ b/standins/site.py
@@ -24,6 +24,7 @@
 import h11
 import orjson
 import trio
+import trio.testing
 
 from lycheepath.adapters.events import EventLog
 from lycheepath.gateway.node import GatewayNode
@@ -241,6 +242,7 @@
         self.version = 0
         self.bounds: dict[str, float] = {}
         self._hosts = 0
+        self._running: dict[str, trio.CancelScope] = {}
         self._network = draw_network()
 
     @classmethod
@@ -294,12 +296,28 @@
         # Log lines of gateways in tests are discarded.
         devnull = os.open(os.devnull, os.O_WRONLY)
         node = GatewayNode(settings, events=EventLog(devnull))
-        await start_tasks(node, self.nursery)
+        await self.nursery.start(self._run_gateway, node)
         with trio.fail_after(READY_WITHIN_S):
             while not node.ready:
                 await trio.sleep(POLL_S)
         return node
 
+    async def restart_gateway(self, node: GatewayNode) -> GatewayNode:
+        """End a gateway at once and start it again; nothing that it knew is left."""
+        self.stop_gateway(node)
+        await trio.testing.wait_all_tasks_blocked(POLL_S)
+        devnull = os.open(os.devnull, os.O_WRONLY)
+        started = GatewayNode(node.settings, events=EventLog(devnull))
+        await self.nursery.start(self._run_gateway, started)
+        with trio.fail_after(READY_WITHIN_S):
+            while not started.ready:
+                await trio.sleep(POLL_S)
+        return started
+
+    def stop_gateway(self, node: GatewayNode) -> None:
+        """End a gateway at once, as SIGKILL does."""
+        self._running.pop(node.settings.host).cancel()
+
     async def ask(
         self,
         node: GatewayNode,
@@ -321,6 +339,16 @@
             await stream.send_all(head.encode() + body)
             return await read_answer(stream)
 
+    async def _run_gateway(
+        self,
+        node: GatewayNode,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        async with trio.open_nursery() as nursery:
+            self._running[node.settings.host] = nursery.cancel_scope
+            await start_tasks(node, nursery)
+            task_status.started()
+
     async def _listen(self, serve: Any) -> str:
         ip, port = await listen(self.nursery, serve)
         return f"{ip}:{port}"
--- /dev/null
+++ b/standins/stream_service.py
@@ -0,0 +1,243 @@
+"""
+Targets of a service that stream, end as processes do, and come back as new instances.
+
+A target ends as soon as it begins to write an answer to a request with a part of
+``fatal_parts`` in its prompt, except as the last part: all its connections close and
+new ones are refused. Its entry lapses, and it is back under a new id a moment later::
+
+    service = StreamService(site, "books", fatal_parts=frozenset({"bad"}))
+    await service.add_target()
+    load = await ask_for_streams(site, nodes, draw_parts, per_second=20.0, seconds=9.0)
+    service.count_late_fatal(after_s=6.0)
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from functools import partial
+from typing import TYPE_CHECKING
+
+import h11
+import trio
+
+from .site import Answer, Seen, Site, make_entry, read_request
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from lycheepath.gateway.node import GatewayNode
+
+HEAD = (
+    "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: s.1\r\n"
+    "Content-Type: text/event-stream\r\n{framing}\r\n"
+)
+CHUNKED = "Transfer-Encoding: chunked\r\n"
+# Path and tokens of the requests.
+PATH = "/books/stream"
+PART_TOKENS = 50
+
+
+@dataclass(frozen=True)
+class Arrival:
+    """A request that reached a target, with its parts that others may share."""
+
+    at: float
+    target: str
+    request_id: str
+    parts: tuple[str, ...]
+
+
+@dataclass
+class StreamTarget:
+    """A place where instances of the service run, one after the other."""
+
+    zone: str
+    address: str = ""
+    id: str = ""
+    ending: trio.Event = field(default_factory=trio.Event)
+
+
+@dataclass
+class StreamService:
+    """
+    State: the targets of one service, what reached them, and when they ended.
+
+    Each answer has ``events`` events, the first after ``prefill_s``, the others
+    ``event_s`` apart. With ``framed`` false it has no framing and ends with its
+    connection. A target that ends has written ``events_before_end`` events of the
+    answer under which it ends.
+    """
+
+    site: Site
+    service: str
+    fatal_parts: frozenset[str] = frozenset()
+    events: int = 6
+    event_s: float = 0.02
+    prefill_s: float = 0.03
+    framed: bool = True
+    events_before_end: int = 0
+    lapse_s: float = 0.6
+    down_s: float = 0.4
+    arrivals: list[Arrival] = field(default_factory=list)
+    ended_at: list[float] = field(default_factory=list)
+    _instances: int = 0
+
+    async def add_target(self, zone: str = "east-a") -> StreamTarget:
+        """Start a target, and keep it running until the test ends."""
+        target = StreamTarget(zone)
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        ip, port = listeners[0].socket.getsockname()
+        target.address = f"{ip}:{port}"
+        self.site.nursery.start_soon(self._run, target, listeners)
+        return target
+
+    def count_late_fatal(self, after_s: float, ends: int = 5) -> int:
+        """
+        Return how many fatal requests came later than ``after_s`` after an end.
+
+        The end that counts is the one with the number ``ends``.
+        """
+        if len(self.ended_at) < ends:
+            return 0
+        since = sorted(self.ended_at)[ends - 1] + after_s
+        return sum(
+            arrival.at > since and not self.fatal_parts.isdisjoint(arrival.parts)
+            for arrival in self.arrivals
+        )
+
+    async def _run(
+        self, target: StreamTarget, listeners: list[trio.SocketListener]
+    ) -> None:
+        port = listeners[0].socket.getsockname()[1]
+        while True:
+            self._instances += 1
+            target.id = f"{self.service}-{self._instances}"
+            target.ending = trio.Event()
+            async with trio.open_nursery() as nursery:
+                serve = partial(self._serve, target, target.id)
+                nursery.start_soon(trio.serve_listeners, serve, listeners)
+                self._announce(target)
+                await target.ending.wait()
+                self.ended_at.append(trio.current_time())
+                nursery.cancel_scope.cancel()
+            await trio.sleep(self.lapse_s)
+            self.site.store.remove(f"servers/{target.id}")
+            await trio.sleep(self.down_s)
+            listeners = await trio.open_tcp_listeners(port, host="127.0.0.1")
+
+    def _announce(self, target: StreamTarget) -> None:
+        entry = make_entry(self.service, target.address, target.zone, slots=64)
+        self.site.store.put(f"servers/{target.id}", entry)
+
+    async def _serve(
+        self, target: StreamTarget, instance: str, stream: trio.SocketStream
+    ) -> None:
+        try:
+            while (
+                seen := await read_request(h11.Connection(h11.SERVER), stream)
+            ) is not None:
+                if not await self._answer(target, instance, seen, stream):
+                    return
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return
+        finally:
+            stream.socket.close()
+
+    async def _answer(
+        self,
+        target: StreamTarget,
+        instance: str,
+        seen: Seen,
+        stream: trio.SocketStream,
+    ) -> bool:
+        """Answer one request; return whether the connection stays open."""
+        request_id = seen.headers["request-id"]
+        if seen.headers.get("expect-instance", instance) != instance:
+            refusal = f"HTTP/1.1 421 X\r\nRequest-Id: {request_id}\r\n"
+            await stream.send_all(f"{refusal}Content-Length: 0\r\n\r\n".encode())
+            return True
+        parts = read_shared_parts(seen.headers.get("prompt-prefix", ""))
+        at = trio.current_time()
+        self.arrivals.append(Arrival(at, instance, request_id, parts))
+        await trio.sleep(self.prefill_s)
+        framing = CHUNKED if self.framed else ""
+        head = HEAD.format(id=request_id, framing=framing).encode()
+        await stream.send_all(head)
+        fatal = not self.fatal_parts.isdisjoint(parts)
+        first = int(seen.headers.get("last-event-id", "0")) + 1
+        last = first - 1 + self.events_before_end if fatal else self.events
+        for number in range(first, last + 1):
+            await self._send_event(stream, number)
+            await trio.sleep(self.event_s)
+        if fatal:
+            target.ending.set()
+            await trio.sleep_forever()
+        if self.framed:
+            await stream.send_all(b"0\r\n\r\n")
+        return self.framed
+
+    async def _send_event(self, stream: trio.SocketStream, number: int) -> None:
+        event = b"id: %d\ndata: %s\n\n" % (number, b"x" * 8)
+        if self.framed:
+            event = b"%x\r\n%s\r\n" % (len(event), event)
+        await stream.send_all(event)
+
+
+@dataclass(frozen=True)
+class StreamOutcome:
+    """One request of a caller with its answer."""
+
+    sent_at: float
+    parts: tuple[str, ...]
+    host: str
+    answer: Answer
+
+    @property
+    def served(self) -> bool:
+        """Whether the answer is a complete stream."""
+        return self.answer.status == 200 and self.answer.whole
+
+
+def read_shared_parts(text: str) -> tuple[str, ...]:
+    """Return the ids of all parts but the last in a ``Prompt-Prefix`` header."""
+    return tuple(entry.split(":")[0] for entry in text.split(",")[:-1])
+
+
+async def ask_for_streams(
+    site: Site,
+    nodes: Sequence[GatewayNode],
+    parts: Callable[[int], tuple[str, ...]],
+    per_second: float,
+    seconds: float,
+) -> list[StreamOutcome]:
+    """
+    Send requests to hosts in turn at a steady rate; return the outcomes.
+
+    ``parts`` returns the shared parts of a request by its number. ``nodes`` may change
+    meanwhile. No two requests have the same body or the same last part.
+    """
+    outcomes: list[StreamOutcome] = []
+
+    async def ask(node: GatewayNode, number: int) -> None:
+        shared = parts(number)
+        sent_at = trio.current_time()
+        name = f"{number}-{sent_at:.4f}"
+        entries = [f"{part}:{PART_TOKENS}" for part in (*shared, f"own-{name}")]
+        headers = {
+            "model": "m",
+            "token-usage": f"{PART_TOKENS * len(entries)},20",
+            "prompt-prefix": ",".join(entries),
+        }
+        try:
+            answer = await site.ask(node, b"POST", PATH, name.encode(), name, headers)
+        except OSError:
+            answer = Answer(end="refused")
+        host = node.settings.host
+        outcomes.append(StreamOutcome(sent_at, shared, host, answer))
+
+    async with trio.open_nursery() as nursery:
+        started = trio.current_time()
+        for number in range(int(per_second * seconds)):
+            await trio.sleep_until(started + number / per_second)
+            nursery.start_soon(ask, nodes[number % len(nodes)], number)
+    return outcomes
