Reject datagrams with infinite numbers

Cause: Hypothesis drew an infinite number once (test_invalid_fields_are_rejected of the limit messages): int() raises OverflowError, which the decoders didn't catch. orjson reads no infinity from bytes, so no datagram shows it; the decoders' contract is to raise only their own errors. Change: all four decoders of what hosts send each other catch it. Before: test_infinite_number_is_rejected fails with OverflowError. After: passes.

--- a/src/lycheepath/adapters/catalog_copies.py
+++ b/src/lycheepath/adapters/catalog_copies.py
@@ -81,7 +81,7 @@
             )
             content = Snapshot(entries, int(revision))
         return CatalogCopy(content, float(age_s))
-    except (ValueError, TypeError, KeyError) as error:
+    except (OverflowError, ValueError, TypeError, KeyError) as error:
         raise CopyError(f"a copy can't be read: {error}") from error
 
 
--- a/src/lycheepath/adapters/heartbeats.py
+++ b/src/lycheepath/adapters/heartbeats.py
@@ -32,10 +32,10 @@
     One heartbeat.
 
     ``waits`` are the waiting times in the sender's region in seconds, by service and
-    priority, for hosts of other regions. ``suspects`` are the fingerprints of requests
-    that broke off, with the targets where they did. ``gone_targets`` are targets that
-    are draining, or no longer at their address. ``catalog_status`` holds the revision and
-    age of the sender's catalog.
+    priority, for hosts of other regions. ``suspects`` is empty; earlier versions report
+    broken requests there (now: ``crash_messages``). ``gone_targets`` are targets that are
+    draining, or no longer at their address. ``catalog_status`` holds the revision and age
+    of the sender's catalog.
     """
 
     sender: HostRow
@@ -94,7 +94,7 @@
             tuple(str(target) for target in gone_targets),
             _decode_status(catalog_status),
         )
-    except (ValueError, TypeError) as error:
+    except (OverflowError, ValueError, TypeError) as error:
         raise BeatError(f"the datagram can't be read: {error}") from error
 
 
--- a/src/lycheepath/adapters/limit_messages.py
+++ b/src/lycheepath/adapters/limit_messages.py
@@ -71,7 +71,7 @@
     try:
         kind, *rest = fields
         return _DECODERS[kind](rest)
-    except (KeyError, TypeError, ValueError) as error:
+    except (KeyError, OverflowError, TypeError, ValueError) as error:
         raise MessageError(f"the datagram can't be read: {error}") from error
 
 
--- a/src/lycheepath/adapters/load_messages.py
+++ b/src/lycheepath/adapters/load_messages.py
@@ -99,7 +99,7 @@
     try:
         kind, *rest = fields
         return _DECODERS[kind](rest)
-    except (KeyError, TypeError, ValueError) as error:
+    except (KeyError, OverflowError, TypeError, ValueError) as error:
         raise MessageError(f"the datagram can't be read: {error}") from error
 
 
--- a/tests/adapters/test_limit_messages.py
+++ b/tests/adapters/test_limit_messages.py
@@ -6,6 +6,7 @@
 from lycheepath.adapters.heartbeats import BeatError, decode_heartbeat, parse_datagram
 from lycheepath.adapters.limit_messages import (
     LIMIT_REPORT,
+    PERMIT_QUERY,
     LimitMessage,
     LimitReport,
     PermitQuery,
@@ -58,6 +59,13 @@
         return
 
 
+def test_infinite_number_is_rejected() -> None:
+    with pytest.raises(MessageError):
+        decode_limit_message(
+            [PERMIT_QUERY, float("inf"), "host-1", ["i-1", 0, 1.0, 0.0]]
+        )
+
+
 @pytest.mark.parametrize("rate", [0.0, -1.0, float("nan")])
 def test_limit_that_is_not_positive_is_rejected(rate: float) -> None:
     with pytest.raises(MessageError):
