--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -60,6 +60,7 @@
         options.seconds,
         options.rate,
         limited_share=options.limited_share,
+        fatal_per_s=options.fatal,
     )
     first = options.seed
     if first is None:
@@ -91,6 +92,9 @@
     parser.add_argument(
         "--limited-share", type=float, default=0.0, help="of targets that state limits"
     )
+    parser.add_argument(
+        "--fatal", type=float, default=0.0, help="requests a second that end targets"
+    )
     parser.add_argument(
         "--regressions", action="store_true", help="play the seeds that ever failed"
     )
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -17,6 +17,7 @@
 from standins.site import HOST, Answer, read_answer
 
 from .answers import RequestKind, Work, sign, write_path
+from .fatal import SHARED_PART, SOUND_PARTS, write_prompt_headers
 
 if TYPE_CHECKING:
     import random
@@ -54,7 +55,7 @@
 
     Times are of the machine's monotonic clock, in seconds. ``answer`` has the part
     received, with status 0 if there was none; ``end`` describes how the exchange
-    ended without a complete answer.
+    ended without a complete answer. ``parts`` are the shared parts of its prompt.
     """
 
     id: str
@@ -66,6 +67,7 @@
     end: str = ""
     disconnected: bool = False
     ended_at: float = 0.0
+    parts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,12 +108,17 @@
 
 @dataclass(slots=True)
 class Caller:
-    """State of one caller: its random generator and persistent connection."""
+    """
+    State of one caller: its random generator and persistent connection.
+
+    With ``with_prompts``, its streams have prompts with shared parts.
+    """
 
     caller_log: CallerLog
     endpoints: Sequence[HostEndpoints]
     home: HostEndpoints
     random: random.Random
+    with_prompts: bool = False
     stream: trio.SocketStream | None = None
     connected: HostEndpoints | None = None
     requests_sent: int = 0
@@ -136,6 +143,8 @@
         assert self.connected is not None
         request_id = self.caller_log.next_id()
         outcome = Outcome(request_id, work, self.connected.host, time.monotonic())
+        if self.with_prompts and work.kind.is_stream:
+            outcome.parts = (SHARED_PART, self.random.choice(SOUND_PARTS))
         self.caller_log.outcomes.append(outcome)
         limit_s = (
             DEADLINE_S + ANSWER_GRACE_S
@@ -227,6 +236,8 @@
     ]
     if body:
         lines.append(f"Content-Length: {len(body)}")
+    if outcome.parts:
+        lines += write_prompt_headers(outcome.parts, outcome.id)
     head = "\r\n".join([*lines, "", ""]).encode()
     try:
         await stream.send_all(head + body)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -16,6 +16,7 @@
 
 from .answers import RequestKind, is_valid_body, is_valid_prefix, read_path
 from .callers import ANSWER_GRACE_S, DEADLINE_S, is_signed
+from .fatal import FATAL_PART, FatalArrival, find_late
 from .limits import CONTACT_S, Sent, StatedLimit, find_exceeded
 
 if TYPE_CHECKING:
@@ -131,6 +132,7 @@
         find_leaks,
         find_process_failures,
         find_exceeded_limits,
+        find_late_fatal,
     )
     return [violation for check in checks for violation in check(evidence)]
 
@@ -348,6 +350,21 @@
         yield Violation("limit", detail)
 
 
+def find_late_fatal(evidence: Evidence) -> Iterator[Violation]:
+    """Yield requests with a fatal part that ran although it was known to be one."""
+    outcomes = {each.id: each for each in evidence.outcomes}
+    arrivals = []
+    for run in evidence.executions:
+        outcome = outcomes.get(run.id)
+        if outcome is None or FATAL_PART not in outcome.parts:
+            continue
+        disturbed = _is_host_disturbed(evidence, outcome.host, run.at)
+        host = "" if disturbed else outcome.host
+        arrivals.append(FatalArrival(run.at, run.id, host))
+    for detail in find_late(arrivals):
+        yield Violation("fatal", detail)
+
+
 def _is_host_disturbed(evidence: Evidence, host: str, at: float) -> bool:
     """Whether a host was restarted, paused or cut off shortly before a time."""
     return any(
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -33,6 +33,7 @@
 from .answers import RequestKind
 from .callers import HostEndpoints
 from .checks import Location
+from .fatal import FATAL_EXIT
 from .proxy import open_proxy
 
 if TYPE_CHECKING:
@@ -42,6 +43,8 @@
 GRACE_S = 8.0
 # Time from the end of a killed target until the store removes its entry.
 ENTRY_EXPIRY_S = 0.6
+# Time from then until a target that ended under a fatal request is back.
+RESTART_S = 1.0
 # Time for which a draining target continues to serve before it ends.
 DRAIN_S = 4.0
 # Time-out for readiness; far above a start (0.5 s of processor time) also when
@@ -132,6 +135,8 @@
         self.versions: dict[int, float] = {}
         self.locations: dict[str, Location] = {}
         self.process_failures: list[str] = []
+        # Names of targets that ended under a fatal request, and when it was noticed.
+        self.fatal_ends: list[tuple[str, float]] = []
         self.faulty_share = 0.0
         self.limited_share = 0.0
         self._launched: list[Process] = []
@@ -223,6 +228,13 @@
         await trio.sleep(after_s)
         await self.start_target(target)
 
+    async def _replace_ended(self, target: TargetProcess) -> None:
+        """Restart a target that has ended by itself, under a new id."""
+        await trio.sleep(ENTRY_EXPIRY_S)
+        self.store.remove(f"servers/{target.id}")
+        await trio.sleep(RESTART_S)
+        await self.start_target(target)
+
     async def drain_target(self, target: TargetProcess) -> None:
         """Announce a target as draining, end it after ``DRAIN_S``, and restart it."""
         process = target.process
@@ -347,9 +359,15 @@
             self.process_failures.append(_describe_exit(process))
             self.launch_host(host)
         for target in self.targets:
-            if target.process is not None and not target.process.running:
-                self.process_failures.append(_describe_exit(target.process))
-                target.process = None
+            process = target.process
+            if process is None or process.running:
+                continue
+            target.process = None
+            if process.popen.returncode == FATAL_EXIT:
+                self.fatal_ends.append((target.name, time.monotonic()))
+                self.nursery.start_soon(self._replace_ended, target)
+            else:
+                self.process_failures.append(_describe_exit(process))
 
     def read_memory(self, host: HostProcess) -> int:
         """Return the peak resident memory of a gateway's process, in bytes."""
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -78,7 +78,8 @@
 
     Faults begin within ``seconds`` and last at most ``longest_s``, if they have a
     duration; ``faults_per_s`` is their mean rate. ``limited_share`` is the share of
-    targets that state limits on their request rate.
+    targets that state limits on their request rate, ``fatal_per_s`` the rate of
+    requests with a part in their prompts that ends targets.
     """
 
     hosts: int
@@ -87,6 +88,7 @@
     faults_per_s: float = 0.8
     longest_s: float = FAULT_DURATIONS_S[-1]
     limited_share: float = 0.0
+    fatal_per_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/soak/run.py
+++ b/soak/run.py
@@ -16,7 +16,8 @@
 from .answers import RequestKind, Work
 from .callers import Caller, CallerLog, Outcome, exchange
 from .checks import AppliedFault, Evidence, Probe, Violation, check_all, read_records
-from .fleet import SERVICES, Fleet
+from .fatal import FATAL_PART, SHARED_PART
+from .fleet import ENTRY_EXPIRY_S, RESTART_S, SERVICES, Fleet
 from .plan import Disturbance, Fault, FaultKind, Sizes, draw_plan
 
 if TYPE_CHECKING:
@@ -71,6 +72,7 @@
     applied_faults: list[AppliedFault] = field(default_factory=list)
     probes: list[Probe] = field(default_factory=list)
     memory_bytes: int = 0
+    with_prompts: bool = False
     done: bool = False
     callers_active: bool = True
 
@@ -97,6 +99,7 @@
     fleet = run.fleet
     fleet.faulty_share = FAULTY_SHARE
     fleet.limited_share = sizes.limited_share
+    run.with_prompts = sizes.fatal_per_s > 0.0
     await _start(fleet, sizes)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_watch, run)
@@ -105,6 +108,8 @@
             for caller in _make_callers(run):
                 callers.start_soon(caller.run, lambda: run.callers_active)
             await trio.sleep(WARM_UP_S)
+            if run.with_prompts:
+                callers.start_soon(_send_fatal, run, sizes.fatal_per_s)
             async with trio.open_nursery() as faults:
                 started = trio.current_time()
                 for fault in plan:
@@ -139,7 +144,13 @@
 def _make_callers(run: Run) -> list[Caller]:
     endpoints = [host.endpoints for host in run.fleet.hosts]
     return [
-        Caller(run.caller_log, endpoints, home, random.Random(f"{run.seed}/{number}"))
+        Caller(
+            run.caller_log,
+            endpoints,
+            home,
+            random.Random(f"{run.seed}/{number}"),
+            run.with_prompts,
+        )
         for number, home in enumerate(endpoints * CALLERS_PER_HOST)
     ]
 
@@ -296,6 +307,34 @@
         run.probes.append(Probe(now, host.name, start, version, known))
 
 
+async def _send_fatal(run: Run, per_s: float) -> None:
+    """Send requests with a fatal part to random hosts until the faults are off."""
+    draw = random.Random(f"fatal/{run.seed}")
+    async with trio.open_nursery() as nursery:
+        while not run.fleet.faults_off_file.exists():
+            await trio.sleep(draw.expovariate(per_s))
+            nursery.start_soon(_ask_fatal, run, draw.choice(run.fleet.hosts))
+
+
+async def _ask_fatal(run: Run, host: HostProcess) -> None:
+    outcome = Outcome(
+        run.caller_log.next_id(),
+        Work(RequestKind.RESUMED, 3),
+        host.name,
+        time.monotonic(),
+        disconnected=True,
+        parts=(SHARED_PART, FATAL_PART),
+    )
+    run.caller_log.outcomes.append(outcome)
+    with trio.move_on_after(PROBE_TIMEOUT_S):
+        try:
+            async with await trio.open_tcp_stream(*host.caller_link.address) as stream:
+                await exchange(stream, outcome)
+        except OSError:
+            return
+    outcome.ended_at = time.monotonic()
+
+
 def _collect_evidence(run: Run, settled_at: float, directory: Path) -> Evidence:
     executions, running, limits = read_records(directory)
     fleet = run.fleet
@@ -303,6 +342,11 @@
     alive = {target.id for target in fleet.targets}
     if run.memory_bytes > MAX_MEMORY_BYTES:
         fleet.process_failures.append(f"a gateway held {run.memory_bytes >> 20} MB")
+    for name, at in fleet.fatal_ends:
+        # The end is noticed a moment later than it is, and lasts until the restart.
+        until = at + ENTRY_EXPIRY_S + RESTART_S
+        fault = AppliedFault("fatal-end", name, at - WATCH_INTERVAL_S * 2, until)
+        run.applied_faults.append(fault)
     return Evidence(
         outcomes=run.caller_log.outcomes,
         directory_answers=run.caller_log.directory_answers,
--- a/soak/target.py
+++ b/soak/target.py
@@ -26,6 +26,7 @@
 from standins.site import Seen, read_request
 
 from .answers import Work, make_body, make_event, read_path, sign
+from .fatal import FATAL_EXIT, has_fatal_part
 from .limits import draw_limits
 
 # Processing time of a plain request, and of one event of a stream.
@@ -89,6 +90,10 @@
             )
             return True
         await self._wait_for_slot()
+        if has_fatal_part(seen.headers.get("prompt-prefix", "")):
+            self._write_record("start", seen, "fatal")
+            await trio.sleep(EVENT_S)
+            os._exit(FATAL_EXIT)
         self.running += 1
         self._write_record("start", seen, fault)
         ending = "left"
--- a/src/lycheepath/core/placement/registry.py
+++ b/src/lycheepath/core/placement/registry.py
@@ -313,10 +313,9 @@
             speed.observe_read(took_s, request.unread_tokens + request.tokens_ahead)
         return target
 
-    def find_first_event_at(self, key: int) -> float | None:
-        """Return when the first event of an in-flight request came, or None."""
-        request = self._requests.get(key)
-        return None if request is None else request.first_event_at
+    def find_request(self, key: int) -> InFlightRequest | None:
+        """Return an in-flight request of this host, or None."""
+        return self._requests.get(key)
 
     def record_end(self, key: int, outcome: AttemptOutcome, now: float) -> None:
         """Record the outcome of a request."""
--- a/src/lycheepath/core/serving/crash_evidence.py
+++ b/src/lycheepath/core/serving/crash_evidence.py
@@ -1,19 +1,20 @@
 """
-Finds the parts of prompts that end the targets which serve them.
+Finds what the requests share that end the targets which serve them.
 
-One part of a prompt may end each target that begins to write an answer on it, whatever
-else the request holds. All requests that were in flight at a target that ended are
-suspected, with those of their parts that no complete answer has cleared. A part under
-which ``MAX_ENDS`` targets ended is blocked. Parts that were together in all of these
-requests can't be told apart; only requests that have all of them are refused, until
-one of them is seen elsewhere::
+A feature of a request is the request itself, or one part of its prompt. One of them may
+end each target that begins to write an answer, whatever else the request holds. All
+requests that were in flight at a target that ended are suspected, with those of their
+features that no complete answer has cleared. A feature under which ``MAX_ENDS`` targets
+ended is blocked. Features that were together in all of these requests can't be told
+apart; only requests that have all of them are refused, until one of them is seen
+elsewhere::
 
-    evidence = PartEvidence()
-    evidence.record_break(Instance("i-7f", 0), ("5c1e", "91bd"), now)
-    evidence.find_block(("5c1e", "91bd"), now)
+    evidence = CrashEvidence()
+    evidence.record_break(Instance("i-7f", 0), ("part 5c1e", "part 91bd"), now, sent_at)
+    evidence.find_block(("part 5c1e", "part 91bd"), now)
 
 Hosts share the evidence, not the decision: each report is merged, and a host that has
-seen a part in a complete answer says so.
+seen a feature in a complete answer says so.
 """
 
 from __future__ import annotations
@@ -25,28 +26,28 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
-# Number of targets that end under a part before it is blocked; two may be a coincidence
+# Number of targets that end under a feature before it is blocked; two may be a coincidence
 # when requests are sent to the same next target.
 MAX_ENDS = 3
-# Ends of targets within this time, in seconds, count as one: a request ends one target
-# after the other, a reset of connections breaks many at once.
+# Ends within this time, in seconds, count as one unless a request was sent between them:
+# a request ends one target after the other, a reset of connections breaks many at once.
 SAME_MOMENT_S = 0.1
-# Time after the first end under a part, in seconds, in which other hosts may say that
+# Time after the first end under a feature, in seconds, in which other hosts may say that
 # they have seen it in a complete answer.
 OBJECTION_S = 1.0
 # Time in seconds before an end, and at any time after it, within which a complete answer
-# clears a part.
+# clears a feature.
 CLEARED_S = 30.0
 # Time in seconds after which an end that blocks nothing is forgotten.
 FORGET_S = 60.0
-# Time in seconds until one request may try a blocked part again; each trial that ends a
+# Time in seconds until one request may try a blocked feature again; each trial that ends a
 # target multiplies it by ``BLOCK_GROWTH``.
 BLOCK_S = 300.0
 BLOCK_GROWTH = 10.0
 MAX_BLOCK_S = 21_600.0
-# The first such time for a part that never was the only suspect when a target ended.
+# The first such time for a feature that never was the only suspect when a target ended.
 UNCERTAIN_BLOCK_S = 30.0
-# Time in seconds after which a blocked part is forgotten that nobody has sent.
+# Time in seconds after which a blocked feature is forgotten that nobody has sent.
 FORGET_BLOCK_S = 86_400.0
 # Time in seconds after a break in which this host waits for a sign of life before it
 # shares the evidence.
@@ -60,7 +61,7 @@
 # Difference in seconds by which a reported answer must be newer than a known one; ages
 # grow by the delay of each message.
 MIN_NEWER_S = 1.0
-# Largest numbers of ends, of cleared parts, and of suspects of one end that are kept.
+# Largest numbers of ends, of cleared features, and of suspects of one end that are kept.
 MAX_KEPT_ENDS = 512
 MAX_CLEARED = 4096
 MAX_REQUESTS = 16
@@ -76,22 +77,24 @@
 @dataclass(frozen=True, slots=True)
 class TargetEnd:
     """
-    A target that ended, with the parts of each suspected request.
+    A target that ended, with the features of each suspected request.
 
-    ``age_s`` is the time since the end in seconds.
+    ``age_s`` is the time since the end in seconds, ``sent_age_s`` the time since the last
+    of these requests was sent there.
     """
 
     instance: Instance
     age_s: float
+    sent_age_s: float
     requests: tuple[tuple[str, ...], ...]
 
 
 @dataclass(frozen=True, slots=True)
-class PartReport:
+class CrashReport:
     """
     Evidence that a host shares with others, with ages in seconds.
 
-    ``cleared`` are the parts of complete answers, ``alive`` the instances that were
+    ``cleared`` are the features of complete answers, ``alive`` the instances that were
     heard from after their connections broke.
     """
 
@@ -104,15 +107,15 @@
 
 
 @dataclass(frozen=True, slots=True)
-class PartBlock:
+class CrashBlock:
     """
-    Why requests with a part are refused.
+    Why requests with a feature are refused.
 
-    ``together`` are the parts that a refused request has as well. ``targets`` ended
-    under the part, the last one at ``last_end_at``. A trial may start at ``until``.
+    ``together`` are the features that a refused request has as well. ``targets`` ended
+    under the feature, the last one at ``last_end_at``. A trial may start at ``until``.
     """
 
-    part: str
+    feature: str
     together: frozenset[str]
     targets: tuple[str, ...]
     last_end_at: float
@@ -121,32 +124,45 @@
 
 @dataclass(slots=True)
 class _End:
-    """An end: when it was, and from when it is shared with other hosts."""
+    """
+    An end: when it was, and from when it is shared with other hosts.
+
+    ``sent_at`` is when the last of the suspected requests was sent.
+    """
 
     at: float
+    sent_at: float
     shared_from: float
     requests: set[frozenset[str]] = field(default_factory=set)
 
 
-class PartEvidence:
-    """The ended targets with their suspects, and the parts that were cleared."""
+class CrashEvidence:
+    """The ended targets with their suspects, and the features that were cleared."""
 
     def __init__(self) -> None:
+        # Without other hosts nobody can object to a block.
+        self.has_peers = True
         self._ends: dict[Instance, _End] = {}
-        self._by_part: dict[str, set[Instance]] = {}
+        self._by_feature: dict[str, set[Instance]] = {}
         self._cleared: dict[str, float] = {}
         self._objections: dict[str, float] = {}
         self._alive: dict[Instance, tuple[float, float]] = {}
         self._trials: dict[str, float] = {}
 
     def record_break(
-        self, instance: Instance, parts: Sequence[str], now: float
+        self,
+        instance: Instance,
+        features: Sequence[str],
+        now: float,
+        sent_at: float | None = None,
     ) -> None:
         """Record that a target broke the connection of a request that it served."""
         alive = self._alive.get(instance)
         if alive is not None and now - alive[0] < ALIVE_FROM_S:
             return
-        self._add_end(instance, now, (frozenset(parts),), now, now + SETTLE_S)
+        sent_at = now if sent_at is None else sent_at
+        requests = (frozenset(features),)
+        self._add_end(instance, now, sent_at, requests, now, now + SETTLE_S)
 
     def list_unsettled(self, now: float) -> list[tuple[Instance, float]]:
         """Return the instances, and when they ended, that may still be alive."""
@@ -166,47 +182,49 @@
         _drop_oldest(self._alive, MAX_KEPT_ENDS)
         return True
 
-    def record_answer(self, parts: Iterable[str], now: float) -> None:
-        """Record a complete answer: its parts are cleared."""
-        for part in parts:
-            self._cleared.pop(part, None)
-            self._cleared[part] = now
-            if part in self._by_part:
-                self._clear(part, now, now)
+    def record_answer(self, features: Iterable[str], now: float) -> None:
+        """Record a complete answer: its features are cleared."""
+        for feature in features:
+            self._cleared.pop(feature, None)
+            self._cleared[feature] = now
+            if feature in self._by_feature:
+                self._clear(feature, now, now)
         _drop_oldest(self._cleared, MAX_CLEARED)
 
-    def find_block(self, parts: Sequence[str], now: float) -> PartBlock | None:
-        """Return why a request with these parts is refused, or None."""
-        if not self._by_part:
+    def find_block(self, features: Sequence[str], now: float) -> CrashBlock | None:
+        """Return why a request with these features is refused, or None."""
+        if not self._by_feature:
             return None
-        for part in parts:
-            block = self._find_part_block(part, now)
-            if block is not None and block.together.issubset(parts):
+        for feature in features:
+            block = self._find_feature_block(feature, now)
+            if block is not None and block.together.issubset(features):
                 return block
         return None
 
-    def start_trial(self, block: PartBlock, now: float) -> bool:
-        """Take the trial of a blocked part if it is due; return whether it was."""
+    def start_trial(self, block: CrashBlock, now: float) -> bool:
+        """Take the trial of a blocked feature if it is due; return whether it was."""
         if now < block.until:
             return False
-        self._trials.pop(block.part, None)
-        self._trials[block.part] = now
+        self._trials.pop(block.feature, None)
+        self._trials[block.feature] = now
         _drop_oldest(self._trials, MAX_KEPT_ENDS)
         return True
 
-    def list_blocks(self, now: float) -> list[PartBlock]:
-        """Return the blocks of all parts."""
-        blocks = (self._find_part_block(part, now) for part in list(self._by_part))
+    def list_blocks(self, now: float) -> list[CrashBlock]:
+        """Return the blocks of all features."""
+        blocks = (
+            self._find_feature_block(feature, now) for feature in list(self._by_feature)
+        )
         return [block for block in blocks if block is not None]
 
-    def apply_report(self, report: PartReport, now: float) -> None:
+    def apply_report(self, report: CrashReport, now: float) -> None:
         """Merge the evidence of another host."""
-        for part, age_s in report.cleared:
+        for feature, age_s in report.cleared:
             at = now - age_s
-            if at > self._cleared.get(part, float("-inf")) + MIN_NEWER_S:
-                self._cleared.pop(part, None)
-                self._cleared[part] = at
-                self._clear(part, at, now)
+            if at > self._cleared.get(feature, float("-inf")) + MIN_NEWER_S:
+                self._cleared.pop(feature, None)
+                self._cleared[feature] = at
+                self._clear(feature, at, now)
         _drop_oldest(self._cleared, MAX_CLEARED)
         for instance, age_s in report.alive:
             known = self._ends.get(instance)
@@ -215,16 +233,19 @@
             if known is not None and known.at <= now - age_s:
                 self._remove_end(instance)
         for end in report.ends:
-            requests = tuple(frozenset(parts) for parts in end.requests)
-            self._add_end(end.instance, now - end.age_s, requests, now, now)
+            requests = tuple(frozenset(features) for features in end.requests)
+            at, sent_at = now - end.age_s, now - end.sent_age_s
+            self._add_end(end.instance, at, sent_at, requests, now, now)
 
-    def report(self, now: float, since: float, max_ends: int) -> PartReport:
+    def report(self, now: float, since: float, max_ends: int) -> CrashReport:
         """
         Return the evidence that has changed since a time, to share with other hosts.
 
-        Ends under blocked parts come first, then the latest.
+        Ends under blocked features come first, then the latest.
         """
-        blocking = {i for b in self.list_blocks(now) for i in self._by_part[b.part]}
+        blocking = {
+            i for b in self.list_blocks(now) for i in self._by_feature[b.feature]
+        }
         changed = [
             (instance, end)
             for instance, end in self._ends.items()
@@ -233,25 +254,28 @@
         changed.sort(key=lambda item: (item[0] not in blocking, -item[1].at))
         ends = tuple(
             TargetEnd(
-                instance, now - end.at, tuple(tuple(sorted(r)) for r in end.requests)
+                instance,
+                now - end.at,
+                now - end.sent_at,
+                tuple(tuple(sorted(r)) for r in end.requests),
             )
             for instance, end in changed[:max_ends]
         )
         cleared = tuple(
-            (part, now - self._cleared[part])
-            for part, at in self._objections.items()
-            if at >= since and part in self._cleared
+            (feature, now - self._cleared[feature])
+            for feature, at in self._objections.items()
+            if at >= since and feature in self._cleared
         )
         alive = tuple(
             (instance, now - at)
             for instance, (at, changed_at) in self._alive.items()
             if changed_at >= since
         )
-        return PartReport(ends, cleared[-max_ends:], alive[-max_ends:])
+        return CrashReport(ends, cleared[-max_ends:], alive[-max_ends:])
 
     def expire(self, now: float) -> None:
         """Forget what is old and blocks nothing."""
-        keep = {i for b in self.list_blocks(now) for i in self._by_part[b.part]}
+        keep = {i for b in self.list_blocks(now) for i in self._by_feature[b.feature]}
         old = [
             instance
             for instance, end in self._ends.items()
@@ -278,6 +302,7 @@
         self,
         instance: Instance,
         at: float,
+        sent_at: float,
         requests: Iterable[frozenset[str]],
         now: float,
         shared_from: float,
@@ -285,56 +310,57 @@
         alive = self._alive.get(instance)
         if alive is not None and at <= alive[0]:
             return
-        suspects = {self._drop_cleared(parts, at, now) for parts in requests}
+        suspects = {self._drop_cleared(features, at, now) for features in requests}
         suspects.discard(frozenset())
         if not suspects:
             return
         end = self._ends.get(instance)
         if end is None:
-            end = self._ends[instance] = _End(at, shared_from)
+            end = self._ends[instance] = _End(at, sent_at, shared_from)
         new = suspects - end.requests
         room = max(0, MAX_REQUESTS - len(end.requests))
-        for parts in sorted(new, key=self._rank_suspect)[:room]:
-            end.requests.add(parts)
+        for features in sorted(new, key=self._rank_suspect)[:room]:
+            end.requests.add(features)
             end.shared_from = shared_from
-            for part in parts:
-                self._by_part.setdefault(part, set()).add(instance)
+            for feature in features:
+                self._by_feature.setdefault(feature, set()).add(instance)
         end.at = min(end.at, at)
+        end.sent_at = min(end.at, max(end.sent_at, sent_at))
 
     def _drop_cleared(
-        self, parts: frozenset[str], at: float, now: float
+        self, features: frozenset[str], at: float, now: float
     ) -> frozenset[str]:
-        """Return the parts that no complete answer clears of an end; object to it."""
+        """Return the features that no complete answer clears of an end; object to it."""
         cleared = {
-            part
-            for part in parts
-            if self._cleared.get(part, float("-inf")) > at - CLEARED_S
+            feature
+            for feature in features
+            if self._cleared.get(feature, float("-inf")) > at - CLEARED_S
         }
-        for part in cleared:
-            self._objections[part] = now
-        return parts - cleared
-
-    def _rank_suspect(self, parts: frozenset[str]) -> tuple[int, list[str]]:
-        """Order suspects: those whose parts were at most ends before come first."""
-        ends = max(len(self._by_part.get(part, ())) for part in parts)
-        return -ends, sorted(parts)
-
-    def _clear(self, part: str, at: float, now: float) -> None:
-        """Remove a part from the suspects of all ends that a complete answer clears."""
-        for instance in list(self._by_part.get(part, ())):
+        for feature in cleared:
+            self._objections[feature] = now
+        return features - cleared
+
+    def _rank_suspect(self, features: frozenset[str]) -> tuple[int, list[str]]:
+        """Order suspects: those whose features were at most ends before come first."""
+        ends = max(len(self._by_feature.get(feature, ())) for feature in features)
+        return -ends, sorted(features)
+
+    def _clear(self, feature: str, at: float, now: float) -> None:
+        """Remove a feature from the suspects of all ends that a complete answer clears."""
+        for instance in list(self._by_feature.get(feature, ())):
             end = self._ends[instance]
             if at <= end.at - CLEARED_S:
                 continue
-            self._objections[part] = now
-            end.requests = {r - {part} for r in end.requests} - {frozenset()}
-            self._by_part[part].discard(instance)
+            self._objections[feature] = now
+            end.requests = {r - {feature} for r in end.requests} - {frozenset()}
+            self._by_feature[feature].discard(instance)
             if not end.requests:
                 self._remove_end(instance)
-        if not self._by_part.get(part, True):
-            del self._by_part[part]
+        if not self._by_feature.get(feature, True):
+            del self._by_feature[feature]
 
-    def _find_part_block(self, part: str, now: float) -> PartBlock | None:
-        instances = self._by_part.get(part, set())
+    def _find_feature_block(self, feature: str, now: float) -> CrashBlock | None:
+        instances = self._by_feature.get(feature, set())
         if len(instances) < MAX_ENDS:
             return None
         ends = sorted(
@@ -343,31 +369,33 @@
         moments = 0
         last_at = float("-inf")
         for end, _ in ends:
-            if end.at - last_at >= SAME_MOMENT_S:
+            if end.at - last_at >= SAME_MOMENT_S or end.sent_at > last_at:
                 moments += 1
                 last_at = end.at
-        if moments < MAX_ENDS or now - ends[0][0].at < OBJECTION_S:
+        if moments < MAX_ENDS:
+            return None
+        if self.has_peers and now - ends[0][0].at < OBJECTION_S:
             return None
-        requests = [r for end, _ in ends for r in end.requests if part in r]
-        together = frozenset.intersection(*requests) - {part}
-        certain = any(all(part in r for r in end.requests) for end, _ in ends)
+        requests = [r for end, _ in ends for r in end.requests if feature in r]
+        together = frozenset.intersection(*requests) - {feature}
+        certain = any(all(feature in r for r in end.requests) for end, _ in ends)
         last_at = ends[-1][0].at
         until = last_at + _find_block_s([end.at for end, _ in ends], certain)
-        trial_at = self._trials.get(part)
+        trial_at = self._trials.get(feature)
         if trial_at is not None and until <= trial_at:
             until = trial_at + TRIAL_S
         targets = tuple(target for _, target in ends)
-        return PartBlock(part, together, targets, last_at, until)
+        return CrashBlock(feature, together, targets, last_at, until)
 
     def _remove_end(self, instance: Instance) -> None:
         end = self._ends.pop(instance)
-        for part in {part for parts in end.requests for part in parts}:
-            instances = self._by_part.get(part)
+        for feature in {feature for features in end.requests for feature in features}:
+            instances = self._by_feature.get(feature)
             if instances is None:
                 continue
             instances.discard(instance)
             if not instances:
-                del self._by_part[part]
+                del self._by_feature[feature]
 
 
 def _find_block_s(ends: Sequence[float], certain: bool) -> float:
--- a/src/lycheepath/gateway/containment.py
+++ b/src/lycheepath/gateway/containment.py
@@ -1,30 +1,30 @@
 """
-Refuses requests with a part of their prompts that ends the targets which serve them.
+Refuses requests that end the targets which serve them.
 
-Connections that break and answers that complete become evidence here, and hosts share
-it with their heartbeats. Whether an answer without framing was complete, its end alone
-doesn't show: its parts are cleared once the same target is heard from again, and it is
-a break if the target has ended.
+They may have nothing in common but one part of their prompts. Connections that break
+and answers that complete become evidence here, and hosts share it with their heartbeats.
+Whether an answer without framing was complete, its end alone doesn't show: its features
+are cleared once the same target is heard from again, and it is a break if the target has
+ended.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass
-from hashlib import blake2b
 from typing import TYPE_CHECKING
 
+from ..adapters.crash_messages import encode_crash_report
 from ..adapters.events import record_event
-from ..adapters.evidence_messages import encode_part_report
 from ..core.hosts.rendezvous import rank
 from ..core.reasons import Absent, Reason
-from ..core.serving.part_evidence import (
+from ..core.serving.crash_evidence import (
     ALIVE_FROM_S,
     ALIVE_UNTIL_S,
     TRIAL_S,
+    CrashBlock,
+    CrashEvidence,
+    CrashReport,
     Instance,
-    PartBlock,
-    PartEvidence,
-    PartReport,
 )
 
 if TYPE_CHECKING:
@@ -44,8 +44,6 @@
 # Largest number of ends in a report, and its largest size.
 MAX_REPORTED_ENDS = 24
 MAX_REPORT_BYTES = 8192
-# Longest id of a part that is kept as it is; longer ones are replaced by a digest.
-MAX_PART_LENGTH = 32
 # Time in seconds for which an answer without framing waits for a sign of life.
 UNPROVEN_S = 6.0
 # Largest number of such answers at all targets.
@@ -58,50 +56,47 @@
 
     instance: Instance
     at: float
-    parts: tuple[str, ...]
-    fingerprint: int
+    features: tuple[str, ...]
 
 
-class PartContainment:
+class Containment:
     """State: the evidence, unproven answers, and what was logged and shared."""
 
     def __init__(self, node: GatewayNode) -> None:
         self._node = node
-        self.evidence = PartEvidence()
+        self.evidence = CrashEvidence()
+        self.evidence.has_peers = False
         self._unproven: list[_UnprovenAnswer] = []
-        self._blocked: dict[str, PartBlock] = {}
+        self._blocked: dict[str, CrashBlock] = {}
         self._full_report_at: dict[str, float] = {}
 
     def count_blocked(self) -> int:
-        """Return the number of blocked parts."""
+        """Return the number of blocked features."""
         return len(self._blocked)
 
     def find_refusal(self, exchange: Exchange) -> Absent | None:
-        """Return why a request is refused for a part of its prompt, or None."""
-        parts = _list_parts(exchange)
-        if not parts:
-            return None
+        """Return why a request is refused since it would end a target, or None."""
         node = self._node
         now = node.now()
-        block = self.evidence.find_block(parts, now)
+        block = self.evidence.find_block(exchange.features, now)
         if block is None:
             return None
         if exchange.on_trial or self._may_try(block, exchange, now):
             return None
         age_s = now - block.last_end_at
         wait_s = max(block.until - now, TRIAL_S)
-        node.metrics.count("part_refusals_total")
+        node.metrics.count("suspect_refusals_total")
         record_event(
-            "part-refused",
+            "suspect-refused",
             request=exchange.request_head.id,
-            part=block.part,
+            feature=block.feature,
             together=sorted(block.together),
             targets=block.targets,
             last_end_s_ago=round(age_s, 3),
             for_s=round(wait_s, 3),
         )
         detail = (
-            f"{len(block.targets)} targets ended under part {block.part} of the prompt,"
+            f"targets went down under {block.feature}: {len(block.targets)} of them,"
             f" the last {age_s:.1f} s ago"
         )
         return Absent(Reason.QUARANTINED, wait_s, detail)
@@ -110,13 +105,14 @@
         """Record that a target ended the connection of a request that it served."""
         node = self._node
         now = node.now()
-        began_at = node.registry.find_first_event_at(exchange.number)
-        if _is_leaving(target, now):
+        request = node.registry.find_request(exchange.number)
+        if request is None or _is_leaving(target, now):
             return
+        began_at = request.first_event_at
         if began_at is None or now - began_at < BEGUN_S:
-            parts = _list_parts(exchange)
-            if parts:
-                self.evidence.record_break(_name_instance(target), parts, now)
+            self.evidence.record_break(
+                _name_instance(target), exchange.features, now, request.sent_at
+            )
         self._fail_unproven(_name_instance(target), now)
 
     def record_refused_connection(self, target: TargetState) -> None:
@@ -127,15 +123,12 @@
         """Record an answer that has ended without an error."""
         node = self._node
         now = node.now()
-        parts = _list_parts(exchange)
         if exchange.ended_with_connection:
-            answer = _UnprovenAnswer(
-                _name_instance(target), now, parts, exchange.fingerprint
-            )
+            answer = _UnprovenAnswer(_name_instance(target), now, exchange.features)
             self._unproven.append(answer)
             del self._unproven[:-MAX_UNPROVEN]
             return
-        self._record_proven(target.entry.id, parts, exchange.fingerprint, now)
+        self.evidence.record_answer(exchange.features, now)
         self.record_contact(target)
 
     def record_contact(self, target: TargetState) -> None:
@@ -153,14 +146,15 @@
         ]
         for answer in proven:
             self._unproven.remove(answer)
-            self._record_proven(instance.target, answer.parts, answer.fingerprint, now)
+            self.evidence.record_answer(answer.features, now)
 
-    def apply_report(self, report: PartReport) -> None:
+    def apply_report(self, report: CrashReport) -> None:
         """Merge the evidence of another host."""
         self.evidence.apply_report(report, self._node.now())
 
     def update(self, now: float) -> None:
         """Look for signs of life, forget old evidence, and log changed blocks."""
+        self.evidence.has_peers = bool(self._node.peers.view.live_hosts(now))
         for instance, ended_at in self.evidence.list_unsettled(now):
             target = self._node.registry.targets.get(instance.target)
             if target is None or _name_instance(target) != instance:
@@ -169,19 +163,19 @@
                 self.record_contact(target)
         self._unproven = [a for a in self._unproven if now - a.at <= UNPROVEN_S]
         self.evidence.expire(now)
-        blocked = {block.part: block for block in self.evidence.list_blocks(now)}
-        for part, block in blocked.items():
-            if part not in self._blocked:
+        blocked = {block.feature: block for block in self.evidence.list_blocks(now)}
+        for feature, block in blocked.items():
+            if feature not in self._blocked:
                 record_event(
-                    "part-blocked",
-                    subject=part,
+                    "suspect-blocked",
+                    subject=feature,
                     together=sorted(block.together),
                     targets=block.targets,
                     last_end_s_ago=round(now - block.last_end_at, 3),
                     for_s=round(block.until - now, 3),
                 )
-        for part in self._blocked.keys() - blocked.keys():
-            record_event("part-unblocked", subject=part)
+        for feature in self._blocked.keys() - blocked.keys():
+            record_event("suspect-unblocked", subject=feature)
         self._blocked = blocked
 
     def write_new_evidence(self, now: float) -> bytes:
@@ -204,31 +198,27 @@
             report = self.evidence.report(now, since, max_ends)
             if not report:
                 return b""
-            data = encode_part_report(report)
+            data = encode_crash_report(report)
             if len(data) <= MAX_REPORT_BYTES:
                 return data
-        self._node.metrics.count("part_reports_too_large_total")
+        self._node.metrics.count("crash_reports_too_large_total")
         return b""
 
-    def _may_try(self, block: PartBlock, exchange: Exchange, now: float) -> bool:
-        """Whether a request tries a blocked part; only one host lets it, when due."""
+    def _may_try(self, block: CrashBlock, exchange: Exchange, now: float) -> bool:
+        """Whether a request tries what is blocked; only one host lets it, when due."""
         if now < block.until:
             return False
         node = self._node
         hosts = [row.id for row in node.peers.view.live_hosts(now)]
-        owner = rank(block.part, [*hosts, node.settings.host])[0]
+        owner = rank(block.feature, [*hosts, node.settings.host])[0]
         if owner != node.settings.host or not self.evidence.start_trial(block, now):
             return False
         exchange.on_trial = True
-        record_event("part-trial", request=exchange.request_head.id, part=block.part)
+        record_event(
+            "suspect-trial", request=exchange.request_head.id, feature=block.feature
+        )
         return True
 
-    def _record_proven(
-        self, target_id: str, parts: tuple[str, ...], fingerprint: int, now: float
-    ) -> None:
-        self.evidence.record_answer(parts, now)
-        self._node.suspects.record_answer(fingerprint, target_id, now)
-
     def _fail_unproven(self, instance: Instance, now: float) -> None:
         """Take the latest answers of a target that has ended for broken."""
         failed = [
@@ -238,20 +228,7 @@
         ]
         for answer in failed:
             self._unproven.remove(answer)
-            if answer.parts:
-                self.evidence.record_break(instance, answer.parts, now)
-            self._node.suspects.record_disconnect(
-                answer.fingerprint, instance.target, now
-            )
-
-
-def _list_parts(exchange: Exchange) -> tuple[str, ...]:
-    return tuple(
-        part
-        if len(part) <= MAX_PART_LENGTH
-        else blake2b(part.encode(), digest_size=12).hexdigest()
-        for part in exchange.shared_parts
-    )
+            self.evidence.record_break(instance, answer.features, now)
 
 
 def _name_instance(target: TargetState) -> Instance:
--- a/src/lycheepath/gateway/exchange.py
+++ b/src/lycheepath/gateway/exchange.py
@@ -8,7 +8,7 @@
 from ..core.placement.model import NO_PREVIOUS_ATTEMPTS, PreviousAttempts
 from ..core.serving.attempts import AttemptCounts
 from ..core.serving.events import EventSplitter
-from ..core.serving.suspects import fingerprint_request
+from ..core.serving.fingerprints import list_features
 
 if TYPE_CHECKING:
     from ..adapters.http1.downstream import CallerConnection, ReceivedRequest
@@ -54,7 +54,7 @@
     attempts: AttemptCounts = field(default_factory=AttemptCounts)
     previous_attempts: PreviousAttempts = NO_PREVIOUS_ATTEMPTS
     cutter: EventSplitter = field(init=False)
-    fingerprint: int = field(init=False)
+    features: tuple[str, ...] = field(init=False)
     failed_answer: FailedAnswer | None = None
     reported_load: ReportedLoad | None = None
     reason: str = ""
@@ -71,8 +71,8 @@
     def __post_init__(self) -> None:
         self.cutter = EventSplitter(self.request_head.last_event_id)
         request = self.request
-        self.fingerprint = fingerprint_request(
-            request.method, request.target, request.body
+        self.features = list_features(
+            request.method, request.target, request.body, self.shared_parts
         )
 
     @property
--- a/src/lycheepath/gateway/node.py
+++ b/src/lycheepath/gateway/node.py
@@ -29,8 +29,7 @@
 from ..core.reasons import Absent, Reason
 from ..core.retries.window import RetryWindow
 from ..core.serving.startup import find_hold_s
-from ..core.serving.suspects import Suspects
-from .containment import PartContainment
+from .containment import Containment
 from .coordination import REPORT_INTERVAL_S, TargetCoordination
 from .discovery import StoreFollower
 from .inactivity import InactivityMonitor
@@ -95,9 +94,8 @@
     peers: Peers = field(init=False)
     coordination: TargetCoordination = field(init=False)
     permits: RatePermits = field(init=False)
-    containment: PartContainment = field(init=False)
+    containment: Containment = field(init=False)
     store: StoreFollower = field(init=False)
-    suspects: Suspects = field(default_factory=Suspects)
     inactivity: InactivityMonitor = field(default_factory=InactivityMonitor)
     _context: tuple[float, PlacementContext] = NO_CONTEXT
     region_rtt_s: dict[str, float] = field(default_factory=dict)
@@ -118,7 +116,7 @@
         self.peers = Peers(self)
         self.coordination = TargetCoordination(self)
         self.permits = RatePermits(self)
-        self.containment = PartContainment(self)
+        self.containment = Containment(self)
         self.store = StoreFollower(self)
         self.registry.unsynchronized_until = self.now() + SYNCHRONIZATION_S
 
--- a/src/lycheepath/gateway/peers.py
+++ b/src/lycheepath/gateway/peers.py
@@ -7,8 +7,8 @@
 
 import trio
 
+from ..adapters.crash_messages import decode_crash_report, is_crash_report
 from ..adapters.events import record_event
-from ..adapters.evidence_messages import decode_part_report, is_part_report
 from ..adapters.heartbeats import (
     BeatError,
     Heartbeat,
@@ -26,11 +26,6 @@
 # If the sender wakes up this much late, the process was paused rather than busy.
 PROCESS_PAUSE_S = 1.0
 RECEIVE_BYTES = 65_536
-# Time for which a broken request is repeated in heartbeats, so that a single lost
-# datagram matters little.
-SUSPECT_REPORT_S = 0.5
-# Largest number of suspect requests in one heartbeat.
-MAX_SUSPECTS = 16
 # Time for which a draining or replaced target is repeated in heartbeats. In a region
 # of 30 hosts nearly all hosts have received it by then.
 GONE_REPORT_S = 2.0
@@ -118,12 +113,8 @@
         node = self._node
         view = self.view
         local_row = view.local_row
-        suspects = tuple(
-            (number, tuple(targets))
-            for number, targets in node.suspects.list_recent(now, SUSPECT_REPORT_S)
-        )[:MAX_SUSPECTS]
         common = (
-            suspects,
+            (),
             node.registry.list_gone_targets(now, GONE_REPORT_S),
             node.store.catalog_status(now),
         )
@@ -185,8 +176,8 @@
             await self._node.coordination.handle_message(decode_message(fields))
         elif is_limit_message(fields[0]):
             await self._node.permits.handle_message(decode_limit_message(fields))
-        elif is_part_report(fields[0]):
-            self._node.containment.apply_report(decode_part_report(fields))
+        elif is_crash_report(fields[0]):
+            self._node.containment.apply_report(decode_crash_report(fields))
         else:
             await self._apply_heartbeat(decode_heartbeat_fields(fields), now)
 
@@ -202,9 +193,6 @@
                 node.registry.region_waits.apply_report(
                     heartbeat.sender.region, queue, wait_s, now
                 )
-        for number, targets in heartbeat.suspects:
-            for target_id in targets:
-                node.suspects.record_disconnect(number, target_id, now)
         for target_id in heartbeat.gone_targets:
             node.registry.apply_gone_report(target_id, now)
 
--- a/src/lycheepath/gateway/sending.py
+++ b/src/lycheepath/gateway/sending.py
@@ -109,7 +109,6 @@
     node: GatewayNode, exchange: Exchange, placed: Placement
 ) -> SendOutcome:
     address = parse_address(placed.target.entry.address)
-    target_id = placed.target.entry.id
     try:
         upstream = await node.pool.acquire(address, CONNECT_TIMEOUT_S, node.now())
     except ConnectError as error:
@@ -133,7 +132,6 @@
             reusable = False
         return outcome
     except BrokenAnswerError as error:
-        node.suspects.record_disconnect(exchange.fingerprint, target_id, node.now())
         if error.connection_ended:
             node.containment.record_break(exchange, placed.target)
         return SendOutcome(AttemptResult.LOST, AttemptOutcome.FAILED, str(error))
--- a/src/lycheepath/gateway/serving.py
+++ b/src/lycheepath/gateway/serving.py
@@ -17,7 +17,7 @@
 from ..adapters.events import record_event
 from ..adapters.http1.downstream import CallerGoneError
 from ..core.catalog.routes import draw_service
-from ..core.reasons import Absent, Reason
+from ..core.reasons import Absent
 from ..core.serving.attempts import AttemptResult, may_send_again
 from ..platform.headers import read_request
 from .exchange import Exchange
@@ -118,12 +118,6 @@
 
 async def _run(node: GatewayNode, exchange: Exchange) -> None:
     while True:
-        barred_s = node.suspects.find_blocked_s(exchange.fingerprint, node.now())
-        if barred_s > 0.0:
-            detail = "targets went down under this request"
-            refusal = Absent(Reason.QUARANTINED, barred_s, detail)
-            await _give_up(node, exchange, refusal)
-            return
         await _wait_for_targets(node, exchange)
         blocked = node.containment.find_refusal(exchange)
         if blocked is not None:
--- a/src/lycheepath/gateway/telemetry.py
+++ b/src/lycheepath/gateway/telemetry.py
@@ -22,7 +22,7 @@
     metrics.watch_gauge("store_revision", lambda: float(node.catalog.revision))
     metrics.watch_gauge("targets_known", lambda: float(len(node.registry.targets)))
     metrics.watch_gauge(
-        "parts_blocked", lambda: float(node.containment.count_blocked())
+        "suspects_blocked", lambda: float(node.containment.count_blocked())
     )
     metrics.watch_gauge("targets_limited", lambda: float(count_limited(node.registry)))
     metrics.watch_gauge(
--- a/tests/core/serving/test_crash_evidence.py
+++ b/tests/core/serving/test_crash_evidence.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from lycheepath.core.serving.part_evidence import (
+from lycheepath.core.serving.crash_evidence import (
     ALIVE_FROM_S,
     ALIVE_UNTIL_S,
     BLOCK_S,
@@ -16,9 +16,9 @@
     OBJECTION_S,
     SAME_MOMENT_S,
     UNCERTAIN_BLOCK_S,
+    CrashEvidence,
+    CrashReport,
     Instance,
-    PartEvidence,
-    PartReport,
 )
 
 if TYPE_CHECKING:
@@ -34,32 +34,32 @@
 
 
 def record_ends(
-    evidence: PartEvidence,
-    parts: Sequence[str],
+    evidence: CrashEvidence,
+    features: Sequence[str],
     count: int = MAX_ENDS,
     first: int = 0,
     step_s: float = STEP_S,
 ) -> float:
-    """Record ends under one request's parts; return a time after the last one."""
+    """Record ends under one request's features; return a time after the last one."""
     for number in range(first, first + count):
-        evidence.record_break(instance(number), parts, number * step_s)
+        evidence.record_break(instance(number), features, number * step_s)
     return (first + count - 1) * step_s + OBJECTION_S
 
 
 def test_part_under_which_several_targets_ended_is_blocked() -> None:
-    evidence = PartEvidence()
+    evidence = CrashEvidence()
     for number in range(MAX_ENDS):
         assert evidence.find_block((FIRST, BAD), number * STEP_S) is None
         evidence.record_break(instance(number), (f"f{number}", BAD), number * STEP_S)
     block = evidence.find_block((FIRST, BAD), MAX_ENDS * STEP_S)
     assert block is not None
-    assert (block.part, block.together) == (BAD, frozenset())
+    assert (block.feature, block.together) == (BAD, frozenset())
     assert block.targets == ("i-0", "i-1", "i-2")
     assert evidence.find_block((FIRST,), MAX_ENDS * STEP_S) is None
 
 
 def test_requests_without_the_suspected_combination_are_not_refused() -> None:
-    evidence = PartEvidence()
+    evidence = CrashEvidence()
     now = record_ends(evidence, (FIRST, BAD))
     assert evidence.find_block((FIRST, BAD), now)
     assert evidence.find_block((FIRST, OTHER), now) is None
@@ -67,17 +67,17 @@
 
 
 def test_answer_with_one_of_two_suspected_parts_leaves_the_other() -> None:
-    evidence = PartEvidence()
+    evidence = CrashEvidence()
     now = record_ends(evidence, (FIRST, BAD))
     evidence.record_answer((FIRST, OTHER), now)
     block = evidence.find_block((OTHER, BAD), now)
     assert block is not None
-    assert block.part == BAD
+    assert block.feature == BAD
     assert evidence.find_block((FIRST, OTHER), now) is None
 
 
 def test_suspected_part_in_other_company_is_the_only_one_left() -> None:
-    evidence = PartEvidence()
+    evidence = CrashEvidence()
     now = record_ends(evidence, (FIRST, BAD))
     evidence.record_break(instance(9), (OTHER, BAD), now)
     assert evidence.find_block((BAD,), now)
@@ -85,7 +85,7 @@
 
 
 def test_part_that_was_answered_shortly_before_is_not_suspected() -> None:
-    evidence = PartEvidence()
+    evidence = CrashEvidence()
     evidence.record_answer((FIRST,), 0.0)
     now = record_ends(evidence, (FIRST,))
     assert evidence.find_block((FIRST,), now) is None
@@ -95,27 +95,45 @@
 
 
 def test_broken_connections_to_one_target_do_not_block() -> None:
-    evidence = PartEvidence()
+    evidence = CrashEvidence()
     for number in range(10):
         evidence.record_break(instance(1), (BAD,), number * STEP_S)
     assert evidence.find_block((BAD,), 10.0) is None
 
 
 def test_restarted_targets_under_one_id_count_as_several() -> None:
-    evidence = PartEvidence()
+    evidence = CrashEvidence()
     for born_ms in range(1, MAX_ENDS + 1):
         evidence.record_break(Instance("i-1", born_ms), (BAD,), born_ms * STEP_S)
     assert evidence.find_block((BAD,), 10.0)
 
 
 def test_connections_that_break_at_the_same_moment_do_not_block() -> None:
-    evidence = PartEvidence()
-    record_ends(evidence, (BAD,), count=9, step_s=SAME_MOMENT_S / 10)
+    evidence = CrashEvidence()
+    for number in range(9):
+        at = number * SAME_MOMENT_S / 10
+        evidence.record_break(instance(number), (BAD,), at, sent_at=-1.0)
     assert evidence.find_block((BAD,), OBJECTION_S + 1.0) is None
 
 
+def test_request_that_is_sent_again_at_once_ends_one_target_after_the_other() -> None:
+    evidence = CrashEvidence()
+    for number in range(MAX_ENDS):
+        at = number * SAME_MOMENT_S / 10
+        evidence.record_break(instance(number), (BAD,), at, sent_at=at - 0.002)
+    assert evidence.find_block((BAD,), OBJECTION_S)
+
+
+def test_host_without_peers_waits_for_no_objection() -> None:
+    evidence = CrashEvidence()
+    record_ends(evidence, (BAD,), step_s=OBJECTION_S / 10)
+    assert evidence.find_block((BAD,), OBJECTION_S / 2) is None
+    evidence.has_peers = False
+    assert evidence.find_block((BAD,), OBJECTION_S / 2)
+
+
 def test_target_that_is_heard_from_did_not_end() -> None:
-    evidence = PartEvidence()
+    evidence = CrashEvidence()
     now = record_ends(evidence, (BAD,), count=MAX_ENDS)
     last = instance(MAX_ENDS - 1)
     broke_at = (MAX_ENDS - 1) * STEP_S
@@ -127,7 +145,7 @@
 
 
 def test_sign_of_life_holds_against_reports_of_the_same_break() -> None:
-    evidence, other = PartEvidence(), PartEvidence()
+    evidence, other = CrashEvidence(), CrashEvidence()
     other.record_break(instance(1), (BAD,), 0.0)
     report = other.report(0.4, 0.0, 8)
     evidence.apply_report(report, 0.4)
@@ -139,7 +157,7 @@
 
 
 def test_evidence_of_several_hosts_adds_up() -> None:
-    hosts = [PartEvidence() for _ in range(MAX_ENDS)]
+    hosts = [CrashEvidence() for _ in range(MAX_ENDS)]
     for number, evidence in enumerate(hosts):
         evidence.record_break(instance(number), (BAD,), number * STEP_S)
     now = MAX_ENDS * STEP_S + OBJECTION_S
@@ -150,18 +168,18 @@
 
 
 def test_host_that_has_seen_an_answer_objects_to_a_block() -> None:
-    suspecting, answering = PartEvidence(), PartEvidence()
+    suspecting, answering = CrashEvidence(), CrashEvidence()
     answering.record_answer((FIRST,), 0.0)
     now = record_ends(suspecting, (FIRST, BAD))
     answering.apply_report(suspecting.report(now, 0.0, 8), now)
     suspecting.apply_report(answering.report(now, 0.0, 8), now)
     block = suspecting.find_block((FIRST, BAD), now)
     assert block is not None
-    assert (block.part, block.together) == (BAD, frozenset())
+    assert (block.feature, block.together) == (BAD, frozenset())
 
 
 def test_reports_do_not_circulate_forever() -> None:
-    hosts = [PartEvidence() for _ in range(3)]
+    hosts = [CrashEvidence() for _ in range(3)]
     record_ends(hosts[0], (FIRST, BAD))
     hosts[1].record_answer((FIRST,), 4.0)
     now = 5.0
@@ -175,7 +193,7 @@
 
 
 def test_blocked_part_is_tried_by_one_request_when_its_time_is_over() -> None:
-    evidence = PartEvidence()
+    evidence = CrashEvidence()
     now = record_ends(evidence, (BAD,))
     block = evidence.find_block((BAD,), now)
     assert block is not None
@@ -193,7 +211,7 @@
 
 
 def test_part_that_never_was_alone_is_tried_soon() -> None:
-    evidence = PartEvidence()
+    evidence = CrashEvidence()
     for number in range(MAX_ENDS):
         evidence.record_break(instance(number), (BAD,), number * STEP_S)
         evidence.record_break(instance(number), (OTHER,), number * STEP_S)
@@ -207,7 +225,7 @@
 
 
 def test_old_evidence_is_forgotten_unless_it_blocks() -> None:
-    evidence = PartEvidence()
+    evidence = CrashEvidence()
     now = record_ends(evidence, (BAD,))
     evidence.record_break(instance(50), (OTHER,), now)
     evidence.expire(now + FORGET_S + 1.0)
@@ -216,11 +234,11 @@
 
 
 def test_size_of_the_evidence_is_bounded_and_blocks_are_kept_longest() -> None:
-    evidence = PartEvidence()
+    evidence = CrashEvidence()
     now = record_ends(evidence, (BAD,))
     for number in range(2 * MAX_KEPT_ENDS):
-        parts = tuple(f"p{number}-{part}" for part in range(8))
-        evidence.record_break(instance(100 + number), parts, now + number / 1000)
+        features = tuple(f"p{number}-{feature}" for feature in range(8))
+        evidence.record_break(instance(100 + number), features, now + number / 1000)
     late = now + 10.0
     evidence.expire(late)
     assert len(evidence.report(late, 0.0, 10**6).ends) == MAX_KEPT_ENDS
@@ -228,17 +246,17 @@
 
 
 def test_empty_evidence_reports_nothing() -> None:
-    evidence = PartEvidence()
+    evidence = CrashEvidence()
     evidence.record_answer((FIRST,), 1.0)
     assert not evidence.report(1.0, 0.0, 8)
-    assert not PartReport()
+    assert not CrashReport()
 
 
 @pytest.mark.parametrize("seed", range(20))
 def test_slow_fatal_requests_end_few_targets_and_block_no_other_part(seed: int) -> None:
-    """A fatal request every two seconds, tried twice, beside parts that are answered."""
+    """A fatal request every two seconds, tried twice, beside features that are answered."""
     draw = random.Random(seed)
-    evidence = PartEvidence()
+    evidence = CrashEvidence()
     now, ends, fatal_at = 0.0, 0, 2.0
     while now < 60.0:
         now += draw.expovariate(10.0)
@@ -254,4 +272,4 @@
                 evidence.record_break(instance(ends), (shared, BAD), now)
                 now += 0.15
     assert ends == MAX_ENDS
-    assert [block.part for block in evidence.list_blocks(now)] == [BAD]
+    assert [block.feature for block in evidence.list_blocks(now)] == [BAD]
--- a/tests/gateway/test_serving.py
+++ b/tests/gateway/test_serving.py
@@ -3,7 +3,7 @@
 import trio
 
 from lycheepath.core.reasons import Reason
-from lycheepath.core.serving.suspects import MAX_LOST_TARGETS
+from lycheepath.core.serving.crash_evidence import MAX_ENDS
 from standins.site import (
     HOST,
     Seen,
@@ -325,7 +325,7 @@
 ) -> None:
     breaking = [
         await site.add_target("books", answer_bytes(SIGNED, close=True))
-        for _ in range(MAX_LOST_TARGETS + 2)
+        for _ in range(MAX_ENDS + 2)
     ]
     for _ in range(3):
         await site.add_target("books", BUSY)
@@ -333,7 +333,7 @@
     node = await site.start_gateway("host-1")
     for number in range(12):
         last = await site.ask(node, b"POST", "/books/1", b"x", f"r{number}")
-    assert sum(bool(target.seen) for target in breaking) == MAX_LOST_TARGETS
+    assert sum(bool(target.seen) for target in breaking) == MAX_ENDS
     assert last.status == 503
     assert float(last.headers["retry-after"]) > 5.0
 
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -22,7 +22,11 @@
     longest_s=3.0,
     limited_share=1.0,
 )
+FATAL_SEED = 16
+FATAL_SIZES = Sizes(hosts=3, targets=6, seconds=18.0, faults_per_s=0.3, fatal_per_s=3.0)
 MIN_REQUESTS = 100
+# Ends of targets after which a fatal part is held back.
+MIN_ENDS = 3
 
 
 async def test_short_run_violates_no_guarantee(tmp_path: Path) -> None:
@@ -41,6 +45,14 @@
     assert len({limit.target for limit in limits}) >= LIMITED_SIZES.targets
 
 
+async def test_short_run_holds_back_requests_that_end_targets(tmp_path: Path) -> None:
+    result = await run_seed(FATAL_SIZES, FATAL_SEED, tmp_path)
+
+    assert result.violations == []
+    executions, _, _ = read_records(tmp_path)
+    assert sum(run.fault == "fatal" for run in executions) >= MIN_ENDS
+
+
 def test_regressions_state_their_cause() -> None:
     cases = read_regressions()
     assert len({case["seed"] for case in cases}) == len(cases)
