Read and log the versions of targets, and take-ups of streams

The logs name neither the software version of a placement nor what a client takes up, so the ways in which streams are joined can't be counted. Change: 'version' of a target's entry and 'Resumes' of a request are decoded; 'placed' has the target's version and the last event, 'take-up' names the stream and the time left; take_ups_total. Copies between hosts have versions only on request, as hosts of the version before can't decode them; an entry that comes without keeps the known one. An entry without a version is unreadable, like one without any other field. Conclusion: no placement depends on it yet.

--- a/src/lycheepath/adapters/catalog_copies.py
+++ b/src/lycheepath/adapters/catalog_copies.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 from typing import TYPE_CHECKING, Any
 
 import orjson
@@ -51,15 +51,21 @@
     age_s: float
 
 
-def encode_catalog_copy(copy: CatalogCopy, with_configuration: bool) -> bytes:
-    """Encode a copy; the configuration is large and included only if requested."""
+def encode_catalog_copy(
+    copy: CatalogCopy, with_configuration: bool, with_versions: bool = True
+) -> bytes:
+    """
+    Encode a copy; the configuration is large and included only if requested.
+
+    Hosts that don't request the targets' versions can't decode entries that have them.
+    """
     content = copy.content
     is_snapshot = isinstance(content, Snapshot)
     changes: tuple[Change, ...] = (
         content.entries if isinstance(content, Snapshot) else content.changes
     )
     items = [
-        _encode_change(change)
+        _encode_change(change, with_versions)
         for change in changes
         if with_configuration or not isinstance(change, Configuration)
     ]
@@ -91,9 +97,13 @@
     raise TypeError(f"{type(value).__name__} is no part of a copy")
 
 
-def _encode_change(change: Change) -> list[Any]:
+def _encode_change(change: Change, with_versions: bool) -> list[Any]:
     if isinstance(change, TargetEntry):
-        return [TARGET, change]
+        if with_versions:
+            return [TARGET, change]
+        fields = asdict(change)
+        del fields["version"]
+        return [TARGET, fields]
     if isinstance(change, TargetRemoved):
         return [REMOVED, change.id]
     if isinstance(change, Evacuation):
--- a/src/lycheepath/core/catalog/catalog.py
+++ b/src/lycheepath/core/catalog/catalog.py
@@ -149,6 +149,9 @@
         lapsed = self._lapsed.pop(entry.id, None) is not None
         subject = f"target {entry.id}"
         restarted = current is not None and has_restarted(current, entry)
+        if current is not None and not entry.version and not restarted:
+            # A host of an earlier version passes entries on without it.
+            entry = replace(entry, version=current.version)
         if restarted or (current is None and subject in self.history):
             entry = replace(entry, restarted_at=self.revision)
         elif current is not None and current.restarted_at > entry.restarted_at:
--- a/src/lycheepath/core/catalog/model.py
+++ b/src/lycheepath/core/catalog/model.py
@@ -128,7 +128,8 @@
 
     ``born_ms`` is the start time, which distinguishes instances with the same id (0:
     not announced). ``sequence`` increases with each announcement of an instance.
-    ``leaves_in_s`` is the time until a target that is reclaimed at short notice is
+    ``version`` is that of its software, empty if the host that passed the entry on doesn't
+    know it. ``leaves_in_s`` is the time until a target that is reclaimed at short notice is
     gone. ``restarted_at`` isn't announced: it is the store's revision at which a host
     saw the target restart under its id (0: never).
     """
@@ -143,4 +144,5 @@
     sequence: int
     born_ms: int
     leaves_in_s: float | None = None
+    version: str = ""
     restarted_at: int = field(default=0, compare=False)
--- a/src/lycheepath/core/serving/requests.py
+++ b/src/lycheepath/core/serving/requests.py
@@ -41,7 +41,8 @@
     The parsed headers of a request.
 
     ``deadline_s`` is how long the caller waits, ``headers`` are those that are passed
-    on.
+    on. A caller that takes up a stream names the last event that it has, and in
+    ``resumes`` the id of its request whose answer brought the first one.
     """
 
     id: str
@@ -50,6 +51,12 @@
     last_event_id: int | None
     prompt: Prompt | None
     headers: tuple[tuple[bytes, bytes], ...]
+    resumes: str = ""
+
+    @property
+    def takes_up(self) -> bool:
+        """Whether it goes on with a stream of which the caller has a part."""
+        return self.last_event_id is not None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/lycheepath/gateway/copying.py
+++ b/src/lycheepath/gateway/copying.py
@@ -19,8 +19,8 @@
     from ..core.fleet.view import HostRow
     from .node import GatewayNode
 
-# Path of the call between hosts. Its query holds the requesting host's revision and
-# whether it needs the configuration. If it does, it gets a complete snapshot, since
+# Path of the call between hosts. Its query holds the requesting host's revision, whether
+# it can decode the versions of targets, and whether it needs the configuration. If it does, it gets a complete snapshot, since
 # an earlier copy without the configuration may have advanced the host past the
 # revision of the configuration.
 COPY_PATH = "/copy?"
@@ -40,7 +40,7 @@
     """
     address = Address(row.ip, node.settings.relay_port)
     after = 0 if with_configuration else node.catalog.revision
-    query = f"after={after}&configuration={int(with_configuration)}"
+    query = f"after={after}&configuration={int(with_configuration)}&versions=1"
     timeout_s = ANSWER_TIMEOUT_S if with_configuration else CHANGES_TIMEOUT_S
     status, body = await fetch(node, address, COPY_PATH + query, timeout_s)
     if status == NOT_NEWER_STATUS:
@@ -68,4 +68,6 @@
     content = catalog.history.since(known_revision, catalog.revision)
     copy = CatalogCopy(content, node.store.catalog_status(node.now()).age_s)
     with_configuration = fields.get("configuration") == "1"
-    await caller.answer(200, [], encode_catalog_copy(copy, with_configuration))
+    with_versions = fields.get("versions") == "1"
+    body = encode_catalog_copy(copy, with_configuration, with_versions)
+    await caller.answer(200, [], body)
--- a/src/lycheepath/gateway/serving.py
+++ b/src/lycheepath/gateway/serving.py
@@ -57,6 +57,8 @@
     exchange = await _open_exchange(node, caller, request)
     if exchange is None:
         return
+    if exchange.request_head.takes_up:
+        _log_take_up(node, exchange)
     node.active_requests += 1
     try:
         with trio.CancelScope(deadline=exchange.deadline) as scope:
@@ -279,6 +281,19 @@
     )
 
 
+def _log_take_up(node: GatewayNode, exchange: Exchange) -> None:
+    head = exchange.request_head
+    node.metrics.count("take_ups_total")
+    record_event(
+        "take-up",
+        request=head.id,
+        resumes=head.resumes,
+        route=exchange.route.name,
+        last_event=head.last_event_id,
+        left_s=head.deadline_s,
+    )
+
+
 def _log_placed(node: GatewayNode, exchange: Exchange, placed: Placement) -> None:
     target = placed.target
     record_event(
@@ -290,6 +305,8 @@
         expected_s=round(placed.first_event_s, 4),
         cached_tokens=placed.cached_tokens,
         parts=exchange.shared_parts[:MAX_LOGGED_PARTS],
+        target_version=target.entry.version,
+        last_event=exchange.cutter.last_id,
         in_flight=target.count_in_flight(node.now()),
         rate_limit=target.availability.rate_limit.rate,
         attempt=exchange.attempts.sends + 1,
--- a/src/lycheepath/platform/headers.py
+++ b/src/lycheepath/platform/headers.py
@@ -84,6 +84,7 @@
         last_event_id=_read_count(fields.get(b"last-event-id")),
         prompt=_read_prompt(fields),
         headers=tuple(end_to_end),
+        resumes=fields.get(b"resumes", b"").decode("latin-1"),
     )
 
 
--- a/src/lycheepath/platform/store.py
+++ b/src/lycheepath/platform/store.py
@@ -151,6 +151,7 @@
         sequence=_read_number(value, "seq"),
         # Start time in Unix milliseconds; not every target announces it.
         born_ms=_read_number(value, "born") if "born" in value else 0,
+        version=_read_text(value, "version"),
         leaves_in_s=None if remaining_ms is None else float(remaining_ms) / 1000.0,
     )
 
--- a/tests/adapters/test_catalog_copies.py
+++ b/tests/adapters/test_catalog_copies.py
@@ -84,3 +84,14 @@
 def test_other_json_is_rejected(value: object) -> None:
     with pytest.raises(CopyError):
         decode_catalog_copy(orjson.dumps(value))
+
+
+def test_copy_for_a_host_without_versions_has_none() -> None:
+    versioned = replace(STARTED, version="v1.1")
+    copy = CatalogCopy(Snapshot((versioned,), 20), 0.25)
+    data = encode_catalog_copy(copy, True, with_versions=False)
+    assert b"version" not in data
+    found = decode_catalog_copy(data)
+    assert found.content == Snapshot((STARTED,), 20)
+    full = decode_catalog_copy(encode_catalog_copy(copy, True))
+    assert full == copy
--- a/tests/core/catalog/test_catalog.py
+++ b/tests/core/catalog/test_catalog.py
@@ -91,3 +91,15 @@
     catalog.apply(Delta((Evacuation("zone-a"),), 1), 0.0, False)
     catalog.apply(Delta((EvacuationEnded("zone-a"),), 2), 0.0, False)
     assert not catalog.evacuated
+
+
+def test_version_of_a_target_is_kept_when_a_copy_lacks_it() -> None:
+    catalog = Catalog()
+    known = replace(TARGET, version="v1", born_ms=5)
+    catalog.replace(Snapshot((known,), 10), 0.0, False)
+    update = replace(known, version="", sequence=6, draining=True)
+    catalog.apply(Delta((update,), 11), 1.0, False)
+    assert catalog.targets["i-1"].version == "v1"
+    restarted = replace(known, version="", sequence=1, born_ms=9)
+    catalog.apply(Delta((restarted,), 12), 2.0, False)
+    assert catalog.targets["i-1"].version == ""
