--- a/standins/site.py
+++ b/standins/site.py
@@ -306,6 +306,10 @@
         """End a gateway at once and start it again; nothing that it knew is left."""
         self.stop_gateway(node)
         await trio.testing.wait_all_tasks_blocked(POLL_S)
+        return await self.start_again(node)
+
+    async def start_again(self, node: GatewayNode) -> GatewayNode:
+        """Start a gateway that was stopped again."""
         devnull = os.open(os.devnull, os.O_WRONLY)
         started = GatewayNode(node.settings, events=EventLog(devnull))
         await self.nursery.start(self._run_gateway, started)
--- a/standins/stream_service.py
+++ b/standins/stream_service.py
@@ -1,6 +1,9 @@
 """
 Targets of a service that stream, end as processes do, and come back as new instances.
 
+Each event names the software version of its target. A target cuts some streams midway,
+if it is told to.
+
 A target ends as soon as it begins to write an answer to a request with a part of
 ``fatal_parts`` in its prompt, except as the last part: all its connections close and
 new ones are refused. Its entry lapses, and it is back under a new id a moment later::
@@ -13,9 +16,10 @@
 
 from __future__ import annotations
 
+import random
 from dataclasses import dataclass, field
 from functools import partial
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import h11
 import trio
@@ -49,11 +53,21 @@
 
 @dataclass
 class StreamTarget:
-    """A place where instances of the service run, one after the other."""
+    """
+    A place where instances of the service run, one after the other.
+
+    ``version`` is that of the instances that start from now on, ``started_version`` that
+    of the one that runs. With ``keeps_id`` they all have the same id.
+    """
 
     zone: str
+    version: str = "v1"
+    started_version: str = "v1"
+    keeps_id: bool = False
     address: str = ""
     id: str = ""
+    born_ms: int = 0
+    removed: bool = False
     ending: trio.Event = field(default_factory=trio.Event)
 
 
@@ -64,7 +78,7 @@
 
     Each answer has ``events`` events, the first after ``prefill_s``, the others
     ``event_s`` apart. With ``framed`` false it has no framing and ends with its
-    connection. A target that ends has written ``events_before_end`` events of the
+    connection. A share of ``cut_share`` of them is cut midway. A target that ends has written ``events_before_end`` events of the
     answer under which it ends.
     """
 
@@ -76,18 +90,24 @@
     prefill_s: float = 0.03
     framed: bool = True
     events_before_end: int = 0
+    cut_share: float = 0.0
+    random: random.Random = field(default_factory=lambda: random.Random(1))
     lapse_s: float = 0.6
     down_s: float = 0.4
+    targets: list[StreamTarget] = field(default_factory=list)
     arrivals: list[Arrival] = field(default_factory=list)
     ended_at: list[float] = field(default_factory=list)
     _instances: int = 0
 
-    async def add_target(self, zone: str = "east-a") -> StreamTarget:
+    async def add_target(
+        self, zone: str = "east-a", version: str = "v1", keeps_id: bool = False
+    ) -> StreamTarget:
         """Start a target, and keep it running until the test ends."""
-        target = StreamTarget(zone)
+        target = StreamTarget(zone, version, keeps_id=keeps_id)
         listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
         ip, port = listeners[0].socket.getsockname()
         target.address = f"{ip}:{port}"
+        self.targets.append(target)
         self.site.nursery.start_soon(self._run, target, listeners)
         return target
 
@@ -109,9 +129,12 @@
         self, target: StreamTarget, listeners: list[trio.SocketListener]
     ) -> None:
         port = listeners[0].socket.getsockname()[1]
-        while True:
+        while not target.removed:
             self._instances += 1
-            target.id = f"{self.service}-{self._instances}"
+            if not target.id or not target.keeps_id:
+                target.id = f"{self.service}-{self._instances}"
+            target.started_version = target.version
+            target.born_ms = self._instances
             target.ending = trio.Event()
             async with trio.open_nursery() as nursery:
                 serve = partial(self._serve, target, target.id)
@@ -123,10 +146,20 @@
             await trio.sleep(self.lapse_s)
             self.site.store.remove(f"servers/{target.id}")
             await trio.sleep(self.down_s)
+            if target.removed:
+                return
             listeners = await trio.open_tcp_listeners(port, host="127.0.0.1")
 
-    def _announce(self, target: StreamTarget) -> None:
-        entry = make_entry(self.service, target.address, target.zone, slots=64)
+    async def remove_target(self, target: StreamTarget, drain_s: float) -> None:
+        """Announce that a target leaves, and end it for good after a while."""
+        self._announce(target, state="draining", seq=2)
+        await trio.sleep(drain_s)
+        target.removed = True
+        target.ending.set()
+
+    def _announce(self, target: StreamTarget, **more: Any) -> None:
+        fields = {"slots": 64, "version": target.version, "born": target.born_ms}
+        entry = make_entry(self.service, target.address, target.zone, **(fields | more))
         self.site.store.put(f"servers/{target.id}", entry)
 
     async def _serve(
@@ -166,8 +199,12 @@
         fatal = not self.fatal_parts.isdisjoint(parts)
         first = int(seen.headers.get("last-event-id", "0")) + 1
         last = first - 1 + self.events_before_end if fatal else self.events
+        cut = self.random.random() < self.cut_share
+        cut_at = self.random.randint(first + 1, last) if cut and first < last else 0
         for number in range(first, last + 1):
-            await self._send_event(stream, number)
+            if number == cut_at:
+                return False
+            await self._send_event(stream, number, target.started_version)
             await trio.sleep(self.event_s)
         if fatal:
             target.ending.set()
@@ -176,8 +213,10 @@
             await stream.send_all(b"0\r\n\r\n")
         return self.framed
 
-    async def _send_event(self, stream: trio.SocketStream, number: int) -> None:
-        event = b"id: %d\ndata: %s\n\n" % (number, b"x" * 8)
+    async def _send_event(
+        self, stream: trio.SocketStream, number: int, version: str
+    ) -> None:
+        event = b"id: %d\ndata: %s\n\n" % (number, version.encode())
         if self.framed:
             event = b"%x\r\n%s\r\n" % (len(event), event)
         await stream.send_all(event)
