Find the version of a stream by its prompt, and check the instance that goes on with it

Callers that took streams up after the end of all hosts, with two versions in service, were all refused: nobody remembers, and the store's past shows both versions.

Cause: the knowledge of what began a stream is only in the hosts. But the target that served it still holds the last part of its prompt. Change: if two versions can have begun a stream, each target is asked once by its coordinator which prompts it holds; if one version's targets alone hold it, it is that version.

A request that has to go on at one of several versions now asks the target for its start on the connection that it uses.

The test for take-ups after the end of all hosts counts only tries that reached a host: with refused connections counted it measured the restart itself.

--- a/src/lycheepath/adapters/http1/upstream.py
+++ b/src/lycheepath/adapters/http1/upstream.py
@@ -58,6 +58,8 @@
         self.exchanges = 0
         self.idle_since = 0.0
         self.idle_s: float | None = None
+        # Whether the instance of the target on this connection is known.
+        self.instance_checked = False
         # Whether the current answer has no framing and ends with its connection.
         self.ends_with_connection = False
         self._h11 = h11.Connection(h11.CLIENT)
--- a/src/lycheepath/adapters/origin_messages.py
+++ b/src/lycheepath/adapters/origin_messages.py
@@ -33,23 +33,33 @@
 
 @dataclass(frozen=True, slots=True)
 class OriginQuery:
-    """A host's query for a stream that may have begun ``window_s`` seconds ago."""
+    """
+    A host's query for a stream that may have begun ``window_s`` seconds ago.
+
+    With ``part``, the last part of its prompt, it asks for the targets that hold it.
+    """
 
     number: int
     host: str
     stream: str
     service: str
     window_s: float
+    part: str = ""
 
 
 @dataclass(frozen=True, slots=True)
 class OriginReply:
-    """What a host knows of the stream, and of the versions of its service."""
+    """
+    What a host knows of the stream, and of the versions of its service.
+
+    ``holding`` are the versions of the targets that hold the query's part.
+    """
 
     number: int
     host: str
     origin: Origin | None
     versions: tuple[str, ...] | None
+    holding: tuple[str, ...] = ()
 
 
 OriginMessage = OriginReport | OriginQuery | OriginReply
@@ -72,11 +82,19 @@
                 message.stream,
                 message.service,
                 message.window_s,
+                message.part,
             ]
         )
     origin = None if message.origin is None else _encode_origin(message.origin)
     return orjson.dumps(
-        [ORIGIN_REPLY, message.number, message.host, origin, message.versions]
+        [
+            ORIGIN_REPLY,
+            message.number,
+            message.host,
+            origin,
+            message.versions,
+            message.holding,
+        ]
     )
 
 
@@ -105,19 +123,20 @@
 
 
 def _decode_query(fields: list[Any]) -> OriginQuery:
-    number, host, stream, service, window_s = fields
+    number, host, stream, service, window_s, part = fields
     return OriginQuery(
-        int(number), str(host), str(stream), str(service), float(window_s)
+        int(number), str(host), str(stream), str(service), float(window_s), str(part)
     )
 
 
 def _decode_reply(fields: list[Any]) -> OriginReply:
-    number, host, origin, versions = fields
+    number, host, origin, versions, holding = fields
     return OriginReply(
         int(number),
         str(host),
         None if origin is None else _decode_origin(origin),
         None if versions is None else tuple(str(version) for version in versions),
+        tuple(str(version) for version in holding),
     )
 
 
--- a/src/lycheepath/core/serving/origins.py
+++ b/src/lycheepath/core/serving/origins.py
@@ -12,7 +12,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -28,7 +28,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Origin:
-    """The service, version and target that began a stream."""
+    """
+    The service, version and target that began a stream.
+
+    ``version`` is empty if the target had restarted before its entry showed that.
+    """
 
     service: str
     version: str
@@ -61,15 +65,20 @@
             if origin.service == service and at >= since:
                 yield stream, origin, at
 
-    def discard_restarted(self, target: str, now: float) -> int:
-        """Discard the latest streams of a target that has restarted; return how many."""
+    def discard_restarted(self, target: str, since: float) -> int:
+        """
+        Discard the versions of a restarted target's streams; return how many.
+
+        Streams that began at or after ``since`` may be of the instance after the restart.
+        """
         discarded = [
             stream
             for stream, (origin, at) in self._origins.items()
-            if origin.target == target and now - at <= RESTART_NOTICE_S
+            if origin.target == target and at >= since
         ]
         for stream in discarded:
-            del self._origins[stream]
+            origin, at = self._origins[stream]
+            self._origins[stream] = replace(origin, version=""), at
         return len(discarded)
 
     def expire(self, before: float) -> None:
--- a/src/lycheepath/gateway/exchange.py
+++ b/src/lycheepath/gateway/exchange.py
@@ -93,6 +93,12 @@
         prompt = self.request_head.prompt
         return prompt.shared_parts if prompt else ()
 
+    @property
+    def own_part(self) -> str:
+        """The id of the last part of the prompt, which is the request's own."""
+        prompt = self.request_head.prompt
+        return prompt.parts[-1].id if prompt and prompt.parts else ""
+
     @property
     def answer_started(self) -> bool:
         """Whether the answer to the caller has been started."""
--- a/src/lycheepath/gateway/sending.py
+++ b/src/lycheepath/gateway/sending.py
@@ -23,6 +23,7 @@
 from ..platform.headers import read_answer, write_request
 from .exchange import FailedAnswer
 from .inactivity import NO_LIMIT_S, SilentTargetError
+from .instances import is_expected_instance
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -127,12 +128,19 @@
         upstream = await node.pool.acquire(address, CONNECT_TIMEOUT_S, node.now())
     except ConnectError as error:
         if error.refused:
+            node.versions.record_break(placed.target.entry.id)
             node.containment.record_refused_connection(placed.target)
         return SendOutcome(
             AttemptResult.NOT_RUN, AttemptOutcome.REFUSED, f"not connected: {error}"
         )
     reusable = False
     try:
+        if not await is_expected_instance(node, exchange, placed.target, upstream):
+            return SendOutcome(
+                AttemptResult.NOT_RUN,
+                AttemptOutcome.NOT_RUN,
+                "the target has restarted",
+            )
         answer_head = await _send_request(node, exchange, placed, upstream)
         outcome, reusable = await forward_answer(
             node, exchange, upstream, answer_head, lambda: placed.target.last_contact_at
@@ -147,6 +155,7 @@
         return outcome
     except BrokenAnswerError as error:
         if error.connection_ended:
+            node.versions.record_break(placed.target.entry.id)
             node.containment.record_break(exchange, placed.target)
         return SendOutcome(AttemptResult.LOST, AttemptOutcome.FAILED, str(error))
     except (EventOrderError, SilentTargetError, WrongVersionError) as error:
--- a/src/lycheepath/gateway/stream_versions.py
+++ b/src/lycheepath/gateway/stream_versions.py
@@ -4,7 +4,8 @@
 Each host records the streams that it forwards. While several versions of a service are
 in use, it also reports them to two other hosts, which keep them in case it ends. A take-up
 is bound by what this host or a peer has recorded, or else by the only version that
-was in use while the stream may have begun; if there were several, it is refused.
+was in use while the stream may have begun, or whose targets hold its prompt; if there are
+several, it is refused.
 """
 
 from __future__ import annotations
@@ -25,7 +26,8 @@
 from ..core.catalog.versions import VersionHistory, infer_version
 from ..core.hosts.rendezvous import rank
 from ..core.reasons import Absent, Reason
-from ..core.serving.origins import Origin, StreamOrigins
+from ..core.serving.origins import RESTART_NOTICE_S, Origin, StreamOrigins
+from .held_prompts import HeldPrompts
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -49,6 +51,10 @@
 MAX_QUERIED = 64
 # Time to wait for the answers of peers; a round trip between regions and a busy host.
 QUERY_TIMEOUT_S = 0.4
+# The same if targets have to be asked first.
+LISTING_TIMEOUT_S = 0.8
+# Largest number of queries that wait for targets' lists.
+MAX_LISTING = 256
 # Time after the start of this host in which it may not know any peer yet.
 DISCOVERY_S = 0.5
 POLL_S = 0.05
@@ -81,6 +87,11 @@
         self._past_read_at = float("-inf")
         self._past_lock = trio.Lock()
         self._reports_due: set[str] = set()
+        self._broke_at: dict[str, float] = {}
+        self._held = HeldPrompts(node)
+        self._listing_in, self._listing_out = trio.open_memory_channel[OriginQuery](
+            MAX_LISTING
+        )
 
     async def bind(self, exchange: Exchange) -> Absent | None:
         """Bind a request that takes up a stream; return why it can't go on, or None."""
@@ -97,6 +108,7 @@
             route=exchange.route.name,
             last_event=head.last_event_id,
             left_s=head.deadline_s,
+            part=exchange.own_part,
             version_bound=origin and origin.version,
             source=source,
             versions=sorted(self._list_used(exchange)),
@@ -118,6 +130,10 @@
         origin = self.origins.find(exchange.stream)
         return exchange.version if origin is None else origin.version
 
+    def needs_version(self, exchange: Exchange) -> bool:
+        """Whether a request has to go to one of several versions that are in use."""
+        return exchange.version is not None and len(self._list_used(exchange)) > 1
+
     async def record_begun(self, exchange: Exchange) -> None:
         """Record the first event of a stream, and the version that began it."""
         node = self._node
@@ -131,13 +147,18 @@
             return
         await self._report(((exchange.stream, origin, 0.0),))
 
+    def record_break(self, target: str) -> None:
+        """Record that a target broke a connection: it may have restarted."""
+        self._broke_at[target] = self._node.now()
+
     def update(self, changes: Iterable[StateChange]) -> None:
         """Apply a change of the catalog."""
         node = self._node
         now = node.now()
         for change in changes:
             if change.event == "target-restarted":
-                count = self.origins.discard_restarted(change.subject, now)
+                since = self._broke_at.pop(change.subject, now - RESTART_NOTICE_S)
+                count = self.origins.discard_restarted(change.subject, since)
                 if count:
                     record_event(
                         "origins-discarded", subject=change.subject, streams=count
@@ -156,6 +177,11 @@
             streams = [(stream, origin, now - at) for stream, origin, at in recent]
             for first in range(0, len(streams), MAX_REPORTED):
                 await self._report(streams[first : first + MAX_REPORTED])
+        self._broke_at = {
+            target: at
+            for target, at in self._broke_at.items()
+            if now - at <= RESTART_NOTICE_S
+        }
         self.origins.expire(now - KEEP_S)
         self.history.expire(now - KEEP_S)
 
@@ -167,26 +193,44 @@
             for stream, origin, age_s in message.streams:
                 self.origins.record(stream, origin, now - age_s)
         elif isinstance(message, OriginQuery):
-            since = now - message.window_s
-            versions = None
-            if self.history.is_complete(since):
-                versions = tuple(sorted(self.history.list_used(message.service, since)))
-            known = self.origins.find(message.stream)
-            reply = OriginReply(message.number, node.settings.host, known, versions)
-            await node.peers.send_to_any(message.host, encode_origin_message(reply))
+            if not message.part:
+                await self._answer(message)
+                return
+            try:
+                self._listing_in.send_nowait(message)
+            except trio.WouldBlock:
+                node.metrics.count("origin_queries_dropped_total")
         else:
             pending = self._pending.get(message.number)
             if pending is None:
                 return
             pending.replies.append(message)
             pending.waiting.discard(message.host)
-            if message.origin is not None or not pending.waiting:
+            told = message.origin is not None and bool(message.origin.version)
+            if told or not pending.waiting:
                 pending.done.set()
 
+    async def run(self) -> None:
+        """Answer the queries that need lists of targets, until cancelled."""
+        async for query in self._listing_out:
+            holding = await self._held.find_versions(query.service, query.part)
+            await self._answer(query, tuple(sorted(holding)))
+
+    async def _answer(self, query: OriginQuery, holding: tuple[str, ...] = ()) -> None:
+        node = self._node
+        since = node.now() - query.window_s
+        versions = None
+        if self.history.is_complete(since):
+            versions = tuple(sorted(self.history.list_used(query.service, since)))
+        known = self.origins.find(query.stream)
+        host = node.settings.host
+        reply = OriginReply(query.number, host, known, versions, holding)
+        await node.peers.send_to_any(query.host, encode_origin_message(reply))
+
     async def _find_origin(self, exchange: Exchange) -> tuple[Origin | None, str]:
         """Return what began a stream that is taken up, and how that is known."""
         known = self.origins.find(exchange.stream)
-        if known is not None:
+        if known is not None and known.version:
             return known, "own"
         window_s = _find_window_s(exchange)
         since = self._node.now() - window_s
@@ -198,46 +242,67 @@
                 return only, "only-version"
         replies = await self._query(exchange, window_s)
         origins = (reply.origin for reply in replies)
-        told = next((origin for origin in origins if origin is not None), None)
+        told = next((each for each in origins if each and each.version), None)
         if told is not None:
             return told, "peer"
-        if complete:
-            return None, "unknown"
-        return await self._infer_origin(exchange.service, window_s, replies)
+        if not complete:
+            inferred = await self._infer_origin(exchange.service, window_s, replies)
+            if inferred is not None:
+                return inferred
+        return await self._find_holding(exchange, window_s)
 
     async def _infer_origin(
         self, service: str, window_s: float, replies: Iterable[OriginReply]
-    ) -> tuple[Origin | None, str]:
+    ) -> tuple[Origin, str] | None:
         """Return the only version that can have begun a stream, if there is one."""
         used = (reply.versions for reply in replies)
         seen_by_peer = next((each for each in used if each is not None), None)
         if seen_by_peer is not None:
             only = _pick_only(service, seen_by_peer)
-            return only, "only-version" if only else "unknown"
+            return None if only is None else (only, "only-version")
         past = await self._read_past()
         if past is None:
-            return None, "unknown"
+            return None
         entries = self._node.catalog.targets.values()
         version = infer_version(service, entries, past, window_s, time.time())
-        if version is None:
-            return None, "unknown"
-        return Origin(service, version, ""), "store-past"
+        return None if version is None else (Origin(service, version, ""), "store-past")
 
-    async def _query(self, exchange: Exchange, window_s: float) -> list[OriginReply]:
+    async def _find_holding(
+        self, exchange: Exchange, window_s: float
+    ) -> tuple[Origin | None, str]:
+        """Return the version whose targets alone hold the prompt of a stream."""
+        part = exchange.own_part
+        if not part:
+            return None, "unknown"
+        replies = await self._query(exchange, window_s, part)
+        versions = set(await self._held.find_versions(exchange.service, part))
+        for reply in replies:
+            versions.update(reply.holding)
+        only = _pick_only(exchange.service, versions)
+        return only, "held-prompt" if only else "unknown"
+
+    async def _query(
+        self, exchange: Exchange, window_s: float, part: str = ""
+    ) -> list[OriginReply]:
         """Ask peers what began a stream; return their replies."""
         node = self._node
         hosts = await self._pick_queried(exchange.stream)
         number = node.next_number()
         pending = _PendingQuery({row.id for row in hosts})
         query = OriginQuery(
-            number, node.settings.host, exchange.stream, exchange.service, window_s
+            number,
+            node.settings.host,
+            exchange.stream,
+            exchange.service,
+            window_s,
+            part,
         )
         self._pending[number] = pending
         try:
             for row in hosts:
                 await node.peers.send_to_row(row, encode_origin_message(query))
             if hosts:
-                with trio.move_on_after(QUERY_TIMEOUT_S):
+                with trio.move_on_after(LISTING_TIMEOUT_S if part else QUERY_TIMEOUT_S):
                     await pending.done.wait()
         finally:
             del self._pending[number]
--- a/standins/stream_service.py
+++ b/standins/stream_service.py
@@ -22,6 +22,7 @@
 from typing import TYPE_CHECKING, Any
 
 import h11
+import orjson
 import trio
 
 from .site import Answer, Seen, Site, make_entry, read_request
@@ -68,6 +69,7 @@
     id: str = ""
     born_ms: int = 0
     removed: bool = False
+    held: set[str] = field(default_factory=set)
     ending: trio.Event = field(default_factory=trio.Event)
 
 
@@ -97,6 +99,7 @@
     targets: list[StreamTarget] = field(default_factory=list)
     arrivals: list[Arrival] = field(default_factory=list)
     ended_at: list[float] = field(default_factory=list)
+    lists_sent: int = 0
     _instances: int = 0
 
     async def add_target(
@@ -134,6 +137,7 @@
             if not target.id or not target.keeps_id:
                 target.id = f"{self.service}-{self._instances}"
             target.started_version = target.version
+            target.held.clear()
             target.born_ms = self._instances
             target.ending = trio.Event()
             async with trio.open_nursery() as nursery:
@@ -157,6 +161,11 @@
         target.removed = True
         target.ending.set()
 
+    async def _send_json(self, stream: trio.SocketStream, value: Any) -> None:
+        body = orjson.dumps(value)
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+        await stream.send_all(head.encode() + body)
+
     def _announce(self, target: StreamTarget, **more: Any) -> None:
         fields = {"slots": 64, "version": target.version, "born": target.born_ms}
         entry = make_entry(self.service, target.address, target.zone, **(fields | more))
@@ -184,12 +193,21 @@
         stream: trio.SocketStream,
     ) -> bool:
         """Answer one request; return whether the connection stays open."""
+        if seen.target.endswith("/kv-list"):
+            self.lists_sent += 1
+            held = [["", part, PART_TOKENS, "m"] for part in sorted(target.held)]
+            await self._send_json(stream, {"epoch": 1, "next": 1, "held": held})
+            return True
+        if seen.target.endswith("/report"):
+            await self._send_json(stream, {"born": target.born_ms, "stage": "both"})
+            return True
         request_id = seen.headers["request-id"]
         if seen.headers.get("expect-instance", instance) != instance:
             refusal = f"HTTP/1.1 421 X\r\nRequest-Id: {request_id}\r\n"
             await stream.send_all(f"{refusal}Content-Length: 0\r\n\r\n".encode())
             return True
         parts = read_shared_parts(seen.headers.get("prompt-prefix", ""))
+        target.held.update(list_parts(seen.headers.get("prompt-prefix", "")))
         at = trio.current_time()
         self.arrivals.append(Arrival(at, instance, request_id, parts))
         await trio.sleep(self.prefill_s)
@@ -239,7 +257,12 @@
 
 def read_shared_parts(text: str) -> tuple[str, ...]:
     """Return the ids of all parts but the last in a ``Prompt-Prefix`` header."""
-    return tuple(entry.split(":")[0] for entry in text.split(",")[:-1])
+    return list_parts(text)[:-1]
+
+
+def list_parts(text: str) -> tuple[str, ...]:
+    """Return the ids of all parts in a ``Prompt-Prefix`` header."""
+    return tuple(entry.split(":")[0] for entry in text.split(",") if entry)
 
 
 async def ask_for_streams(
--- a/standins/stream_takeups.py
+++ b/standins/stream_takeups.py
@@ -93,17 +93,18 @@
 
     async def _follow(self, stream: FollowedStream) -> None:
         deadline = trio.current_time() + DEADLINE_S
-        for attempt in range(MAX_RETRIES + 1):
-            if trio.current_time() > deadline:
-                return
-            await self._ask(stream, f"{stream.name}/{attempt}", deadline)
+        tries = 0
+        while tries <= MAX_RETRIES and trio.current_time() < deadline:
+            # A host that isn't there gets no try.
+            tries += await self._ask(stream, f"{stream.name}/{tries}", deadline)
             if stream.complete:
                 return
             await trio.sleep(PAUSE_S)
 
     async def _ask(
         self, stream: FollowedStream, request_id: str, deadline: float
-    ) -> None:
+    ) -> bool:
+        """Send one request; return whether a host took the connection."""
         left_s = deadline - trio.current_time()
         headers = {
             "request-id": request_id,
@@ -117,14 +118,15 @@
         if takes_up:
             headers["last-event-id"] = str(stream.last_event)
             headers["resumes"] = stream.first_request
-            stream.take_ups += 1
         answer = Answer()
+        connected = False
         with trio.move_on_after(left_s):
-            await self._exchange(headers, answer)
+            connected = await self._exchange(headers, answer)
+        stream.take_ups += connected and takes_up
         if answer.status in (429, 503):
             stream.refused += 1
         if answer.status != 200:
-            return
+            return connected
         events = EVENT.findall(answer.body)
         for number, version in events:
             if int(number) != stream.last_event + 1:
@@ -136,14 +138,20 @@
             stream.begun = True
         stream.went_on += takes_up and (bool(events) or answer.whole)
         stream.complete = answer.whole
+        return True
 
-    async def _exchange(self, headers: dict[str, str], answer: Answer) -> None:
+    async def _exchange(self, headers: dict[str, str], answer: Answer) -> bool:
         address = self.random.choice(self.nodes).settings.callers
         lines = [f"{name}: {value}" for name, value in headers.items()]
         head = "\r\n".join([f"POST {PATH} HTTP/1.1", f"host: {HOST}", *lines, "", ""])
         try:
-            async with await trio.open_tcp_stream(address.ip, address.port) as stream:
+            stream = await trio.open_tcp_stream(address.ip, address.port)
+        except OSError:
+            return False
+        async with stream:
+            try:
                 await stream.send_all(head.encode() + b"x")
                 await read_answer(stream, answer)
-        except (OSError, trio.BrokenResourceError):
-            return
+            except trio.BrokenResourceError:
+                return True
+        return True
--- a/tests/adapters/test_origin_messages.py
+++ b/tests/adapters/test_origin_messages.py
@@ -23,7 +23,9 @@
 MESSAGES: list[OriginMessage] = [
     OriginReport((("9c41", ORIGIN, 0.25),)),
     OriginQuery(7, "host-1", "9c41", "pool", 20.0),
+    OriginQuery(7, "host-1", "9c41", "pool", 20.0, "5c1e"),
     OriginReply(7, "host-2", ORIGIN, None),
+    OriginReply(7, "host-2", None, ("v1", "v1.1"), ("v1",)),
     OriginReply(7, "host-2", None, ("v1", "v1.1")),
 ]
 VALUES = strategies.one_of(
--- a/tests/core/serving/test_origins.py
+++ b/tests/core/serving/test_origins.py
@@ -2,7 +2,6 @@
 
 from lycheepath.core.serving.origins import (
     MAX_ORIGINS,
-    RESTART_NOTICE_S,
     Origin,
     StreamOrigins,
 )
@@ -28,14 +27,14 @@
     assert list(origins.list_of_service("pool", 2.0)) == [("r3", ORIGIN, 3.0)]
 
 
-def test_latest_streams_of_a_restarted_target_are_discarded() -> None:
+def test_version_of_streams_since_a_targets_restart_is_discarded() -> None:
     origins = StreamOrigins()
     origins.record("early", ORIGIN, 1.0)
-    origins.record("late", ORIGIN, RESTART_NOTICE_S + 1.5)
-    origins.record("other", Origin("pool", "v1", "i-2"), RESTART_NOTICE_S + 1.5)
-    assert origins.discard_restarted("i-1", RESTART_NOTICE_S + 2.0) == 1
-    assert origins.find("late") is None
-    assert origins.find("early")
+    origins.record("late", ORIGIN, 2.5)
+    origins.record("other", Origin("pool", "v1", "i-2"), 2.5)
+    assert origins.discard_restarted("i-1", since=2.0) == 1
+    assert origins.find("late") == Origin("pool", "", "i-1")
+    assert origins.find("early") == ORIGIN
     assert origins.find("other")
 
 
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -119,6 +119,25 @@
     assert takers.count_joined() <= MAX_JOINED
 
 
+async def test_take_ups_go_on_after_all_hosts_have_ended_beside_another_version(
+    site: Site,
+) -> None:
+    service = await start_service(site)
+    takers = await start_hosts(site)
+
+    async def restart_all() -> None:
+        await trio.sleep(2.0)
+        await restart(site, takers, range(3))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(restart_all)
+        await takers.follow_streams(per_second=25.0, seconds=2.2)
+    assert takers.count_joined() <= MAX_JOINED
+    assert takers.find_share_gone_on() >= 0.5 * takers.find_share_begun()
+    # Targets are asked once each, and not for each stream.
+    assert 0 < service.lists_sent <= 2 * len(service.targets)
+
+
 async def test_take_ups_after_all_hosts_have_ended_join_none_when_a_version_has_left(
     site: Site,
 ) -> None:
