Soak software versions side by side, take-ups, and the end of all hosts

In half of the seeds hosts may not resume in an answer, so that callers have to.

Ruled out: a new kind of fault in the plan; it would change the plans of all seeds that are kept as regressions.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -61,6 +61,7 @@
         options.rate,
         limited_share=options.limited_share,
         fatal_per_s=options.fatal,
+        versions=options.versions,
     )
     first = options.seed
     if first is None:
@@ -95,6 +96,9 @@
     parser.add_argument(
         "--fatal", type=float, default=0.0, help="requests a second that end targets"
     )
+    parser.add_argument(
+        "--versions", type=int, default=1, help="software versions side by side"
+    )
     parser.add_argument(
         "--regressions", action="store_true", help="play the seeds that ever failed"
     )
--- a/soak/answers.py
+++ b/soak/answers.py
@@ -11,6 +11,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from .versions import remove_versions
+
 EVENT_END = b"\n\n"
 
 
@@ -63,9 +65,11 @@
     return (block * (size // len(block) + 1))[:size]
 
 
-def make_event(request_id: str, number: int) -> bytes:
-    """Return one event of a request's stream."""
+def make_event(request_id: str, number: int, version: str = "") -> bytes:
+    """Return one event of a request's stream, with the version that wrote it."""
     text = hashlib.sha256(f"{request_id}/{number}".encode()).hexdigest()[:24]
+    if version:
+        text += f" {version}"
     return b"id: %d\ndata: %s" % (number, text.encode()) + EVENT_END
 
 
@@ -74,20 +78,24 @@
     return "s." + hashlib.sha256(f"signed {request_id}".encode()).hexdigest()[:16]
 
 
-def is_valid_body(work: Work, request_id: str, body: bytes) -> bool:
-    """Whether the body of a complete answer is the target's."""
+def is_valid_body(work: Work, request_id: str, body: bytes, first: int = 1) -> bool:
+    """
+    Whether the body of a complete answer is the target's.
+
+    ``first`` is the number of the first event that a stream has to bring.
+    """
     if not work.kind.is_stream:
         return body == make_body(request_id, work.size)
-    return body == _make_stream(work, request_id)
+    return remove_versions(body) == _make_stream(work, request_id, first)
 
 
-def is_valid_prefix(work: Work, request_id: str, body: bytes) -> bool:
+def is_valid_prefix(work: Work, request_id: str, body: bytes, first: int = 1) -> bool:
     """Whether the body of a truncated answer is a prefix of the target's."""
     if not work.kind.is_stream:
         return make_body(request_id, work.size).startswith(body)
-    return _make_stream(work, request_id).startswith(body)
+    return _make_stream(work, request_id, first).startswith(remove_versions(body))
 
 
-def _make_stream(work: Work, request_id: str) -> bytes:
-    numbers = range(1, work.size + 1)
+def _make_stream(work: Work, request_id: str, first: int) -> bytes:
+    numbers = range(first, work.size + 1)
     return b"".join(make_event(request_id, number) for number in numbers)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -16,7 +16,7 @@
 
 from standins.site import HOST, Answer, read_answer
 
-from .answers import RequestKind, Work, sign, write_path
+from .answers import EVENT_END, RequestKind, Work, sign, write_path
 from .fatal import SHARED_PART, SOUND_PARTS, write_prompt_headers
 
 if TYPE_CHECKING:
@@ -38,6 +38,8 @@
 # which it does, in seconds.
 DISCONNECT_SHARE = 0.05
 DISCONNECT_AFTER_S = (0.01, 0.3)
+# Tries of a caller to go on with one stream.
+MAX_TAKE_UPS = 3
 # A persistent connection is closed after this many requests.
 MAX_REQUESTS_PER_CONNECTION = 20
 SIZES = {
@@ -56,6 +58,8 @@
     Times are of the machine's monotonic clock, in seconds. ``answer`` has the part
     received, with status 0 if there was none; ``end`` describes how the exchange
     ended without a complete answer. ``parts`` are the shared parts of its prompt.
+    If it takes up a stream, it asks for events from ``first_event`` on, and ``resumes`` is
+    the request that brought the first one.
     """
 
     id: str
@@ -68,6 +72,8 @@
     disconnected: bool = False
     ended_at: float = 0.0
     parts: tuple[str, ...] = ()
+    first_event: int = 1
+    resumes: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,7 +117,8 @@
     """
     State of one caller: its random generator and persistent connection.
 
-    With ``with_prompts``, its streams have prompts with shared parts.
+    With ``with_prompts``, its streams have prompts with shared parts. With ``takes_up``
+    it goes on with resumable streams that have broken off.
     """
 
     caller_log: CallerLog
@@ -119,6 +126,7 @@
     home: HostEndpoints
     random: random.Random
     with_prompts: bool = False
+    takes_up: bool = False
     stream: trio.SocketStream | None = None
     connected: HostEndpoints | None = None
     requests_sent: int = 0
@@ -131,18 +139,43 @@
             disconnect_after_s = None
             if self.random.random() < DISCONNECT_SHARE:
                 disconnect_after_s = self.random.uniform(*DISCONNECT_AFTER_S)
-            await self.ask(work, disconnect_after_s)
+            outcome = await self.ask(work, disconnect_after_s)
+            if self.takes_up and work.kind is RequestKind.RESUMED:
+                await self._take_up(outcome)
             await trio.sleep(MAX_PAUSE_S * self.random.random())
         self.close()
 
-    async def ask(self, work: Work, disconnect_after_s: float | None = None) -> Outcome:
-        """Send one request and record its outcome."""
+    async def _take_up(self, outcome: Outcome) -> None:
+        """Go on with a stream that has broken off, at any host."""
+        stream = outcome.id
+        next_event = 1
+        for _ in range(MAX_TAKE_UPS):
+            if outcome.answer.whole or outcome.disconnected or not outcome.id:
+                return
+            next_event += outcome.answer.body.count(EVENT_END)
+            if next_event == 1 or next_event > outcome.work.size:
+                return
+            self.close()
+            outcome = await self.ask(outcome.work, None, (stream, next_event))
+
+    async def ask(
+        self,
+        work: Work,
+        disconnect_after_s: float | None = None,
+        takes_up: tuple[str, int] = ("", 1),
+    ) -> Outcome:
+        """
+        Send one request and record its outcome.
+
+        ``takes_up`` is the request that began a stream, and the event to go on with.
+        """
         if not await self._connect():
             return Outcome("", work, "", time.monotonic(), end="no host")
         assert self.stream is not None
         assert self.connected is not None
         request_id = self.caller_log.next_id()
         outcome = Outcome(request_id, work, self.connected.host, time.monotonic())
+        outcome.resumes, outcome.first_event = takes_up
         if self.with_prompts and work.kind.is_stream:
             outcome.parts = (SHARED_PART, self.random.choice(SOUND_PARTS))
         self.caller_log.outcomes.append(outcome)
@@ -236,6 +269,9 @@
     ]
     if body:
         lines.append(f"Content-Length: {len(body)}")
+    if outcome.resumes:
+        lines.append(f"Last-Event-Id: {outcome.first_event - 1}")
+        lines.append(f"Resumes: {outcome.resumes}")
     if outcome.parts:
         lines += write_prompt_headers(outcome.parts, outcome.id)
     head = "\r\n".join([*lines, "", ""]).encode()
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -18,6 +18,12 @@
 from .callers import ANSWER_GRACE_S, DEADLINE_S, is_signed
 from .fatal import FATAL_PART, FatalArrival, find_late
 from .limits import CONTACT_S, Sent, StatedLimit, find_exceeded
+from .versions import (
+    StreamPart,
+    find_joined,
+    find_lost_take_ups,
+    list_event_versions,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Sequence
@@ -133,6 +139,7 @@
         find_process_failures,
         find_exceeded_limits,
         find_late_fatal,
+        find_joined_streams,
     )
     return [violation for check in checks for violation in check(evidence)]
 
@@ -196,10 +203,12 @@
         if not is_signed(outcome):
             yield Violation("mixed", f"{_describe(outcome)} isn't signed")
         elif outcome.answer.whole and not is_valid_body(
-            outcome.work, outcome.id, outcome.answer.body
+            outcome.work, outcome.id, outcome.answer.body, outcome.first_event
         ):
             yield Violation("mixed", f"{_describe(outcome)} has a wrong body")
-        elif not is_valid_prefix(outcome.work, outcome.id, outcome.answer.body):
+        elif not is_valid_prefix(
+            outcome.work, outcome.id, outcome.answer.body, outcome.first_event
+        ):
             yield Violation("mixed", f"{_describe(outcome)} begins with a wrong body")
 
 
@@ -365,6 +374,25 @@
         yield Violation("fatal", detail)
 
 
+def find_joined_streams(evidence: Evidence) -> Iterator[Violation]:
+    """Yield streams with events of two versions, and take-ups that didn't go on."""
+    parts = [
+        StreamPart(
+            outcome.resumes or outcome.id,
+            bool(outcome.resumes),
+            list_event_versions(outcome.answer.body),
+            not _is_host_disturbed(evidence, outcome.host, outcome.sent_at)
+            and not _is_disturbed(evidence, outcome, None),
+        )
+        for outcome in evidence.outcomes
+        if outcome.work.kind is RequestKind.RESUMED and not outcome.disconnected
+    ]
+    for detail in find_joined(parts):
+        yield Violation("versions", detail)
+    for detail in find_lost_take_ups(parts):
+        yield Violation("take-ups", detail)
+
+
 def _is_host_disturbed(evidence: Evidence, host: str, at: float) -> bool:
     """Whether a host was restarted, paused or cut off shortly before a time."""
     return any(
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import itertools
+import random
 import signal
 import time
 from dataclasses import dataclass, field
@@ -35,6 +36,7 @@
 from .checks import Location
 from .fatal import FATAL_EXIT
 from .proxy import open_proxy
+from .versions import name_version
 
 if TYPE_CHECKING:
     from .proxy import Proxy
@@ -121,6 +123,7 @@
     port: int
     process: Process | None = None
     id: str = ""
+    version: str = "v1"
 
 
 class Fleet:
@@ -139,6 +142,7 @@
         self.fatal_ends: list[tuple[str, float]] = []
         self.faulty_share = 0.0
         self.limited_share = 0.0
+        self.software_versions = 1
         self._launched: list[Process] = []
         self._seed = seed
         self._ids = itertools.count()
@@ -158,6 +162,8 @@
     def configure(self) -> int:
         """Write a new version, which adds a route of its own."""
         version = len(self.versions) + 1
+        # With several versions, in half of the seeds only callers take up streams.
+        cut = self.software_versions > 1 and self._seed % 2 == 0
         routes = [
             make_route(
                 SERVICES[kind.is_stream],
@@ -166,6 +172,7 @@
                 timeout_ms=4000,
                 resumable=kind is RequestKind.RESUMED,
                 gap_aim_ms=400,
+                max_attempts=1 if kind is RequestKind.RESUMED and cut else 2,
             )
             for kind in RequestKind
         ]
@@ -192,6 +199,9 @@
         number = next(self._ids)
         target.id = f"i-{number}"
         self.locations[target.id] = Location(target.name, target.zone)
+        # Each start may bring another version.
+        draw = random.Random(f"version/{self._seed}/{number}")
+        target.version = name_version(draw.randrange(99), self.software_versions)
         arguments = [
             "-m",
             "soak.target",
@@ -203,6 +213,8 @@
             f"--limited-share={self.limited_share}",
             f"--sound={self.faults_off_file}",
         ]
+        if self.software_versions > 1:
+            arguments.append(f"--software={target.version}")
         target.process = await start_process(target.id, arguments, self.directory)
         self._launched.append(target.process)
         target.port = target.process.port
@@ -212,7 +224,7 @@
     def announce(self, target: TargetProcess, **fields: Any) -> None:
         """Write a target's entry to the store."""
         ip, port = target.link.address
-        fields = {"seq": next(self._ids)} | fields
+        fields = {"seq": next(self._ids), "version": target.version} | fields
         entry = make_entry(target.service, f"{ip}:{port}", target.zone, **fields)
         self.store.put(f"servers/{target.id}", entry)
 
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -67,6 +67,10 @@
 # which a host is unreachable, than a contact of 6 s, and than the time after which
 # directories no longer list a host that has ended.
 FAULT_DURATIONS_S = (0.2, 0.6, 1.5, 3.0, 7.0, 11.0)
+# Times that all hosts are killed at once in a run with several versions, and the time
+# until they start again.
+ALL_KILLED = 2
+ALL_KILLED_S = (0.2, 1.0)
 # Share of faults that are followed by another within 0.3 s, so that they overlap.
 BURST_SHARE = 0.4
 
@@ -79,7 +83,9 @@
     Faults begin within ``seconds`` and last at most ``longest_s``, if they have a
     duration; ``faults_per_s`` is their mean rate. ``limited_share`` is the share of
     targets that state limits on their request rate, ``fatal_per_s`` the rate of
-    requests with a part in their prompts that ends targets.
+    requests with a part in their prompts that ends targets. ``versions`` is the number of
+    software versions of targets side by side; with several, callers take up streams
+    and all hosts are killed at once ``ALL_KILLED`` times.
     """
 
     hosts: int
@@ -89,6 +95,7 @@
     longest_s: float = FAULT_DURATIONS_S[-1]
     limited_share: float = 0.0
     fatal_per_s: float = 0.0
+    versions: int = 1
 
 
 @dataclass(frozen=True, slots=True)
--- a/soak/run.py
+++ b/soak/run.py
@@ -18,7 +18,15 @@
 from .checks import AppliedFault, Evidence, Probe, Violation, check_all, read_records
 from .fatal import FATAL_PART, SHARED_PART
 from .fleet import ENTRY_EXPIRY_S, RESTART_S, SERVICES, Fleet
-from .plan import Disturbance, Fault, FaultKind, Sizes, draw_plan
+from .plan import (
+    ALL_KILLED,
+    ALL_KILLED_S,
+    Disturbance,
+    Fault,
+    FaultKind,
+    Sizes,
+    draw_plan,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -44,6 +52,8 @@
 WATCH_INTERVAL_S = 0.1
 # Share of requests that targets answer with a fault until the recovery begins.
 FAULTY_SHARE = 0.02
+# The same share in runs with several versions, where streams have to break.
+CUT_SHARE = 0.4
 CALLERS_PER_HOST = 2
 # Share of hosts that a KILL_MANY kills.
 KILL_MANY_SHARE = 0.5
@@ -73,6 +83,7 @@
     probes: list[Probe] = field(default_factory=list)
     memory_bytes: int = 0
     with_prompts: bool = False
+    takes_up: bool = False
     done: bool = False
     callers_active: bool = True
 
@@ -100,6 +111,10 @@
     fleet.faulty_share = FAULTY_SHARE
     fleet.limited_share = sizes.limited_share
     run.with_prompts = sizes.fatal_per_s > 0.0
+    if sizes.versions > 1:
+        run.takes_up = True
+        fleet.software_versions = sizes.versions
+        fleet.faulty_share = CUT_SHARE
     await _start(fleet, sizes)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_watch, run)
@@ -112,6 +127,8 @@
                 callers.start_soon(_send_fatal, run, sizes.fatal_per_s)
             async with trio.open_nursery() as faults:
                 started = trio.current_time()
+                if run.takes_up:
+                    faults.start_soon(_kill_all, run, sizes.seconds)
                 for fault in plan:
                     await trio.sleep_until(started + fault.at_s)
                     faults.start_soon(_apply_fault, run, fault)
@@ -150,6 +167,7 @@
             home,
             random.Random(f"{run.seed}/{number}"),
             run.with_prompts,
+            run.takes_up,
         )
         for number, home in enumerate(endpoints * CALLERS_PER_HOST)
     ]
@@ -227,6 +245,22 @@
         run.applied_faults.append(applied)
 
 
+async def _kill_all(run: Run, seconds: float) -> None:
+    """Kill all hosts at once, a few times in a run."""
+    draw = random.Random(f"all/{run.seed}")
+    started = trio.current_time()
+    for at_s in sorted(draw.uniform(0.0, seconds) for _ in range(ALL_KILLED)):
+        await trio.sleep_until(started + at_s)
+        since = time.monotonic()
+        after_s = draw.uniform(*ALL_KILLED_S)
+        async with trio.open_nursery() as nursery:
+            for host in run.fleet.hosts:
+                nursery.start_soon(run.fleet.kill_host, host, after_s)
+        for host in run.fleet.hosts:
+            fault = AppliedFault("kill-all", host.name, since, time.monotonic())
+            run.applied_faults.append(fault)
+
+
 async def _roll(run: Run) -> None:
     """Restart three hosts in sequence, each once the previous one is ready."""
     for host in run.fleet.hosts[:3]:
--- a/soak/target.py
+++ b/soak/target.py
@@ -48,6 +48,7 @@
     faults_off_file: Path
     running: int = 0
     waiting: int = 0
+    version: str = ""
     rate_limit: float | None = None
     random: random.Random = field(default_factory=random.Random)
 
@@ -161,7 +162,7 @@
         head = self.write_head(200, request_id, None, "Content-Type: text/event-stream")
         for number in range(first, work.size + 1):
             await trio.sleep(EVENT_S)
-            event = make_event(request_id, number)
+            event = make_event(request_id, number, self.version)
             if fault in ("lose", "break") and number > work.size // 2:
                 await stream.send_all(head + write_chunk(event)[: len(event) // 2])
                 return "broken"
@@ -231,6 +232,7 @@
     target = Target(
         options.id, options.slots, record, options.faulty_share, options.sound
     )
+    target.version = options.software
     target.random.seed(options.seed)
     draw = random.Random(f"limits/{options.seed}")
     listeners = await trio.open_tcp_listeners(options.port, host="127.0.0.1")
@@ -246,6 +248,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--id", required=True)
     parser.add_argument("--record", required=True)
+    parser.add_argument("--software", default="", help="version named in events")
     parser.add_argument("--port", type=int, default=0)
     parser.add_argument("--slots", type=int, default=4)
     parser.add_argument("--seed", type=int, default=0)
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -24,7 +24,11 @@
 )
 FATAL_SEED = 16
 FATAL_SIZES = Sizes(hosts=3, targets=6, seconds=18.0, faults_per_s=0.3, fatal_per_s=3.0)
+VERSION_SEED = 16
+VERSION_SIZES = Sizes(hosts=3, targets=12, seconds=12.0, faults_per_s=0.3, versions=2)
 MIN_REQUESTS = 100
+# Take-ups from which the check on them counts.
+MIN_TAKE_UPS = 12
 # Ends of targets after which a fatal part is held back.
 MIN_ENDS = 3
 
@@ -53,6 +57,13 @@
     assert sum(run.fault == "fatal" for run in executions) >= MIN_ENDS
 
 
+async def test_short_run_joins_no_streams_of_two_versions(tmp_path: Path) -> None:
+    result = await run_seed(VERSION_SIZES, VERSION_SEED, tmp_path)
+
+    assert result.violations == []
+    assert sum(bool(outcome.resumes) for outcome in result.outcomes) >= MIN_TAKE_UPS
+
+
 def test_regressions_state_their_cause() -> None:
     cases = read_regressions()
     assert len({case["seed"] for case in cases}) == len(cases)
