Keep the suspects that matter when many requests break with a target

Seen by reading: each end of a target kept its first 16 suspected requests, and every request is a suspect by itself since requests and parts are judged alike.

Change: suspects are ranked, those with features that were at most other ends first, then those with shared parts; a block is certain if nothing else was at all of its ends. Only features with enough ends are looked at for blocks.

Before: test_many_requests_in_flight_do_not_hide_the_one_that_ends_targets fails (no block at all). After: passes, with 67 tests of core/serving and all of test_crashing_parts.py and test_stream_versions.py.

--- a/src/lycheepath/core/serving/crash_evidence.py
+++ b/src/lycheepath/core/serving/crash_evidence.py
@@ -20,6 +20,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from functools import partial
 from itertools import pairwise
 from typing import TYPE_CHECKING, Any, NamedTuple
 
@@ -45,7 +46,7 @@
 BLOCK_S = 300.0
 BLOCK_GROWTH = 10.0
 MAX_BLOCK_S = 21_600.0
-# The first such time for a feature that never was the only suspect when a target ended.
+# The first such time if another request was at all of these ends as well.
 UNCERTAIN_BLOCK_S = 30.0
 # Time in seconds after which a blocked feature is forgotten that nobody has sent.
 FORGET_BLOCK_S = 86_400.0
@@ -144,6 +145,8 @@
         self.has_peers = True
         self._ends: dict[Instance, _End] = {}
         self._by_feature: dict[str, set[Instance]] = {}
+        # Features with enough ends to be blocked.
+        self._frequent: set[str] = set()
         self._cleared: dict[str, float] = {}
         self._objections: dict[str, float] = {}
         self._alive: dict[Instance, tuple[float, float]] = {}
@@ -193,9 +196,7 @@
 
     def find_block(self, features: Sequence[str], now: float) -> CrashBlock | None:
         """Return why a request with these features is refused, or None."""
-        if not self._by_feature:
-            return None
-        for feature in features:
+        for feature in self._frequent.intersection(features):
             block = self._find_feature_block(feature, now)
             if block is not None and block.together.issubset(features):
                 return block
@@ -212,9 +213,7 @@
 
     def list_blocks(self, now: float) -> list[CrashBlock]:
         """Return the blocks of all features."""
-        blocks = (
-            self._find_feature_block(feature, now) for feature in list(self._by_feature)
-        )
+        blocks = (self._find_feature_block(feature, now) for feature in self._frequent)
         return [block for block in blocks if block is not None]
 
     def apply_report(self, report: CrashReport, now: float) -> None:
@@ -317,13 +316,11 @@
         end = self._ends.get(instance)
         if end is None:
             end = self._ends[instance] = _End(at, sent_at, shared_from)
-        new = suspects - end.requests
-        room = max(0, MAX_REQUESTS - len(end.requests))
-        for features in sorted(new, key=self._rank_suspect)[:room]:
-            end.requests.add(features)
+        rank = partial(self._rank_suspect, instance)
+        kept = set(sorted(suspects | end.requests, key=rank)[:MAX_REQUESTS])
+        if not kept <= end.requests:
             end.shared_from = shared_from
-            for feature in features:
-                self._by_feature.setdefault(feature, set()).add(instance)
+        self._replace_suspects(instance, end, kept)
         end.at = min(end.at, at)
         end.sent_at = min(end.at, max(end.sent_at, sent_at))
 
@@ -340,10 +337,33 @@
             self._objections[feature] = now
         return features - cleared
 
-    def _rank_suspect(self, features: frozenset[str]) -> tuple[int, list[str]]:
-        """Order suspects: those whose features were at most ends before come first."""
-        ends = max(len(self._by_feature.get(feature, ())) for feature in features)
-        return -ends, sorted(features)
+    def _rank_suspect(
+        self, instance: Instance, features: frozenset[str]
+    ) -> tuple[int, int, list[str]]:
+        """
+        Order suspects: those whose features were at most other ends come first.
+
+        Of the others, those come first that have features which other requests share.
+        """
+        ends = max(
+            len(self._by_feature.get(feature, set()) - {instance})
+            for feature in features
+        )
+        return -ends, -len(features), sorted(features)
+
+    def _replace_suspects(
+        self, instance: Instance, end: _End, requests: set[frozenset[str]]
+    ) -> None:
+        before = frozenset().union(*end.requests)
+        after = frozenset().union(*requests)
+        end.requests = requests
+        for feature in after - before:
+            instances = self._by_feature.setdefault(feature, set())
+            instances.add(instance)
+            if len(instances) >= MAX_ENDS:
+                self._frequent.add(feature)
+        for feature in before - after:
+            self._remove_instance(feature, instance)
 
     def _clear(self, feature: str, at: float, now: float) -> None:
         """Remove a feature from the suspects of all ends that a complete answer clears."""
@@ -352,12 +372,10 @@
             if at <= end.at - CLEARED_S:
                 continue
             self._objections[feature] = now
-            end.requests = {r - {feature} for r in end.requests} - {frozenset()}
-            self._by_feature[feature].discard(instance)
+            requests = {r - {feature} for r in end.requests} - {frozenset()}
+            self._replace_suspects(instance, end, requests)
             if not end.requests:
-                self._remove_end(instance)
-        if not self._by_feature.get(feature, True):
-            del self._by_feature[feature]
+                del self._ends[instance]
 
     def _find_feature_block(self, feature: str, now: float) -> CrashBlock | None:
         instances = self._by_feature.get(feature, set())
@@ -378,7 +396,7 @@
             return None
         requests = [r for end, _ in ends for r in end.requests if feature in r]
         together = frozenset.intersection(*requests) - {feature}
-        certain = any(all(feature in r for r in end.requests) for end, _ in ends)
+        certain = not self._find_rivals(feature, [end for end, _ in ends])
         last_at = ends[-1][0].at
         until = last_at + _find_block_s([end.at for end, _ in ends], certain)
         trial_at = self._trials.get(feature)
@@ -387,15 +405,26 @@
         targets = tuple(target for _, target in ends)
         return CrashBlock(feature, together, targets, last_at, until)
 
+    def _find_rivals(self, feature: str, ends: Iterable[_End]) -> frozenset[str]:
+        """Return the features of other requests that would explain the same ends."""
+        others = (
+            frozenset().union(*(r for r in end.requests if feature not in r))
+            for end in ends
+        )
+        return frozenset.intersection(*others)
+
     def _remove_end(self, instance: Instance) -> None:
         end = self._ends.pop(instance)
-        for feature in {feature for features in end.requests for feature in features}:
-            instances = self._by_feature.get(feature)
-            if instances is None:
-                continue
-            instances.discard(instance)
-            if not instances:
-                del self._by_feature[feature]
+        for feature in frozenset().union(*end.requests):
+            self._remove_instance(feature, instance)
+
+    def _remove_instance(self, feature: str, instance: Instance) -> None:
+        instances = self._by_feature[feature]
+        instances.discard(instance)
+        if len(instances) < MAX_ENDS:
+            self._frequent.discard(feature)
+        if not instances:
+            del self._by_feature[feature]
 
 
 def _find_block_s(ends: Sequence[float], certain: bool) -> float:
--- a/src/lycheepath/gateway/serving.py
+++ b/src/lycheepath/gateway/serving.py
@@ -118,7 +118,7 @@
 
 
 async def _run(node: GatewayNode, exchange: Exchange) -> None:
-    if exchange.route.kind is RouteKind.STREAM:
+    if exchange.route.kind is RouteKind.STREAM and exchange.route.resumable:
         unbound = await node.versions.bind(exchange)
         if unbound is not None:
             await _give_up(node, exchange, unbound)
--- a/src/lycheepath/gateway/stream_versions.py
+++ b/src/lycheepath/gateway/stream_versions.py
@@ -139,7 +139,7 @@
         node = self._node
         version = exchange.attempt_version
         exchange.version = version
-        if not version:
+        if not version or not exchange.route.repeatable:
             return
         origin = Origin(exchange.service, version, exchange.attempt_target)
         self.origins.record(exchange.stream, origin, node.now())
--- a/tests/core/serving/test_crash_evidence.py
+++ b/tests/core/serving/test_crash_evidence.py
@@ -13,6 +13,7 @@
     FORGET_S,
     MAX_ENDS,
     MAX_KEPT_ENDS,
+    MAX_REQUESTS,
     OBJECTION_S,
     SAME_MOMENT_S,
     UNCERTAIN_BLOCK_S,
@@ -210,6 +211,22 @@
     assert failed.until - failed.last_end_at > 5 * BLOCK_S
 
 
+def test_many_requests_in_flight_do_not_hide_the_one_that_ends_targets() -> None:
+    evidence = CrashEvidence()
+    for number in range(MAX_ENDS):
+        for other in range(3 * MAX_REQUESTS):
+            plain = (f"request {number}-{other}",)
+            evidence.record_break(instance(number), plain, number * STEP_S)
+        fatal = ("part bad", f"request bad-{number}")
+        evidence.record_break(instance(number), fatal, number * STEP_S)
+    now = MAX_ENDS * STEP_S
+    block = evidence.find_block(("part bad", "request next"), now)
+    assert block is not None
+    assert block.until == block.last_end_at + BLOCK_S
+    report = evidence.report(now, 0.0, 99)
+    assert max(len(end.requests) for end in report.ends) == MAX_REQUESTS
+
+
 def test_part_that_never_was_alone_is_tried_soon() -> None:
     evidence = CrashEvidence()
     for number in range(MAX_ENDS):
