Send single requests of the soak in one place, and drop a field nobody reads

Cause: reading the whole change again. The probes of versions and the fatal requests had the same eight lines that send a request on a new connection and record its end; _Shares.versions was never read. Change: _send_once serves both.

--- a/soak/run.py
+++ b/soak/run.py
@@ -328,14 +328,8 @@
     outcome = Outcome(
         run.caller_log.next_id(), work, host.name, now, f"v{version}", disconnected=True
     )
-    run.caller_log.outcomes.append(outcome)
-    with trio.move_on_after(PROBE_TIMEOUT_S):
-        try:
-            async with await trio.open_tcp_stream(*host.caller_link.address) as stream:
-                await exchange(stream, outcome)
-        except OSError:
-            return
-    outcome.ended_at = time.monotonic()
+    if not await _send_once(run, host, outcome):
+        return
     if outcome.answer.status in (200, 404) and host.starts == start:
         known = outcome.answer.status == 200
         run.probes.append(Probe(now, host.name, start, version, known))
@@ -359,14 +353,20 @@
         disconnected=True,
         parts=(SHARED_PART, FATAL_PART),
     )
+    await _send_once(run, host, outcome)
+
+
+async def _send_once(run: Run, host: HostProcess, outcome: Outcome) -> bool:
+    """Send one request on a new connection; return False if there was none."""
     run.caller_log.outcomes.append(outcome)
     with trio.move_on_after(PROBE_TIMEOUT_S):
         try:
             async with await trio.open_tcp_stream(*host.caller_link.address) as stream:
                 await exchange(stream, outcome)
         except OSError:
-            return
+            return False
     outcome.ended_at = time.monotonic()
+    return True
 
 
 def _collect_evidence(run: Run, settled_at: float, directory: Path) -> Evidence:
--- a/soak/versions.py
+++ b/soak/versions.py
@@ -9,7 +9,7 @@
 
 import re
 from collections import defaultdict
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -43,7 +43,6 @@
 class _Shares:
     asked: int = 0
     went_on: int = 0
-    versions: set[str] = field(default_factory=set)
 
     @property
     def share(self) -> float:
