Count the targets that a fatal request broke at, also where it only waited

Cause: the test counted requests that had begun to run.

Ruled out: a fault of containment.

Change: the test counts the targets at which requests with the part broke, from the hosts' logs, still three at least. It now also asks that all hosts refused such requests, and nothing but that part, which the old test didn't.

--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -4,8 +4,11 @@
 
 from typing import TYPE_CHECKING
 
+from lycheepath.console.request_logs import read_log_lines
+from lycheepath.core.serving.fingerprints import PART
 from soak.__main__ import read_regressions
 from soak.checks import read_records
+from soak.fatal import FATAL_PART
 from soak.plan import Sizes
 from soak.run import run_seed
 
@@ -29,7 +32,7 @@
 MIN_REQUESTS = 100
 # Take-ups from which the check on them counts.
 MIN_TAKE_UPS = 12
-# Ends of targets after which a fatal part is held back.
+# Targets that break with a fatal request, running or waiting, before the part is held back.
 MIN_ENDS = 3
 
 
@@ -53,8 +56,18 @@
     result = await run_seed(FATAL_SIZES, FATAL_SEED, tmp_path)
 
     assert result.violations == []
-    executions, _, _ = read_records(tmp_path)
-    assert sum(run.fault == "fatal" for run in executions) >= MIN_ENDS
+    fatal = {each.id for each in result.outcomes if FATAL_PART in each.parts}
+    lines = list(read_log_lines(str(path) for path in tmp_path.glob("*.log")))
+    ended = {
+        line["target"]
+        for line in lines
+        if line["event"] == "send-failed" and line["result"] == "lost"
+        if line["request"] in fatal
+    }
+    assert len(ended) >= MIN_ENDS
+    refusals = [line for line in lines if line["event"] == "suspect-refused"]
+    assert len({line["host"] for line in refusals}) == FATAL_SIZES.hosts
+    assert {line["feature"] for line in refusals} == {f"{PART} {FATAL_PART}"}
 
 
 async def test_short_run_joins_no_streams_of_two_versions(tmp_path: Path) -> None:
