Name the instance of a target in one place

held_prompts and containment each built the pair of id and start time; TargetEntry.instance serves both, and Instance moves to the catalog's model. Containment.is_full_report_due also marked a report as sent: start_full_report says so. All evidence is encoded once instead of once for each region, and a row's datagram goes through send_to_row. Behaviour is unchanged.

--- a/src/lycheepath/adapters/crash_messages.py
+++ b/src/lycheepath/adapters/crash_messages.py
@@ -11,7 +11,8 @@
 
 import orjson
 
-from ..core.serving.crash_evidence import CrashReport, Instance, TargetEnd
+from ..core.catalog.model import Instance
+from ..core.serving.crash_evidence import CrashReport, TargetEnd
 from .load_messages import MessageError
 
 # The first field of each datagram, unlike those of heartbeats and other messages.
--- a/src/lycheepath/core/catalog/model.py
+++ b/src/lycheepath/core/catalog/model.py
@@ -10,7 +10,7 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -126,6 +126,13 @@
     limits: CallerLimits
 
 
+class Instance(NamedTuple):
+    """One run of a target: its id, and its start time in Unix ms (0: unknown)."""
+
+    target: str
+    born_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class TargetEntry:
     """
@@ -151,3 +158,8 @@
     leaves_in_s: float | None = None
     version: str = ""
     restarted_at: int = field(default=0, compare=False)
+
+    @property
+    def instance(self) -> Instance:
+        """The run of the target that announced this entry."""
+        return Instance(self.id, self.born_ms)
--- a/src/lycheepath/core/serving/crash_evidence.py
+++ b/src/lycheepath/core/serving/crash_evidence.py
@@ -22,11 +22,13 @@
 from dataclasses import dataclass, field
 from functools import partial
 from itertools import pairwise
-from typing import TYPE_CHECKING, Any, NamedTuple
+from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
+    from ..catalog.model import Instance
+
 # Number of targets that end under a feature before it is blocked; two may be a coincidence
 # when requests are sent to the same next target.
 MAX_ENDS = 3
@@ -68,13 +70,6 @@
 MAX_REQUESTS = 16
 
 
-class Instance(NamedTuple):
-    """One run of a target: its id, and its start time in Unix ms (0: unknown)."""
-
-    target: str
-    born_ms: int
-
-
 @dataclass(frozen=True, slots=True)
 class TargetEnd:
     """
--- a/src/lycheepath/gateway/containment.py
+++ b/src/lycheepath/gateway/containment.py
@@ -24,12 +24,12 @@
     CrashBlock,
     CrashEvidence,
     CrashReport,
-    Instance,
 )
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from ..core.catalog.model import Instance
     from ..core.placement.registry import TargetState
     from .exchange import Exchange
     from .node import GatewayNode
@@ -111,20 +111,20 @@
         began_at = request.first_event_at
         if began_at is None or now - began_at < BEGUN_S:
             self.evidence.record_break(
-                _name_instance(target), exchange.features, now, request.sent_at
+                target.entry.instance, exchange.features, now, request.sent_at
             )
-        self._fail_unproven(_name_instance(target), now)
+        self._fail_unproven(target.entry.instance, now)
 
     def record_refused_connection(self, target: TargetState) -> None:
         """Record that no process listens at a target's address."""
-        self._fail_unproven(_name_instance(target), self._node.now())
+        self._fail_unproven(target.entry.instance, self._node.now())
 
     def record_answer(self, exchange: Exchange, target: TargetState) -> None:
         """Record an answer that has ended without an error."""
         node = self._node
         now = node.now()
         if exchange.ended_with_connection:
-            answer = _UnprovenAnswer(_name_instance(target), now, exchange.features)
+            answer = _UnprovenAnswer(target.entry.instance, now, exchange.features)
             self._unproven.append(answer)
             del self._unproven[:-MAX_UNPROVEN]
             return
@@ -134,7 +134,7 @@
     def record_contact(self, target: TargetState) -> None:
         """Record that a target was heard from: it hasn't ended."""
         now = self._node.now()
-        instance = _name_instance(target)
+        instance = target.entry.instance
         if self.evidence.record_contact(instance, now):
             record_event("target-alive-after-break", subject=instance.target)
         if not self._unproven:
@@ -157,7 +157,7 @@
         self.evidence.has_peers = bool(self._node.peers.view.live_hosts(now))
         for instance, ended_at in self.evidence.list_unsettled(now):
             target = self._node.registry.targets.get(instance.target)
-            if target is None or _name_instance(target) != instance:
+            if target is None or target.entry.instance != instance:
                 continue
             if target.last_contact_at >= ended_at + ALIVE_FROM_S:
                 self.record_contact(target)
@@ -182,8 +182,8 @@
         """Return a datagram with what is new to this host, or no bytes."""
         return self._write_report(now, now - REPORT_S)
 
-    def is_full_report_due(self, region: str, now: float) -> bool:
-        """Whether a region is to get all evidence again; if so, it counts as sent."""
+    def start_full_report(self, region: str, now: float) -> bool:
+        """Return whether a region is due to get all evidence; it counts as sent then."""
         if now - self._full_report_at.get(region, float("-inf")) < FULL_REPORT_S:
             return False
         self._full_report_at[region] = now
@@ -231,10 +231,6 @@
             self.evidence.record_break(instance, answer.features, now)
 
 
-def _name_instance(target: TargetState) -> Instance:
-    return Instance(target.entry.id, target.entry.born_ms)
-
-
 def _is_leaving(target: TargetState, now: float) -> bool:
     """Whether a target is expected to end."""
     return target.entry.draining or target.availability.is_withdrawn(now)
--- a/src/lycheepath/gateway/held_prompts.py
+++ b/src/lycheepath/gateway/held_prompts.py
@@ -18,6 +18,7 @@
 from .calls import CallFailedError, fetch
 
 if TYPE_CHECKING:
+    from ..core.catalog.model import Instance
     from ..core.placement.registry import TargetState
     from .node import GatewayNode
 
@@ -32,7 +33,7 @@
 
     def __init__(self, node: GatewayNode) -> None:
         self._node = node
-        self._lists: dict[tuple[str, int], tuple[float, frozenset[str]]] = {}
+        self._lists: dict[Instance, tuple[float, frozenset[str]]] = {}
         self._lock = trio.Lock()
 
     async def find_versions(self, service: str, part: str) -> frozenset[str]:
@@ -52,14 +53,16 @@
         return frozenset(
             target.entry.version
             for target in targets
-            if part in self._lists.get(_key(target), (0.0, frozenset()))[1]
+            if part in self._lists.get(target.entry.instance, (0.0, frozenset()))[1]
         )
 
     async def _update(self, target: TargetState) -> None:
         """Read a target's list unless it was read just before."""
         node = self._node
         now = node.now()
-        read_at, known = self._lists.get(_key(target), (float("-inf"), frozenset()))
+        read_at, known = self._lists.get(
+            target.entry.instance, (float("-inf"), frozenset())
+        )
         if now - read_at < LIST_TTL_S:
             return
         try:
@@ -76,8 +79,4 @@
             node.metrics.count("prompt_lists_total")
             record_event("prompts-read", subject=target.entry.id, parts=len(parts))
         self._lists = {k: v for k, v in self._lists.items() if now - v[0] < LIST_TTL_S}
-        self._lists[_key(target)] = now, parts
-
-
-def _key(target: TargetState) -> tuple[str, int]:
-    return target.entry.id, target.entry.born_ms
+        self._lists[target.entry.instance] = now, parts
--- a/src/lycheepath/gateway/peers.py
+++ b/src/lycheepath/gateway/peers.py
@@ -86,7 +86,7 @@
         """Send a datagram to a host of any region, if it is known."""
         row = self.view.find_host(host)
         if row is not None:
-            await self._send(data, row.ip)
+            await self.send_to_row(row, data)
 
     async def announce_shutdown(self) -> None:
         """Announce to all hosts of the region that this one takes no new callers."""
@@ -154,23 +154,28 @@
     async def _send_evidence(
         self, receivers: list[tuple[str, str]], now: float
     ) -> None:
-        """Send evidence on prompts: the new to all, all of it to one of each region."""
+        """Send evidence on crashes: the new to all, all of it to one of each region."""
         containment = self._node.containment
         new_evidence = containment.write_new_evidence(now)
         if new_evidence:
             for ip, _ in receivers:
                 await self._send(new_evidence, ip)
-        for region, ip in {region: ip for ip, region in receivers}.items():
-            if containment.is_full_report_due(region, now):
-                all_evidence = containment.write_all_evidence(now)
-                if all_evidence:
-                    await self._send(all_evidence, ip)
+        last_of_regions = {region: ip for ip, region in receivers}
+        due = [
+            ip
+            for region, ip in last_of_regions.items()
+            if containment.start_full_report(region, now)
+        ]
+        all_evidence = containment.write_all_evidence(now) if due else b""
+        if all_evidence:
+            for ip in due:
+                await self._send(all_evidence, ip)
 
     async def _send_all_evidence(self, host: HostRow, now: float) -> None:
-        """Send evidence on prompts to a host that has started or was out of reach."""
+        """Send evidence on crashes to a host that has started or was out of reach."""
         data = self._node.containment.write_all_evidence(now)
         if data:
-            await self._send(data, host.ip)
+            await self.send_to_row(host, data)
 
     async def _run_receiver(self, udp_socket: trio.socket.SocketType) -> None:
         node = self._node
--- a/tests/adapters/test_crash_messages.py
+++ b/tests/adapters/test_crash_messages.py
@@ -12,7 +12,8 @@
 from lycheepath.adapters.heartbeats import BeatError, decode_heartbeat, parse_datagram
 from lycheepath.adapters.limit_messages import is_limit_message
 from lycheepath.adapters.load_messages import MessageError, is_load_message
-from lycheepath.core.serving.crash_evidence import CrashReport, Instance, TargetEnd
+from lycheepath.core.catalog.model import Instance
+from lycheepath.core.serving.crash_evidence import CrashReport, TargetEnd
 
 INSTANCE = Instance("i-1", 1_790_000_000_000)
 REPORT = CrashReport(
--- a/tests/core/serving/test_crash_evidence.py
+++ b/tests/core/serving/test_crash_evidence.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from lycheepath.core.catalog.model import Instance
 from lycheepath.core.serving.crash_evidence import (
     ALIVE_FROM_S,
     ALIVE_UNTIL_S,
@@ -19,7 +20,6 @@
     UNCERTAIN_BLOCK_S,
     CrashEvidence,
     CrashReport,
-    Instance,
 )
 
 if TYPE_CHECKING:
