Add failing tests: a part that all requests share is blocked beside the fatal one

Without older hosts it happens when three targets end before any answer is complete, as after the end of all hosts: real gateways, 3 targets, answers of 1 s, 4 fatal and 20 sound requests a second. No sound request is served in the last 3 s of 13; half is the aim (LOST beside BUDGET).

--- a/tests/core/serving/test_crash_evidence.py
+++ b/tests/core/serving/test_crash_evidence.py
@@ -85,6 +85,21 @@
     assert evidence.find_block((FIRST, OTHER), now) is None
 
 
+@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt, issue 36")
+def test_wide_part_is_not_blocked_while_a_narrower_one_was_at_the_same_ends() -> None:
+    evidence = CrashEvidence()
+    now = record_ends(evidence, (FIRST, BAD))
+    evidence.record_break(instance(0), (FIRST, OTHER), 0.0)
+    block = evidence.find_block((FIRST, BAD), now)
+    assert block is not None
+    assert (block.feature, block.together) == (BAD, frozenset({FIRST}))
+    assert evidence.find_block((FIRST, "next"), now) is None
+    evidence.record_break(instance(9), (FIRST, OTHER), now)
+    wide = evidence.find_block((FIRST, "next"), now)
+    assert wide is not None
+    assert wide.feature == FIRST
+
+
 def test_part_that_was_answered_shortly_before_is_not_suspected() -> None:
     evidence = CrashEvidence()
     evidence.record_answer((FIRST,), 0.0)
--- a/tests/gateway/test_crashing_parts.py
+++ b/tests/gateway/test_crashing_parts.py
@@ -143,6 +143,34 @@
     assert service.count_late_fatal(CONTACT_S) <= MAX_LATE
 
 
+@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt, issue 36")
+async def test_part_that_all_requests_share_is_not_held_back_before_any_answer(
+    site: Site,
+) -> None:
+    draw = random.Random(5)
+    service = await start_service(site, targets=3)
+    # No answer is complete before three targets have ended.
+    service.events = 50
+    nodes = [await site.start_gateway(f"host-{n}") for n in range(3)]
+    await wait_until_live(*nodes)
+    beside: list[StreamOutcome] = []
+
+    async def ask_sound() -> None:
+        beside.extend(
+            await ask_for_streams(site, nodes, draw_sound, SOUND_PER_S, RUN_S)
+        )
+
+    def draw_sound(_: int) -> tuple[str, ...]:
+        return SHARED, f"good-{draw.randrange(30)}"
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(ask_sound)
+        await ask_for_streams(site, nodes, lambda _: (SHARED, BAD), FATAL_PER_S, RUN_S)
+    assert len(service.ended_at) >= 3
+    assert service.count_late_fatal(CONTACT_S) <= MAX_LATE
+    assert find_served_share(beside, LAST_S) >= 0.5
+
+
 async def test_parts_of_requests_beside_a_fatal_one_are_not_held_back(
     site: Site,
 ) -> None:
