Block the narrowest part that explains why targets ended

Cause: a feature was blocked as soon as three targets ended under it, unless all its suspects had another feature in common. One sound request in flight at one of the ends was enough to block the shared part by itself, although the fatal part, which is in fewer requests, explains the same ends. Everybody then refused the shared part, so that no answer could clear it.

Change: a feature isn't blocked while another one was at exactly the same ends, and only in requests that have the first. The next end without the narrower one blocks the wider one.

Ruled out: shorter blocks for parts that all suspects share (a fatal part that comes alone looks the same, and would be tried after 30 s).

--- a/src/lycheepath/core/serving/crash_evidence.py
+++ b/src/lycheepath/core/serving/crash_evidence.py
@@ -7,7 +7,7 @@
 features that no complete answer has cleared. A feature under which ``MAX_ENDS`` targets
 ended is blocked. Features that were together in all of these requests can't be told
 apart; only requests that have all of them are refused, until one of them is seen
-elsewhere::
+elsewhere. Of two features that explain the same ends, the narrower one is blocked::
 
     evidence = CrashEvidence()
     evidence.record_break(Instance("i-7f", 0), ("part 5c1e", "part 91bd"), now, sent_at)
@@ -391,6 +391,8 @@
             return None
         requests = [r for end, _ in ends for r in end.requests if feature in r]
         together = frozenset.intersection(*requests) - {feature}
+        if self._has_narrower(feature, frozenset().union(*requests) - together):
+            return None
         certain = not self._find_rivals(feature, [end for end, _ in ends])
         last_at = ends[-1][0].at
         until = last_at + _find_block_s([end.at for end, _ in ends], certain)
@@ -400,6 +402,26 @@
         targets = tuple(target for _, target in ends)
         return CrashBlock(feature, together, targets, last_at, until)
 
+    def _has_narrower(self, feature: str, others: Iterable[str]) -> bool:
+        """
+        Whether another feature was at the same ends, only in requests with this one.
+
+        It explains these ends as well and blocks fewer requests. If it is innocent, the next
+        end is without it.
+        """
+        instances = self._by_feature[feature]
+        return any(
+            self._by_feature[other] == instances
+            and all(
+                feature in request
+                for instance in instances
+                for request in self._ends[instance].requests
+                if other in request
+            )
+            for other in others
+            if other != feature
+        )
+
     def _find_rivals(self, feature: str, ends: Iterable[_End]) -> frozenset[str]:
         """Return the features of other requests that would explain the same ends."""
         others = (
--- a/tests/core/serving/test_crash_evidence.py
+++ b/tests/core/serving/test_crash_evidence.py
@@ -85,7 +85,6 @@
     assert evidence.find_block((FIRST, OTHER), now) is None
 
 
-@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt, issue 36")
 def test_wide_part_is_not_blocked_while_a_narrower_one_was_at_the_same_ends() -> None:
     evidence = CrashEvidence()
     now = record_ends(evidence, (FIRST, BAD))
--- a/tests/gateway/test_crashing_parts.py
+++ b/tests/gateway/test_crashing_parts.py
@@ -143,7 +143,6 @@
     assert service.count_late_fatal(CONTACT_S) <= MAX_LATE
 
 
-@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt, issue 36")
 async def test_part_that_all_requests_share_is_not_held_back_before_any_answer(
     site: Site,
 ) -> None:
