--- a/tests/core/serving/test_fingerprints.py
+++ b/tests/core/serving/test_fingerprints.py
@@ -16,6 +16,13 @@
     assert set(first) & set(second) == {"part 5c1e"}
 
 
+def test_requests_that_differ_only_in_their_prompts_are_told_apart() -> None:
+    first = list_features(b"GET", b"/a", b"", ("5c1e", "91bd"))
+    second = list_features(b"GET", b"/a", b"", ("5c1e", "e440"))
+    assert set(first) & set(second) == {"part 5c1e"}
+    assert first == list_features(b"GET", b"/a", b"", ("5c1e", "91bd"))
+
+
 def test_long_id_of_a_part_is_shortened_and_still_distinct() -> None:
     long = "x" * MAX_PART_LENGTH
     found = {list_features(b"GET", b"/", b"", (long + end,))[0] for end in "abc"}
