Answer 502 where the gateway fails after a request was sent

Cause: the attempt is counted only when its outcome is known, and a fault leaves none. Then nothing had run, as far as the final answer knew.

Change: a fault inside an attempt counts it as lost; the answer is 502. Before: the new test gets 503; after: 502, and the other tests of test_serving.py pass.

--- a/src/lycheepath/gateway/serving.py
+++ b/src/lycheepath/gateway/serving.py
@@ -176,9 +176,14 @@
 async def _send(
     node: GatewayNode, exchange: Exchange, placed: Placement
 ) -> SendOutcome:
-    if placed.is_remote:
-        return await send_to_region(node, exchange, placed)
-    return await send_to_target(node, exchange, placed)
+    try:
+        if placed.is_remote:
+            return await send_to_region(node, exchange, placed)
+        return await send_to_target(node, exchange, placed)
+    except Exception:
+        # Whether the request has run isn't known after a fault.
+        exchange.attempts.record(AttemptResult.LOST)
+        raise
 
 
 async def _give_up(
--- a/tests/gateway/test_serving.py
+++ b/tests/gateway/test_serving.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import trio
 
 from lycheepath.core.reasons import Reason
@@ -14,6 +16,9 @@
     read_answer,
 )
 
+if TYPE_CHECKING:
+    import pytest
+
 SIGNED = b"HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: s\r\n"
 BUSY = answer_text(b"", 503, "Not-Executed: 1")
 
@@ -349,3 +354,19 @@
         assert answer.status == 200
     await trio.sleep(0.05)
     assert (target.connections, target.open) == (3, 0)
+
+
+async def test_fault_in_the_gateway_after_a_send_is_not_reported_as_not_run(
+    site: Site, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    target = await site.add_target("books", answer_text(b"done"))
+    site.configure(make_route("books", "unsafe"))
+    node = await site.start_gateway("host-1")
+
+    def fail(_: object) -> None:
+        raise ValueError("a fault of this test")
+
+    monkeypatch.setattr(node.containment, "record_contact", fail)
+    answer = await site.ask(node, b"POST", "/books/1", b"body")
+    assert len(target.seen) == 1
+    assert answer.status == 502
