Try parts that may be innocent after 3 s instead of 30 s

Cause: several features were at all three ends, among them popular sound ones. All are blocked, as they can't be told apart, and only a trial can tell. It came after 30 s, longer than the rule on sound requests allows. A trial costs at most one more target, that of the guilty feature. Besides, pauses before the third end counted as failed trials, an uncertain feature with one failed trial was blocked as long as a certain one, and a trial whose request reached no target kept all others waiting for 30 s.

Change: the first trial of an uncertain feature is after 3 s, the time for answers that are under way, then after 30 s, 300 s. Only ends after the third count as trials. A trial without an outcome is repeated 2 s after its request has ended. Retry-After is the time until the trial.

Ruled out: refusing only the rarest of the features (the guilty one may be the popular one).

Before: the new gateway test and three of the new tests of crash_evidence fail; after: all pass, with late fatal requests within the bound as before.

--- a/src/lycheepath/core/serving/crash_evidence.py
+++ b/src/lycheepath/core/serving/crash_evidence.py
@@ -48,8 +48,11 @@
 BLOCK_S = 300.0
 BLOCK_GROWTH = 10.0
 MAX_BLOCK_S = 21_600.0
-# The first such time if another request was at all of these ends as well.
-UNCERTAIN_BLOCK_S = 30.0
+# Trials after which the time doesn't grow any more.
+MAX_COUNTED_TRIALS = 4
+# The first such time if another request was at all of these ends as well: the time for
+# answers that are under way, since the feature may be innocent.
+UNCERTAIN_BLOCK_S = 3.0
 # Time in seconds after which a blocked feature is forgotten that nobody has sent.
 FORGET_BLOCK_S = 86_400.0
 # Time in seconds after a break in which this host waits for a sign of life before it
@@ -57,6 +60,9 @@
 SETTLE_S = 0.3
 # Time in seconds for the outcome of a trial.
 TRIAL_S = 30.0
+# Time in seconds after a trial without an outcome until the next one: reports of an end at
+# another host are known by then.
+TRIAL_PAUSE_S = 2.0
 # A target that is heard from between these times after a broken connection, in seconds,
 # didn't end: bytes that it sent before have been read by then, and no target restarts
 # within a second.
@@ -145,7 +151,8 @@
         self._cleared: dict[str, float] = {}
         self._objections: dict[str, float] = {}
         self._alive: dict[Instance, tuple[float, float]] = {}
-        self._trials: dict[str, float] = {}
+        # When each trial began, and until when no other may.
+        self._trials: dict[str, tuple[float, float]] = {}
 
     def record_break(
         self,
@@ -202,10 +209,16 @@
         if now < block.until:
             return False
         self._trials.pop(block.feature, None)
-        self._trials[block.feature] = now
+        self._trials[block.feature] = now, now + TRIAL_S
         _drop_oldest(self._trials, MAX_KEPT_ENDS)
         return True
 
+    def end_trial(self, feature: str, now: float) -> None:
+        """Record that the request on trial has ended; another one may try soon."""
+        trial = self._trials.get(feature)
+        if trial is not None:
+            self._trials[feature] = trial[0], now + TRIAL_PAUSE_S
+
     def list_blocks(self, now: float) -> list[CrashBlock]:
         """Return the blocks of all features."""
         blocks = (self._find_feature_block(feature, now) for feature in self._frequent)
@@ -284,13 +297,11 @@
             old += kept[:excess]
         for instance in old:
             self._remove_end(instance)
-        for table in (self._objections, self._trials):
-            for name in [n for n, at in table.items() if now - at > FORGET_S]:
-                del table[name]
-        for instance in [
-            i for i, (at, _) in self._alive.items() if now - at > FORGET_S
-        ]:
-            del self._alive[instance]
+        self._objections = {
+            f: at for f, at in self._objections.items() if now - at <= FORGET_S
+        }
+        self._trials = {f: t for f, t in self._trials.items() if now - t[0] <= FORGET_S}
+        self._alive = {i: a for i, a in self._alive.items() if now - a[0] <= FORGET_S}
 
     def _add_end(
         self,
@@ -396,9 +407,9 @@
         certain = not self._find_rivals(feature, [end for end, _ in ends])
         last_at = ends[-1][0].at
         until = last_at + _find_block_s([end.at for end, _ in ends], certain)
-        trial_at = self._trials.get(feature)
-        if trial_at is not None and until <= trial_at:
-            until = trial_at + TRIAL_S
+        trial = self._trials.get(feature)
+        if trial is not None and until <= trial[0]:
+            until = trial[1]
         targets = tuple(target for _, target in ends)
         return CrashBlock(feature, together, targets, last_at, until)
 
@@ -445,12 +456,15 @@
 
 
 def _find_block_s(ends: Sequence[float], certain: bool) -> float:
-    """Return the time from the last of some ends until a trial, in seconds."""
-    pauses = (after - before for before, after in pairwise(ends))
+    """
+    Return the time from the last of some ends until a trial, in seconds.
+
+    Ends after a pause are those of trials once there were enough of them for a block.
+    """
+    pauses = (after - before for before, after in pairwise(ends[MAX_ENDS - 1 :]))
     trials = sum(pause_s >= UNCERTAIN_BLOCK_S for pause_s in pauses)
-    if not certain and not trials:
-        return UNCERTAIN_BLOCK_S
-    return min(MAX_BLOCK_S, BLOCK_S * BLOCK_GROWTH ** min(trials, len(ends)))
+    first_s = BLOCK_S if certain else UNCERTAIN_BLOCK_S
+    return min(MAX_BLOCK_S, first_s * BLOCK_GROWTH ** min(trials, MAX_COUNTED_TRIALS))
 
 
 def _drop_oldest(table: dict[Any, Any], max_entries: int) -> None:
--- a/src/lycheepath/gateway/containment.py
+++ b/src/lycheepath/gateway/containment.py
@@ -20,7 +20,6 @@
 from ..core.serving.crash_evidence import (
     ALIVE_FROM_S,
     ALIVE_UNTIL_S,
-    TRIAL_S,
     CrashBlock,
     CrashEvidence,
     CrashReport,
@@ -37,6 +36,8 @@
 # Time in seconds after its first event from which a request isn't suspected when its
 # target ends: targets end when they begin to write.
 BEGUN_S = 1.0
+# Shortest time in seconds after which a caller may come again: the trial is due.
+MIN_RETRY_S = 1.0
 # Time for which new evidence is repeated with heartbeats.
 REPORT_S = 0.5
 # Interval at which all evidence is sent to one host of each region.
@@ -69,6 +70,8 @@
         self._unproven: list[_UnprovenAnswer] = []
         self._blocked: dict[str, CrashBlock] = {}
         self._full_report_at: dict[str, float] = {}
+        # The blocked features that requests in progress try, by their numbers.
+        self._tried: dict[int, str] = {}
 
     def count_blocked(self) -> int:
         """Return the number of blocked features."""
@@ -84,7 +87,7 @@
         if exchange.on_trial or self._may_try(block, exchange, now):
             return None
         age_s = now - block.last_end_at
-        wait_s = max(block.until - now, TRIAL_S)
+        wait_s = max(block.until - now, MIN_RETRY_S)
         node.metrics.count("suspect_refusals_total")
         record_event(
             "suspect-refused",
@@ -148,6 +151,12 @@
             self._unproven.remove(answer)
             self.evidence.record_answer(answer.features, now)
 
+    def end_trial(self, exchange: Exchange) -> None:
+        """Let another request try what this one tried, if it has ended no target."""
+        feature = self._tried.pop(exchange.number, None)
+        if feature is not None:
+            self.evidence.end_trial(feature, self._node.now())
+
     def apply_report(self, report: CrashReport) -> None:
         """Merge the evidence of another host."""
         self.evidence.apply_report(report, self._node.now())
@@ -214,6 +223,7 @@
         if owner != node.settings.host or not self.evidence.start_trial(block, now):
             return False
         exchange.on_trial = True
+        self._tried[exchange.number] = block.feature
         record_event(
             "suspect-trial", request=exchange.request_head.id, feature=block.feature
         )
--- a/src/lycheepath/gateway/serving.py
+++ b/src/lycheepath/gateway/serving.py
@@ -73,6 +73,7 @@
         await _give_up(node, exchange, None)
     finally:
         node.active_requests -= 1
+        node.containment.end_trial(exchange)
         if caller.disconnected and not exchange.outcome_logged:
             _log_outcome(node, exchange, "left", 0)
 
--- a/tests/core/serving/test_crash_evidence.py
+++ b/tests/core/serving/test_crash_evidence.py
@@ -9,6 +9,7 @@
 from lycheepath.core.serving.crash_evidence import (
     ALIVE_FROM_S,
     ALIVE_UNTIL_S,
+    BLOCK_GROWTH,
     BLOCK_S,
     CLEARED_S,
     FORGET_S,
@@ -17,6 +18,7 @@
     MAX_REQUESTS,
     OBJECTION_S,
     SAME_MOMENT_S,
+    TRIAL_PAUSE_S,
     UNCERTAIN_BLOCK_S,
     CrashEvidence,
     CrashReport,
@@ -255,6 +257,41 @@
     assert evidence.find_block((BAD,), block.until)
 
 
+def test_pauses_before_a_part_is_blocked_are_no_trials() -> None:
+    evidence = CrashEvidence()
+    now = record_ends(evidence, (BAD,), step_s=40.0)
+    block = evidence.find_block((BAD,), now)
+    assert block is not None
+    assert block.until == block.last_end_at + BLOCK_S
+
+
+def test_uncertain_part_whose_trial_ends_a_target_is_tried_again_later() -> None:
+    evidence = CrashEvidence()
+    for number in range(MAX_ENDS):
+        evidence.record_break(instance(number), (BAD,), number * STEP_S)
+        evidence.record_break(instance(number), (OTHER,), number * STEP_S)
+    at = MAX_ENDS * STEP_S + UNCERTAIN_BLOCK_S
+    evidence.record_break(instance(9), (BAD,), at)
+    evidence.record_break(instance(9), (OTHER,), at)
+    block = evidence.find_block((OTHER,), at)
+    assert block is not None
+    assert block.until == pytest.approx(at + UNCERTAIN_BLOCK_S * BLOCK_GROWTH)
+
+
+def test_trial_without_an_outcome_is_repeated() -> None:
+    evidence = CrashEvidence()
+    now = record_ends(evidence, (BAD,))
+    block = evidence.find_block((BAD,), now)
+    assert block is not None
+    late = block.until
+    assert evidence.start_trial(block, late)
+    evidence.end_trial(BAD, late + 1.0)
+    again = evidence.find_block((BAD,), late + 1.0)
+    assert again is not None
+    assert not evidence.start_trial(again, late + 1.0)
+    assert again.until == late + 1.0 + TRIAL_PAUSE_S
+
+
 def test_old_evidence_is_forgotten_unless_it_blocks() -> None:
     evidence = CrashEvidence()
     now = record_ends(evidence, (BAD,))
--- a/tests/gateway/test_crashing_parts.py
+++ b/tests/gateway/test_crashing_parts.py
@@ -143,8 +143,9 @@
     assert service.count_late_fatal(CONTACT_S) <= MAX_LATE
 
 
-async def test_part_that_all_requests_share_is_not_held_back_before_any_answer(
-    site: Site,
+@pytest.mark.parametrize("sound_parts", [2, 30])
+async def test_parts_of_sound_requests_are_served_though_none_was_answered_before(
+    site: Site, sound_parts: int
 ) -> None:
     draw = random.Random(5)
     service = await start_service(site, targets=3)
@@ -160,7 +161,7 @@
         )
 
     def draw_sound(_: int) -> tuple[str, ...]:
-        return SHARED, f"good-{draw.randrange(30)}"
+        return SHARED, f"good-{draw.randrange(sound_parts)}"
 
     async with trio.open_nursery() as nursery:
         nursery.start_soon(ask_sound)
