Take a part for uncertain if another one explains most of its ends

A popular sound request was in flight at three ends, of which two were those of the fatal part, whose third end it missed. As nothing else was at all three, it counted as certain.

Change: a feature is certain only if three ends are left without those that any other frequent feature explains. Both are tried after 3 s then; the sound one is cleared.

--- a/src/lycheepath/core/serving/crash_evidence.py
+++ b/src/lycheepath/core/serving/crash_evidence.py
@@ -19,6 +19,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass, field
 from functools import partial
 from itertools import pairwise
@@ -50,8 +51,8 @@
 MAX_BLOCK_S = 21_600.0
 # Trials after which the time doesn't grow any more.
 MAX_COUNTED_TRIALS = 4
-# The first such time if another request was at all of these ends as well: the time for
-# answers that are under way, since the feature may be innocent.
+# The first such time if another feature explains these ends as well: the time for answers
+# that are under way, since the feature may be innocent.
 UNCERTAIN_BLOCK_S = 3.0
 # Time in seconds after which a blocked feature is forgotten that nobody has sent.
 FORGET_BLOCK_S = 86_400.0
@@ -404,7 +405,7 @@
         together = frozenset.intersection(*requests) - {feature}
         if self._has_narrower(feature, frozenset().union(*requests) - together):
             return None
-        certain = not self._find_rivals(feature, [end for end, _ in ends])
+        certain = not self._has_rival(feature, [end for end, _ in ends])
         last_at = ends[-1][0].at
         until = last_at + _find_block_s([end.at for end, _ in ends], certain)
         trial = self._trials.get(feature)
@@ -433,13 +434,13 @@
             if other != feature
         )
 
-    def _find_rivals(self, feature: str, ends: Iterable[_End]) -> frozenset[str]:
-        """Return the features of other requests that would explain the same ends."""
-        others = (
-            frozenset().union(*(r for r in end.requests if feature not in r))
-            for end in ends
-        )
-        return frozenset.intersection(*others)
+    def _has_rival(self, feature: str, ends: Sequence[_End]) -> bool:
+        """Whether too few ends are left without those that another feature explains."""
+        explained: Counter[str] = Counter()
+        for end in ends:
+            others = frozenset().union(*(r for r in end.requests if feature not in r))
+            explained.update(self._frequent.intersection(others))
+        return any(len(ends) - count < MAX_ENDS for count in explained.values())
 
     def _remove_end(self, instance: Instance) -> None:
         end = self._ends.pop(instance)
--- a/tests/core/serving/test_crash_evidence.py
+++ b/tests/core/serving/test_crash_evidence.py
@@ -265,6 +265,17 @@
     assert block.until == block.last_end_at + BLOCK_S
 
 
+def test_part_whose_ends_another_part_mostly_explains_is_tried_soon() -> None:
+    evidence = CrashEvidence()
+    now = record_ends(evidence, (BAD,))
+    for number in (1, 2, 9):
+        evidence.record_break(instance(number), (OTHER,), number * STEP_S)
+    now = 9 * STEP_S + OBJECTION_S
+    block = evidence.find_block((OTHER,), now)
+    assert block is not None
+    assert block.until == block.last_end_at + UNCERTAIN_BLOCK_S
+
+
 def test_uncertain_part_whose_trial_ends_a_target_is_tried_again_later() -> None:
     evidence = CrashEvidence()
     for number in range(MAX_ENDS):
