Let the next host try a blocked part if the first one gets no request

Only the first host in rank may try a blocked part, and no request with it came there. In a fleet of hundreds of hosts that would be the rule.

Before: the new test, in which requests come to the second host only, serves none of them; after: all in the last second.

--- a/src/lycheepath/gateway/containment.py
+++ b/src/lycheepath/gateway/containment.py
@@ -20,6 +20,7 @@
 from ..core.serving.crash_evidence import (
     ALIVE_FROM_S,
     ALIVE_UNTIL_S,
+    TRIAL_PAUSE_S,
     CrashBlock,
     CrashEvidence,
     CrashReport,
@@ -214,13 +215,18 @@
         return b""
 
     def _may_try(self, block: CrashBlock, exchange: Exchange, now: float) -> bool:
-        """Whether a request tries what is blocked; only one host lets it, when due."""
+        """
+        Whether a request tries what is blocked.
+
+        When it is due, one host after the other may let one do so, in the order of rank.
+        """
         if now < block.until:
             return False
         node = self._node
         hosts = [row.id for row in node.peers.view.live_hosts(now)]
-        owner = rank(block.feature, [*hosts, node.settings.host])[0]
-        if owner != node.settings.host or not self.evidence.start_trial(block, now):
+        order = rank(block.feature, [*hosts, node.settings.host])
+        turn_at = block.until + order.index(node.settings.host) * TRIAL_PAUSE_S
+        if now < turn_at or not self.evidence.start_trial(block, now):
             return False
         exchange.on_trial = True
         self._tried[exchange.number] = block.feature
--- a/tests/gateway/test_crashing_parts.py
+++ b/tests/gateway/test_crashing_parts.py
@@ -13,6 +13,9 @@
 import pytest
 import trio
 
+from lycheepath.core.catalog.model import Instance
+from lycheepath.core.hosts.rendezvous import rank
+from lycheepath.core.serving.crash_evidence import MAX_ENDS
 from standins.site import Site, make_route
 from standins.stream_service import StreamOutcome, StreamService, ask_for_streams
 from tests.gateway.test_fleet import wait_until_live
@@ -171,6 +174,25 @@
     assert find_served_share(beside, LAST_S) >= 0.5
 
 
+async def test_sound_part_is_tried_by_another_host_if_the_first_gets_no_request(
+    site: Site,
+) -> None:
+    await start_service(site)
+    nodes = [await site.start_gateway(f"host-{n}") for n in range(2)]
+    await wait_until_live(*nodes)
+    for node in nodes:
+        for number in range(MAX_ENDS):
+            instance = Instance(f"ended-{number}", 0)
+            at = node.now() - MAX_ENDS + number
+            for part in ("part good", "part other"):
+                node.containment.evidence.record_break(instance, (part,), at)
+    last_host = rank("part good", [node.settings.host for node in nodes])[-1]
+    last = next(node for node in nodes if node.settings.host == last_host)
+    outcomes = await ask_for_streams(site, [last], lambda _: ("good",), 5.0, 7.0)
+    assert not outcomes[0].served
+    assert find_served_share(outcomes, 1.0) == 1.0
+
+
 async def test_parts_of_requests_beside_a_fatal_one_are_not_held_back(
     site: Site,
 ) -> None:
