Try rival parts one after the other, and send a request on trial once

The fatal request ended a target, was sent again and ended another one; the sound one was in flight at both. So both parts had five ends, and were blocked for 30 s.

Change: parts that share ends are tried 3 s apart, the most frequent first. It is answered and cleared, and the fatal part is then the only one left, without a trial of its own. A request on trial isn't sent again once it has run.

--- a/src/lycheepath/core/serving/crash_evidence.py
+++ b/src/lycheepath/core/serving/crash_evidence.py
@@ -51,8 +51,8 @@
 MAX_BLOCK_S = 21_600.0
 # Trials after which the time doesn't grow any more.
 MAX_COUNTED_TRIALS = 4
-# The first such time if another feature explains these ends as well: the time for answers
-# that are under way, since the feature may be innocent.
+# The first such time if another feature explains these ends as well, so that this one may be
+# innocent: the time for answers that are under way.
 UNCERTAIN_BLOCK_S = 3.0
 # Time in seconds after which a blocked feature is forgotten that nobody has sent.
 FORGET_BLOCK_S = 86_400.0
@@ -61,12 +61,14 @@
 SETTLE_S = 0.3
 # Time in seconds for the outcome of a trial.
 TRIAL_S = 30.0
+# Time in seconds between the trials of features that explain the same ends: a request that
+# has begun by then isn't suspected of the end that the next trial may bring.
+TRIAL_TURN_S = 3.0
 # Time in seconds after a trial without an outcome until the next one: reports of an end at
 # another host are known by then.
 TRIAL_PAUSE_S = 2.0
-# A target that is heard from between these times after a broken connection, in seconds,
-# didn't end: bytes that it sent before have been read by then, and no target restarts
-# within a second.
+# A target that is heard from between these times after a break, in seconds, didn't end:
+# bytes that it sent before have been read by then, and no target restarts within 1 s.
 ALIVE_FROM_S, ALIVE_UNTIL_S = 0.1, 1.0
 # Difference in seconds by which a reported answer must be newer than a known one; ages
 # grow by the delay of each message.
@@ -205,6 +207,21 @@
                 return block
         return None
 
+    def count_earlier_trials(self, block: CrashBlock, now: float) -> int:
+        """
+        Return how many features that share ends with this one are tried before it.
+
+        The most frequent one comes first: refusing it costs the most.
+        """
+        targets = set(block.targets)
+        order = self._rank_trial(block.feature)
+        return sum(
+            not targets.isdisjoint(other.targets)
+            and self._rank_trial(other.feature) < order
+            for other in self.list_blocks(now)
+            if other.feature not in block.together
+        )
+
     def start_trial(self, block: CrashBlock, now: float) -> bool:
         """Take the trial of a blocked feature if it is due; return whether it was."""
         if now < block.until:
@@ -414,12 +431,20 @@
         targets = tuple(target for _, target in ends)
         return CrashBlock(feature, together, targets, last_at, until)
 
+    def _rank_trial(self, feature: str) -> tuple[int, str]:
+        """Order features by the number of suspected requests that have them."""
+        suspects = sum(
+            feature in request
+            for instance in self._by_feature[feature]
+            for request in self._ends[instance].requests
+        )
+        return -suspects, feature
+
     def _has_narrower(self, feature: str, others: Iterable[str]) -> bool:
         """
         Whether another feature was at the same ends, only in requests with this one.
 
-        It explains these ends as well and blocks fewer requests. If it is innocent, the next
-        end is without it.
+        If the other one is innocent, the next end is without it.
         """
         instances = self._by_feature[feature]
         return any(
--- a/src/lycheepath/gateway/containment.py
+++ b/src/lycheepath/gateway/containment.py
@@ -21,6 +21,7 @@
     ALIVE_FROM_S,
     ALIVE_UNTIL_S,
     TRIAL_PAUSE_S,
+    TRIAL_TURN_S,
     CrashBlock,
     CrashEvidence,
     CrashReport,
@@ -85,7 +86,8 @@
         block = self.evidence.find_block(exchange.features, now)
         if block is None:
             return None
-        if exchange.on_trial or self._may_try(block, exchange, now):
+        first_try = not exchange.attempts.runs
+        if first_try and (exchange.on_trial or self._may_try(block, exchange, now)):
             return None
         age_s = now - block.last_end_at
         wait_s = max(block.until - now, MIN_RETRY_S)
@@ -218,14 +220,19 @@
         """
         Whether a request tries what is blocked.
 
-        When it is due, one host after the other may let one do so, in the order of rank.
+        When it is due, one host after the other may let one do so, in the order of rank. A
+        request that has run isn't sent again for it.
         """
         if now < block.until:
             return False
         node = self._node
         hosts = [row.id for row in node.peers.view.live_hosts(now)]
         order = rank(block.feature, [*hosts, node.settings.host])
-        turn_at = block.until + order.index(node.settings.host) * TRIAL_PAUSE_S
+        turn_at = (
+            block.until
+            + self.evidence.count_earlier_trials(block, now) * TRIAL_TURN_S
+            + order.index(node.settings.host) * TRIAL_PAUSE_S
+        )
         if now < turn_at or not self.evidence.start_trial(block, now):
             return False
         exchange.on_trial = True
--- a/tests/core/serving/test_crash_evidence.py
+++ b/tests/core/serving/test_crash_evidence.py
@@ -289,6 +289,21 @@
     assert block.until == pytest.approx(at + UNCERTAIN_BLOCK_S * BLOCK_GROWTH)
 
 
+def test_rival_parts_are_tried_one_after_the_other_the_most_frequent_first() -> None:
+    evidence = CrashEvidence()
+    for number in range(MAX_ENDS):
+        evidence.record_break(instance(number), (BAD,), number * STEP_S)
+        for other in range(3):
+            features = (OTHER, f"request {number}-{other}")
+            evidence.record_break(instance(number), features, number * STEP_S)
+    now = MAX_ENDS * STEP_S
+    first, second = evidence.find_block((OTHER,), now), evidence.find_block((BAD,), now)
+    assert first is not None
+    assert second is not None
+    assert evidence.count_earlier_trials(first, now) == 0
+    assert evidence.count_earlier_trials(second, now) == 1
+
+
 def test_trial_without_an_outcome_is_repeated() -> None:
     evidence = CrashEvidence()
     now = record_ends(evidence, (BAD,))
