Find blocks only where their result is used

Each heartbeat found all blocks four times or more: twice to update, and once in each report, also where a report has nothing to sort and nothing is old enough to be forgotten. The set of ends under blocks was also written out twice. report() and expire() now find them only when they need them, in one place. The result is the same: the order of one end, and what to keep when nothing is old or over the bound, don't depend on blocks.

--- a/src/lycheepath/adapters/crash_messages.py
+++ b/src/lycheepath/adapters/crash_messages.py
@@ -12,7 +12,7 @@
 import orjson
 
 from ..core.catalog.model import Instance
-from ..core.serving.crash_evidence import CrashReport, TargetEnd
+from ..core.serving.crash_reports import CrashReport, TargetEnd
 from .load_messages import MessageError
 
 # The first field of each datagram, unlike those of heartbeats and other messages.
--- a/src/lycheepath/core/serving/crash_evidence.py
+++ b/src/lycheepath/core/serving/crash_evidence.py
@@ -25,6 +25,8 @@
 from itertools import pairwise
 from typing import TYPE_CHECKING, Any
 
+from .crash_reports import CrashReport, TargetEnd
+
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
@@ -79,38 +81,6 @@
 MAX_REQUESTS = 16
 
 
-@dataclass(frozen=True, slots=True)
-class TargetEnd:
-    """
-    A target that ended, with the features of each suspected request.
-
-    ``age_s`` is the time since the end in seconds, ``sent_age_s`` the time since the last
-    of these requests was sent there.
-    """
-
-    instance: Instance
-    age_s: float
-    sent_age_s: float
-    requests: tuple[tuple[str, ...], ...]
-
-
-@dataclass(frozen=True, slots=True)
-class CrashReport:
-    """
-    Evidence that a host shares with others, with ages in seconds.
-
-    ``cleared`` are the features of complete answers, ``alive`` the instances that were
-    heard from after their connections broke.
-    """
-
-    ends: tuple[TargetEnd, ...] = ()
-    cleared: tuple[tuple[str, float], ...] = ()
-    alive: tuple[tuple[Instance, float], ...] = ()
-
-    def __bool__(self) -> bool:
-        return bool(self.ends or self.cleared or self.alive)
-
-
 @dataclass(frozen=True, slots=True)
 class CrashBlock:
     """
@@ -268,15 +238,14 @@
 
         Ends under blocked features come first, then the latest.
         """
-        blocking = {
-            i for b in self.list_blocks(now) for i in self._by_feature[b.feature]
-        }
         changed = [
             (instance, end)
             for instance, end in self._ends.items()
             if since <= end.shared_from <= now
         ]
-        changed.sort(key=lambda item: (item[0] not in blocking, -item[1].at))
+        if len(changed) > 1:
+            blocking = self._list_blocking(now)
+            changed.sort(key=lambda item: (item[0] not in blocking, -item[1].at))
         ends = tuple(
             TargetEnd(
                 instance,
@@ -300,11 +269,14 @@
 
     def expire(self, now: float) -> None:
         """Forget what is old and blocks nothing."""
-        keep = {i for b in self.list_blocks(now) for i in self._by_feature[b.feature]}
+        aged = [i for i, end in self._ends.items() if now - end.at > FORGET_S]
+        keep: set[Instance] = set()
+        if aged or len(self._ends) > MAX_KEPT_ENDS:
+            keep = self._list_blocking(now)
         old = [
             instance
-            for instance, end in self._ends.items()
-            if now - end.at > (FORGET_BLOCK_S if instance in keep else FORGET_S)
+            for instance in aged
+            if instance not in keep or now - self._ends[instance].at > FORGET_BLOCK_S
         ]
         excess = len(self._ends) - len(old) - MAX_KEPT_ENDS
         if excess > 0:
@@ -431,6 +403,11 @@
         targets = tuple(target for _, target in ends)
         return CrashBlock(feature, together, targets, last_at, until)
 
+    def _list_blocking(self, now: float) -> set[Instance]:
+        """Return the ended instances under blocked features."""
+        blocks = self.list_blocks(now)
+        return {i for block in blocks for i in self._by_feature[block.feature]}
+
     def _rank_trial(self, feature: str) -> tuple[int, str]:
         """Order features by the number of suspected requests that have them."""
         suspects = sum(
--- a/src/lycheepath/gateway/containment.py
+++ b/src/lycheepath/gateway/containment.py
@@ -24,7 +24,6 @@
     TRIAL_TURN_S,
     CrashBlock,
     CrashEvidence,
-    CrashReport,
 )
 
 if TYPE_CHECKING:
@@ -32,6 +31,7 @@
 
     from ..core.catalog.model import Instance
     from ..core.placement.registry import TargetState
+    from ..core.serving.crash_reports import CrashReport
     from .exchange import Exchange
     from .node import GatewayNode
 
--- a/tests/adapters/test_crash_messages.py
+++ b/tests/adapters/test_crash_messages.py
@@ -13,7 +13,7 @@
 from lycheepath.adapters.limit_messages import is_limit_message
 from lycheepath.adapters.load_messages import MessageError, is_load_message
 from lycheepath.core.catalog.model import Instance
-from lycheepath.core.serving.crash_evidence import CrashReport, TargetEnd
+from lycheepath.core.serving.crash_reports import CrashReport, TargetEnd
 
 INSTANCE = Instance("i-1", 1_790_000_000_000)
 REPORT = CrashReport(
--- a/tests/core/serving/test_crash_evidence.py
+++ b/tests/core/serving/test_crash_evidence.py
@@ -21,8 +21,8 @@
     TRIAL_PAUSE_S,
     UNCERTAIN_BLOCK_S,
     CrashEvidence,
-    CrashReport,
 )
+from lycheepath.core.serving.crash_reports import CrashReport
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
