--- a/src/lycheepath/adapters/limit_messages.py
+++ b/src/lycheepath/adapters/limit_messages.py
@@ -15,7 +15,7 @@
 import orjson
 
 from ..core.placement.rate_limit import LimitStatement
-from .load_messages import MessageError
+from .load_messages import decode_by_kind
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -68,11 +68,7 @@
 
 def decode_limit_message(fields: list[Any]) -> LimitMessage:
     """Return the message of a datagram's fields; raises MessageError."""
-    try:
-        kind, *rest = fields
-        return _DECODERS[kind](rest)
-    except (KeyError, OverflowError, TypeError, ValueError) as error:
-        raise MessageError(f"the datagram can't be read: {error}") from error
+    return decode_by_kind(_DECODERS, fields)
 
 
 def is_limit_message(kind: Any) -> bool:
--- a/src/lycheepath/adapters/load_messages.py
+++ b/src/lycheepath/adapters/load_messages.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, TypeVar
 
 import orjson
 
@@ -19,14 +19,15 @@
 from ..core.serving.requests import PromptPart
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
+Message = TypeVar("Message")
 # The first field of each datagram; that of heartbeats has another value.
 LOAD_QUERY, LOAD_REPLY, LOAD_UPDATE = 31, 32, 33
 
 
 class MessageError(ValueError):
-    """A datagram isn't a valid load message."""
+    """A datagram isn't a valid message between hosts."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,9 +97,16 @@
 
 def decode_message(fields: list[Any]) -> LoadMessage:
     """Return the message of a datagram's fields; raises MessageError."""
+    return decode_by_kind(_DECODERS, fields)
+
+
+def decode_by_kind(
+    decoders: Mapping[Any, Callable[[list[Any]], Message]], fields: list[Any]
+) -> Message:
+    """Decode a datagram with the decoder of its first field; raises MessageError."""
     try:
         kind, *rest = fields
-        return _DECODERS[kind](rest)
+        return decoders[kind](rest)
     except (KeyError, OverflowError, TypeError, ValueError) as error:
         raise MessageError(f"the datagram can't be read: {error}") from error
 
--- a/src/lycheepath/adapters/origin_messages.py
+++ b/src/lycheepath/adapters/origin_messages.py
@@ -15,7 +15,7 @@
 import orjson
 
 from ..core.serving.origins import Origin
-from .load_messages import MessageError
+from .load_messages import decode_by_kind
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -100,11 +100,7 @@
 
 def decode_origin_message(fields: list[Any]) -> OriginMessage:
     """Return the message of a datagram's fields; raises MessageError."""
-    try:
-        kind, *rest = fields
-        return _DECODERS[kind](rest)
-    except (KeyError, OverflowError, TypeError, ValueError) as error:
-        raise MessageError(f"the datagram can't be read: {error}") from error
+    return decode_by_kind(_DECODERS, fields)
 
 
 def is_origin_message(kind: Any) -> bool:
