Name the part of a prompt in a refusal, not the digest beside it, whenever both are blocked

The cause is here: the features of a request have an order, parts first, and it is now kept. Requests refused are the same.

--- a/src/lycheepath/core/serving/crash_evidence.py
+++ b/src/lycheepath/core/serving/crash_evidence.py
@@ -171,7 +171,10 @@
 
     def find_block(self, features: Sequence[str], now: float) -> CrashBlock | None:
         """Return why a request with these features is refused, or None."""
-        for feature in self._frequent.intersection(features):
+        # In the order of the features, so that a part is named rather than a digest.
+        for feature in features:
+            if feature not in self._frequent:
+                continue
             block = self._find_feature_block(feature, now)
             if block is not None and block.together.issubset(features):
                 return block
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from lycheepath.console.request_logs import read_log_lines
+from lycheepath.core.serving.fingerprints import PART
 from soak.__main__ import read_regressions
 from soak.checks import read_records
 from soak.fatal import FATAL_PART
@@ -67,6 +68,7 @@
     refusals = [line for line in lines if line["event"] == "suspect-refused"]
     assert len({line["host"] for line in refusals}) == FATAL_SIZES.hosts
     assert {line["request"] for line in refusals} <= fatal
+    assert {line["feature"] for line in refusals} == {f"{PART} {FATAL_PART}"}
 
 
 async def test_short_run_joins_no_streams_of_two_versions(tmp_path: Path) -> None:
