Start requests of the stand-ins at a steady rate in one place

Two overlong lines of comments are wrapped.

Checked: ruff, mypy, and tests/gateway's test_crashing_parts, test_stream_versions and test_rate_limits pass.

--- a/src/lycheepath/gateway/copying.py
+++ b/src/lycheepath/gateway/copying.py
@@ -20,9 +20,9 @@
     from .node import GatewayNode
 
 # Path of the call between hosts. Its query holds the requesting host's revision, whether
-# it can decode the versions of targets, and whether it needs the configuration. If it does, it gets a complete snapshot, since
-# an earlier copy without the configuration may have advanced the host past the
-# revision of the configuration.
+# it can decode the versions of targets, and whether it needs the configuration. If it
+# does, it gets a complete snapshot, since an earlier copy without the configuration may
+# have advanced the host past the revision of the configuration.
 COPY_PATH = "/copy?"
 NOT_NEWER_STATUS = 404
 # Timeout for fetching changes from another host; six times the round-trip time to
--- a/standins/limited_target.py
+++ b/standins/limited_target.py
@@ -18,6 +18,7 @@
 
 import trio
 
+from .rates import run_at_rate
 from .site import Answer, Seen, Site, answer_text
 from .stated_limits import LIMIT_HEADER, NOTICE_S, Excess, find_excess
 
@@ -104,7 +105,8 @@
     """Send requests to the hosts in turn at a steady rate; return the answers."""
     load = load or Load()
 
-    async def ask(node: GatewayNode, number: int) -> None:
+    async def ask(number: int) -> None:
+        node = nodes[number % len(nodes)]
         host = node.settings.host
         request_id = f"{host}/{number}-{trio.current_time():.4f}"
         answer = await site.ask(node, b"POST", path, b"x", request_id)
@@ -112,9 +114,5 @@
         if LIMIT_HEADER in answer.headers:
             load.told_at.setdefault(host, trio.current_time())
 
-    async with trio.open_nursery() as nursery:
-        started = trio.current_time()
-        for number in range(int(per_second * seconds)):
-            await trio.sleep_until(started + number / per_second)
-            nursery.start_soon(ask, nodes[number % len(nodes)], number)
+    await run_at_rate(per_second, seconds, ask)
     return load
--- a/standins/stream_service.py
+++ b/standins/stream_service.py
@@ -25,6 +25,7 @@
 import orjson
 import trio
 
+from .rates import run_at_rate
 from .site import Answer, Seen, Site, make_entry, read_request
 
 if TYPE_CHECKING:
@@ -80,8 +81,8 @@
 
     Each answer has ``events`` events, the first after ``prefill_s``, the others
     ``event_s`` apart. With ``framed`` false it has no framing and ends with its
-    connection. A share of ``cut_share`` of them is cut midway. A target that ends has written ``events_before_end`` events of the
-    answer under which it ends.
+    connection. A share of ``cut_share`` of them is cut midway. A target that ends has
+    written ``events_before_end`` events of the answer under which it ends.
     """
 
     site: Site
@@ -280,7 +281,8 @@
     """
     outcomes: list[StreamOutcome] = []
 
-    async def ask(node: GatewayNode, number: int) -> None:
+    async def ask(number: int) -> None:
+        node = nodes[number % len(nodes)]
         shared = parts(number)
         sent_at = trio.current_time()
         name = f"{number}-{sent_at:.4f}"
@@ -297,9 +299,5 @@
         host = node.settings.host
         outcomes.append(StreamOutcome(sent_at, shared, host, answer))
 
-    async with trio.open_nursery() as nursery:
-        started = trio.current_time()
-        for number in range(int(per_second * seconds)):
-            await trio.sleep_until(started + number / per_second)
-            nursery.start_soon(ask, nodes[number % len(nodes)], number)
+    await run_at_rate(per_second, seconds, ask)
     return outcomes
--- a/standins/stream_takeups.py
+++ b/standins/stream_takeups.py
@@ -17,6 +17,7 @@
 
 import trio
 
+from .rates import run_at_rate
 from .site import HOST, Answer, Site, read_answer
 
 if TYPE_CHECKING:
@@ -70,13 +71,7 @@
 
     async def follow_streams(self, per_second: float, seconds: float) -> None:
         """Start streams at a steady rate and follow each to its end."""
-        async with trio.open_nursery() as nursery:
-            started = trio.current_time()
-            for number in range(int(per_second * seconds)):
-                await trio.sleep_until(started + number / per_second)
-                stream = FollowedStream(f"{number}-{trio.current_time():.4f}")
-                self.streams.append(stream)
-                nursery.start_soon(self._follow, stream)
+        await run_at_rate(per_second, seconds, self._follow)
 
     def count_joined(self) -> int:
         """Return the number of streams with events of several versions."""
@@ -91,7 +86,9 @@
         take_ups = sum(stream.take_ups for stream in self.streams)
         return sum(stream.went_on for stream in self.streams) / max(1, take_ups)
 
-    async def _follow(self, stream: FollowedStream) -> None:
+    async def _follow(self, number: int) -> None:
+        stream = FollowedStream(f"{number}-{trio.current_time():.4f}")
+        self.streams.append(stream)
         deadline = trio.current_time() + DEADLINE_S
         tries = 0
         while tries <= MAX_RETRIES and trio.current_time() < deadline:
