--- a/src/lycheepath/adapters/http1/downstream.py
+++ b/src/lycheepath/adapters/http1/downstream.py
@@ -14,7 +14,7 @@
 import trio
 
 from ..events import record_event
-from .sockets import abort, receive, send
+from .sockets import abort, is_idle, receive, send
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Sequence
@@ -66,15 +66,25 @@
     A connection and the state of its current request.
 
     If ``close_after_answer`` is set, the connection ends after the current answer.
+    ``find_delay_s`` returns how long the event loop was held up lately, for the log.
     """
 
-    def __init__(self, stream: trio.SocketStream, limits: ReadLimits) -> None:
+    def __init__(
+        self,
+        stream: trio.SocketStream,
+        limits: ReadLimits,
+        find_delay_s: Callable[[], float] = lambda: 0.0,
+    ) -> None:
         self.stream = stream
         self.limits = limits
         self.close_after_answer = False
         self.serve_scope: trio.CancelScope | None = None
         self.disconnected = False
         self.answer_started = False
+        self._find_delay_s = find_delay_s
+        self._request_id = b""
+        self._end_reason = "the process ends"
+        self._caller_ended = False
         self._h11 = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.head_bytes
         )
@@ -90,10 +100,17 @@
                 nursery.start_soon(self._receive)
                 while (request := await self._read_request()) is not None:
                     await self._serve(request, serve)
-                    if self.disconnected or not self._start_next():
+                    if self.disconnected:
+                        break
+                    if not self._start_next():
+                        self._end_reason = "it was closed after an answer"
                         break
                 nursery.cancel_scope.cancel()
+        except Exception:
+            self._end_reason = "a fault in the gateway"
+            raise
         finally:
+            self._log_unanswered()
             abort(self.stream)
 
     async def start_answer(self, status: int, headers: Headers) -> bytes:
@@ -128,6 +145,7 @@
 
     def abort_answer(self) -> None:
         """Close the connection so that the answer can't be taken for complete."""
+        self._end_reason = "the answer was aborted"
         self.disconnected = True
         abort(self.stream)
 
@@ -136,6 +154,7 @@
         request: ReceivedRequest,
         serve: Callable[[ReceivedRequest], Awaitable[None]],
     ) -> None:
+        self._request_id = dict(request.headers).get(b"request-id", b"")
         with trio.CancelScope() as scope:
             self.serve_scope = scope
             self.answer_started = False
@@ -143,7 +162,8 @@
                 scope.cancel()
             try:
                 await serve(request)
-            except CallerGoneError:
+            except CallerGoneError as error:
+                self._end_reason = f"the caller is gone: {error}"
                 self.disconnected = True
             finally:
                 self.serve_scope = None
@@ -162,6 +182,7 @@
         try:
             return await self._read_next_request()
         except BadRequestError as error:
+            self._end_reason = str(error)
             with trio.move_on_after(ERROR_ANSWER_TIMEOUT_S):
                 await self._refuse(error)
             return None
@@ -174,6 +195,7 @@
             head = await self._next_event()
         if timer.cancelled_caught:
             if self._h11.their_state is h11.IDLE and not self._h11.trailing_data[0]:
+                self._end_reason = "it was idle for too long"
                 return None
             raise BadRequestError(408, "the head took too long")
         if not isinstance(head, h11.Request):
@@ -245,6 +267,7 @@
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 data = b""
             if not data:
+                self._caller_ended = True
                 self.disconnected = True
                 if self.serve_scope is not None:
                     self.serve_scope.cancel()
@@ -267,6 +290,25 @@
         except (CallerGoneError, h11.LocalProtocolError):
             return
 
+    def _log_unanswered(self) -> None:
+        """Log a whole or partly read request that the connection leaves unanswered."""
+        unread_bytes = len(self._h11.trailing_data[0]) + self._inbox_bytes
+        in_kernel = self.stream.socket.fileno() >= 0 and not is_idle(self.stream)
+        serving = self._h11.their_state is not h11.IDLE and (
+            self._h11.our_state in (h11.SEND_RESPONSE, h11.SEND_BODY)
+        )
+        if self._caller_ended or not (serving or unread_bytes or in_kernel):
+            return
+        record_event(
+            "request-unanswered",
+            request=self._request_id.decode("latin-1") if serving else "",
+            reason=self._end_reason,
+            answer_started=serving and self.answer_started,
+            unread_bytes=unread_bytes,
+            unread_in_kernel=in_kernel,
+            held_up_s=round(self._find_delay_s(), 3),
+        )
+
     async def _send(self, data: bytes) -> None:
         try:
             await send(self.stream, data)
--- a/src/lycheepath/gateway/listeners.py
+++ b/src/lycheepath/gateway/listeners.py
@@ -96,7 +96,7 @@
 ) -> None:
     """Serve a connection; an unhandled exception ends it but not the process."""
     set_user_timeout(stream)
-    caller = CallerConnection(stream, read_limits(node))
+    caller = CallerConnection(stream, read_limits(node), partial(_find_delay_s, node))
     try:
         await caller.run(partial(serve, caller))
     except Exception:
@@ -104,6 +104,10 @@
         logger.exception("connection-fault")
 
 
+def _find_delay_s(node: GatewayNode) -> float:
+    return node.loop_delay.find_s(node.now())
+
+
 def read_caller_limits(node: GatewayNode) -> ReadLimits:
     """Return the limits that the operator's configuration sets for callers."""
     routes = node.catalog.routes
--- a/src/lycheepath/gateway/node.py
+++ b/src/lycheepath/gateway/node.py
@@ -11,6 +11,7 @@
 
 from ..adapters.events import EventLog, record_event
 from ..adapters.http1.pool import Pool
+from ..adapters.loop_delay import LoopDelay
 from ..adapters.metrics import Metrics
 from ..core.catalog.catalog import Catalog
 from ..core.hosts.rendezvous import rank
@@ -85,6 +86,7 @@
     random: random.Random = field(default_factory=random.Random)
     events: EventLog = field(default_factory=EventLog)
     metrics: Metrics = field(default_factory=Metrics)
+    loop_delay: LoopDelay = field(default_factory=LoopDelay)
     pool: Pool = field(default_factory=Pool)
     catalog: Catalog = field(default_factory=Catalog)
     registry: TargetRegistry = field(default_factory=TargetRegistry)
--- a/src/lycheepath/gateway/peers.py
+++ b/src/lycheepath/gateway/peers.py
@@ -18,6 +18,7 @@
 )
 from ..adapters.limit_messages import decode_limit_message, is_limit_message
 from ..adapters.load_messages import MessageError, decode_message, is_load_message
+from ..adapters.loop_delay import HELD_UP_S
 from ..adapters.origin_messages import decode_origin_message, is_origin_message
 from ..core.fleet.view import FleetView, HostRow
 
@@ -107,8 +108,10 @@
         node = self._node
         woken_at = node.now()
         while True:
+            node.loop_delay.expect(node.now() + self.view.heartbeat_interval_s)
             await trio.sleep(self.view.heartbeat_interval_s)
             now = node.now()
+            self._record_delay(node.loop_delay.record(now))
             if now - woken_at > PROCESS_PAUSE_S:
                 self.view.discount_pause(now - woken_at)
                 record_event("paused", for_s=round(now - woken_at, 3))
@@ -121,6 +124,11 @@
             if found:
                 await node.permits.tell_hosts(found)
 
+    def _record_delay(self, late_s: float) -> None:
+        self._node.metrics.record_ms("loop_delay_ms", late_s * 1000.0)
+        if late_s > HELD_UP_S:
+            record_event("held-up", for_s=round(late_s, 3))
+
     async def _send_heartbeats(self, now: float) -> None:
         node = self._node
         view = self.view
