--- a/src/lycheepath/adapters/http1/downstream.py
+++ b/src/lycheepath/adapters/http1/downstream.py
@@ -267,7 +267,7 @@
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 data = b""
             if not data:
-                self._caller_ended = True
+                self._caller_ended = not self.disconnected
                 self.disconnected = True
                 if self.serve_scope is not None:
                     self.serve_scope.cancel()
