Don't take a target for silent because this process was held up

Attempts whose answers had arrived were cancelled, and streams resumed elsewhere or cut, when the process had been held up for longer than their limit.

The monitor woke up together with the tasks that read, and cancelled first.

Change: a check that comes late by more than its interval takes the delay off the waits, and cancels nothing in that turn; the next one does, late or not.

The deadline of a request still ends it whatever lies in the kernel: its caller has left by then.

--- a/src/lycheepath/gateway/inactivity.py
+++ b/src/lycheepath/gateway/inactivity.py
@@ -83,13 +83,27 @@
 
     async def run(self) -> None:
         """Check all attempts periodically until cancelled."""
+        discounted = False
         while True:
             await self._timer_added.wait()
-            await trio.sleep(CHECK_INTERVAL_S)
-            self.check(trio.current_time())
+            due_at = trio.current_time() + CHECK_INTERVAL_S
+            await trio.sleep_until(due_at)
+            now = trio.current_time()
+            late_s = now - due_at
+            if late_s > CHECK_INTERVAL_S:
+                self.discount(late_s)
+            # What arrived while the process was held up is read before the next check.
+            discounted = late_s > CHECK_INTERVAL_S and not discounted
+            if not discounted:
+                self.check(now)
             if not self._timers:
                 self._timer_added = trio.Event()
 
+    def discount(self, held_up_s: float) -> None:
+        """Exclude a time in which this process read nothing."""
+        for timer in self._timers.values():
+            timer.started_at += held_up_s
+
     def check(self, now: float) -> None:
         """Cancel the attempts whose other side has been inactive for too long."""
         for timer in self._timers.values():
--- a/tests/gateway/test_inactivity.py
+++ b/tests/gateway/test_inactivity.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import os
+import time
 from typing import TYPE_CHECKING
 
 import trio
@@ -60,3 +62,26 @@
     autojump_clock: MockClock,
 ) -> None:
     assert not await is_cancelled([], float("inf"), 60.0)
+
+
+async def test_monitor_cancels_nothing_that_arrived_while_the_process_was_held_up() -> (
+    None
+):
+    monitor = InactivityMonitor()
+    left, right = trio.socket.socketpair()
+    limit_s = 0.3
+    received = []
+    with left, right:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(monitor.run)
+            with monitor.watch(1, limit_s, lambda: float("-inf")) as timer:
+                for _ in range(3):
+                    await trio.sleep(0.05)
+                    os.write(left.fileno(), b"event")
+                    time.sleep(limit_s + 0.2)
+                    await trio.lowlevel.wait_readable(right)
+                    received.append(await right.recv(5))
+                    await trio.sleep(0.0)
+                    timer.restart(limit_s)
+            nursery.cancel_scope.cancel()
+    assert received == [b"event"] * 3
