--- a/src/lycheepath/core/explaining/causes.py
+++ b/src/lycheepath/core/explaining/causes.py
@@ -21,6 +21,8 @@
 # Events that end a request at the host that handles it.
 END_EVENTS = ("answered", "failure-passed-on", "refused", "broken-off", "left")
 FAILED_END_EVENTS = frozenset(END_EVENTS) - {"answered"}
+# Logged when a connection ends with a request on it that got no complete answer.
+UNANSWERED_EVENT = "request-unanswered"
 # Events that are logged before a request ends.
 STEP_EVENTS = ("placed", "send-failed", "relayed")
 # Logged by a host that omitted lines, together with the next line that it writes.
@@ -114,7 +116,9 @@
     events = {line.get("event") for line in lines}
     if "answered" in events:
         return False
-    return bool(events & FAILED_END_EVENTS) or "placed" in events
+    return bool(events & FAILED_END_EVENTS) or bool(
+        events & {"placed", UNANSWERED_EVENT}
+    )
 
 
 def find_cause(lines: list[Line], grouped: GroupedLines) -> Cause:
@@ -183,8 +187,20 @@
     )
 
 
+def _explain_unanswered(line: Line) -> Cause:
+    began = "during" if line.get("answer_started") else "before"
+    text = f"the connection ended {began} the answer: {line.get('reason')}"
+    held_up_s = float(line.get("held_up_s") or 0.0)
+    if held_up_s:
+        text += f" (the event loop was late by {held_up_s} s)"
+    return Cause(bool(line.get("reason")), text)
+
+
 def _explain_missing_end(lines: list[Line], grouped: GroupedLines) -> Cause:
-    """Return the cause if the host that handled the request stopped."""
+    """Return the cause if the connection or the host ended without an answer."""
+    unanswered = [line for line in lines if line.get("event") == UNANSWERED_EVENT]
+    if unanswered:
+        return _explain_unanswered(unanswered[-1])
     placed = [line for line in lines if line.get("event") == "placed"]
     if not placed:
         return Cause(False, "the request was never sent, and its end is not logged")
--- a/tests/core/explaining/test_causes.py
+++ b/tests/core/explaining/test_causes.py
@@ -46,6 +46,10 @@
             "during the answer",
         ),
         ([PLACED, {"at": 3.0, "host": "host-1", "event": "start"}], "was killed"),
+        (
+            [PLACED, make_line(2.0, "request-unanswered", reason="the process ends")],
+            "before the answer: the process ends",
+        ),
         ([PLACED, {"at": 3.0, "host": "host-1", "event": "stop"}], "shut down before"),
     ],
 )
