Let an entry that can't be read cost only itself

Callers got 404 for routes written after the entry of another writer, on all of four hosts, and a host that started then never became ready. A field nested about a thousand deep raised RecursionError while the text of its error was made, and that ended the whole reading, again and again. A number like 1e300 was accepted, and raised wherever a host encoded it.

Whatever reading an item raises now concerns that item; error texts are bounded and don't show nested values. A page with a text that isn't UTF-8 or a number that JSON doesn't have is read all the same, and a page is followed after its last key that can be named.

Ruled out: catching RecursionError alone, as an entry's numbers would still raise in copies.

--- a/src/lycheepath/platform/configuration.py
+++ b/src/lycheepath/platform/configuration.py
@@ -13,6 +13,7 @@
     Service,
     ServiceShare,
 )
+from ..core.json_values import describe
 
 # Timeout of a route that sets none, in ms.
 DEFAULT_TIMEOUT_MS = 600_000
@@ -27,7 +28,7 @@
 
 
 def read_configuration(value: dict[str, Any]) -> Configuration:
-    """Return the configuration; raises ValueError or KeyError on a wrong field."""
+    """Return the configuration; raises an error on a wrong field."""
     services = [_read_service(entry) for entry in value["services"]]
     return Configuration(
         version=int(value["version"]),
@@ -51,10 +52,16 @@
         urgency=int(entry.get("priority", DEFAULT_PRIORITY)),
         max_attempts=max(1, int(entry.get("max_attempts") or 1)),
         resumable=bool(entry.get("resumable")),
-        home_regions=frozenset(entry.get("home_regions") or ()),
+        home_regions=_read_regions(entry.get("home_regions")),
     )
 
 
+def _read_regions(regions: Any) -> frozenset[str]:
+    if regions is not None and not isinstance(regions, list):
+        raise ValueError(f"expected a list of regions, found {describe(regions)}")
+    return frozenset(regions or ())
+
+
 def _read_shares(entry: dict[str, Any]) -> tuple[ServiceShare, ...]:
     split = entry.get("traffic_split")
     if not split:
--- a/src/lycheepath/platform/store.py
+++ b/src/lycheepath/platform/store.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import base64
-import binascii
+import json
 from typing import TYPE_CHECKING, Any
 from urllib.parse import quote
 
@@ -23,7 +23,17 @@
     TargetRemoved,
     UnreadableEntry,
 )
+from ..core.catalog.checks import MAX_REVISION, check_configuration, check_entry
 from ..core.catalog.model import Configuration, TargetEntry
+from ..core.json_values import (
+    describe,
+    describe_error,
+    read_integer,
+    read_name,
+    read_number,
+    read_text,
+    shorten,
+)
 from .configuration import read_configuration
 
 if TYPE_CHECKING:
@@ -61,7 +71,8 @@
     """Decode the configuration in the answer to a ``configuration_path`` call."""
     entry = _read_item(_load(body))
     if not isinstance(entry, Configuration):
-        raise StoreAnswerError(f"the answer holds no configuration: {entry}")
+        reason = entry.reason if isinstance(entry, UnreadableEntry) else "another key"
+        raise StoreAnswerError(f"the answer holds no configuration: {reason}")
     return entry
 
 
@@ -72,7 +83,7 @@
     if not isinstance(items, list):
         raise StoreAnswerError("a page has no items")
     entries = tuple(e for e in map(_read_item, items) if e is not None)
-    last_key = str(items[-1].get("key", "")) if items and answer.get("has_more") else ""
+    last_key = _find_last_key(items) if items and answer.get("has_more") else ""
     return Snapshot(entries, _read_revision(answer)), last_key
 
 
@@ -89,19 +100,49 @@
 def _load(body: bytes) -> dict[str, Any]:
     try:
         answer = orjson.loads(body)
-    except orjson.JSONDecodeError as error:
-        raise StoreAnswerError(f"an answer is not JSON: {error}") from error
+    except orjson.JSONDecodeError:
+        answer = _load_leniently(body)
     if not isinstance(answer, dict):
         raise StoreAnswerError("an answer is not an object")
     return answer
 
 
+def _load_leniently(body: bytes) -> Any:
+    """
+    Decode an answer with texts that aren't UTF-8, or numbers that JSON doesn't have.
+
+    They make only the items unreadable that have them.
+    """
+    try:
+        return json.loads(body.decode("utf-8", "surrogateescape"))
+    except (ValueError, RecursionError) as error:
+        reason = describe_error(error)
+        raise StoreAnswerError(f"an answer is not JSON: {reason}") from error
+
+
+def _find_last_key(items: list[Any]) -> str:
+    """Return the last key of a page that can be named in the next call."""
+    for item in reversed(items):
+        key = item.get("key") if isinstance(item, dict) else None
+        if isinstance(key, str) and key and _is_utf8(key):
+            return key
+    raise StoreAnswerError("a page names no key that the next one follows")
+
+
+def _is_utf8(text: str) -> bool:
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def _read_revision(answer: dict[str, Any]) -> int:
     # ``as_of`` is the store's revision at the time of the answer, not a time.
-    revision = answer.get("as_of")
-    if not isinstance(revision, int):
-        raise StoreAnswerError("an answer names no revision")
-    return revision
+    try:
+        return read_integer(answer.get("as_of"), 0, MAX_REVISION)
+    except ValueError as error:
+        raise StoreAnswerError(f"an answer names no revision: {error}") from error
 
 
 def _read_event(event: Any) -> Change | None:
@@ -109,63 +150,62 @@
         return UnreadableEntry("", "an event is not an object")
     if not event.get("tombstone"):
         return _read_item(event)
-    key = str(event.get("key", ""))
-    if key.startswith(SERVERS):
-        return TargetRemoved(key.removeprefix(SERVERS))
-    if key.startswith(EVACUATIONS):
-        return EvacuationEnded(key.removeprefix(EVACUATIONS))
+    key = event.get("key")
+    if not isinstance(key, str):
+        return UnreadableEntry("", f"expected a key, found {describe(key)}")
+    try:
+        if key.startswith(SERVERS):
+            return TargetRemoved(read_name(key.removeprefix(SERVERS)))
+        if key.startswith(EVACUATIONS):
+            return EvacuationEnded(read_name(key.removeprefix(EVACUATIONS)))
+    except ValueError as error:
+        return UnreadableEntry(shorten(key), describe_error(error))
     return None
 
 
 def _read_item(item: Any) -> Entry | None:
-    """Decode an item; return None for items that this system doesn't use."""
+    """
+    Decode an item; return None for items that this system doesn't use.
+
+    An item may hold anything. Whatever reading it raises concerns it alone.
+    """
     if not isinstance(item, dict) or not isinstance(item.get("key"), str):
         return UnreadableEntry("", "an item has no key")
     key = item["key"]
-    if key.startswith(EVACUATIONS):
-        return Evacuation(key.removeprefix(EVACUATIONS))
-    if not key.startswith(SERVERS) and key != CONFIGURATION:
+    if not key.startswith((SERVERS, EVACUATIONS)) and key != CONFIGURATION:
         return None
     try:
+        if key.startswith(EVACUATIONS):
+            return Evacuation(read_name(key.removeprefix(EVACUATIONS)))
         value = orjson.loads(base64.b64decode(item.get("value", ""), validate=True))
+        if not isinstance(value, dict):
+            raise ValueError(f"expected an object, found {describe(value)}")
         if key == CONFIGURATION:
-            return read_configuration(value)
-        return _read_target(key.removeprefix(SERVERS), value)
-    except (binascii.Error, ValueError, TypeError, KeyError, AttributeError) as error:
-        return UnreadableEntry(key, f"{type(error).__name__}: {error}")
+            return check_configuration(read_configuration(value))
+        return check_entry(_read_target(key.removeprefix(SERVERS), value))
+    except Exception as error:
+        return UnreadableEntry(shorten(key), describe_error(error))
 
 
 def _read_target(target: str, value: dict[str, Any]) -> TargetEntry:
     state = value["state"]
     if state not in ("ready", "draining"):
-        raise ValueError(f"the state {state!r} is unknown")
+        raise ValueError(f"expected ready or draining, found {describe(state)}")
     remaining_ms = value.get("remaining_ms")
     return TargetEntry(
         id=target,
-        service=_read_text(value, "service"),
-        address=str(parse_address(_read_text(value, "address"))),
-        zone=_read_text(value, "zone"),
-        slots=_read_number(value, "slots"),
+        service=read_name(value["service"]),
+        address=str(parse_address(read_text(value["address"]))),
+        zone=read_name(value["zone"]),
+        slots=read_integer(value["slots"]),
         draining=state == "draining",
-        cold_s=_read_number(value, "cold_left_ms") / 1000.0,
+        cold_s=read_integer(value["cold_left_ms"]) / 1000.0,
         # Number of announcements since the target's start.
-        sequence=_read_number(value, "seq"),
+        sequence=read_integer(value["seq"]),
         # Start time in Unix milliseconds; not every target announces it.
-        born_ms=_read_number(value, "born") if "born" in value else 0,
-        version=_read_text(value, "version"),
-        leaves_in_s=None if remaining_ms is None else float(remaining_ms) / 1000.0,
+        born_ms=read_integer(value["born"]) if "born" in value else 0,
+        version=read_name(value["version"]),
+        leaves_in_s=None
+        if remaining_ms is None
+        else read_number(remaining_ms) / 1000.0,
     )
-
-
-def _read_text(value: dict[str, Any], name: str) -> str:
-    field = value[name]
-    if not isinstance(field, str) or not field:
-        raise ValueError(f"the field {name} is not a text")
-    return field
-
-
-def _read_number(value: dict[str, Any], name: str) -> int:
-    field = value[name]
-    if isinstance(field, bool) or not isinstance(field, (int, float)):
-        raise ValueError(f"the field {name} is not a number")
-    return int(field)
