Treat numbers out of range in headers as absent

A header of 5,000 digits (Token-Usage, Prompt-Prefix, Length-Hint, Last-Event-Id of a caller, Server-Load of a target) raised ValueError, as Python converts no longer texts; one of 4,000 became an integer that no datagram can hold. Deadline-Ms nan or inf was taken as a time.

Whole numbers have at most 15 digits now, so that sums of them stay within 64 bits, and times are finite. Others are treated as absent, as a text that is no number was before.

--- a/src/lycheepath/platform/headers.py
+++ b/src/lycheepath/platform/headers.py
@@ -66,6 +66,12 @@
 MAX_RATE_LIMIT = 1e6
 # Largest number of parts of a prompt that are read from its header.
 MAX_PROMPT_PARTS = 64
+# Most digits of a whole number that is read from a header, so that sums of such numbers
+# stay within 64 bits. A longer one is treated as absent.
+MAX_DIGITS = 15
+# Largest deadline that is read from a header, in seconds. A longer one is treated as
+# absent.
+MAX_HEADER_TIME_S = 1e9
 
 
 def read_request(headers: Headers) -> RequestHead:
@@ -185,30 +191,43 @@
 
 def _read_ms(text: bytes | None) -> float | None:
     try:
-        return None if text is None else max(0.0, float(text) / 1000.0)
+        time_s = float(text or b"nan") / 1000.0
     except ValueError:
         return None
+    # Times that aren't numbers (nan) are outside the range too.
+    in_range = -MAX_HEADER_TIME_S <= time_s <= MAX_HEADER_TIME_S
+    return max(0.0, time_s) if in_range else None
 
 
 def _read_count(text: bytes | None) -> int | None:
-    return int(text) if text is not None and text.isdigit() else None
+    if text is None or not text.isdigit() or len(text) > MAX_DIGITS:
+        return None
+    return int(text)
+
+
+def _read_counts(parts: list[bytes]) -> list[int]:
+    """Return the whole numbers of a list that are in range, the others left out."""
+    counts = (_read_count(part.strip()) for part in parts)
+    return [count for count in counts if count is not None]
 
 
 def _read_prompt(fields: dict[bytes, bytes]) -> Prompt | None:
     usage = fields.get(b"token-usage", b"").split(b",")
-    if len(usage) != 2 or not all(part.strip().isdigit() for part in usage):
+    counts = _read_counts(usage)
+    if len(usage) != 2 or len(counts) != 2:
         return None
     parts = []
     for entry in fields.get(b"prompt-prefix", b"").split(b",")[:MAX_PROMPT_PARTS]:
         name, _, tokens = entry.strip().partition(b":")
-        if not tokens.isdigit():
+        part_tokens = _read_count(tokens)
+        if part_tokens is None:
             break
-        parts.append(PromptPart(name.decode("latin-1"), int(tokens)))
+        parts.append(PromptPart(name.decode("latin-1"), part_tokens))
     return Prompt(
         model=fields.get(b"model", b"").decode("latin-1"),
         # The tokens of the prompt, and the largest number of tokens of the answer.
-        tokens=int(usage[0]),
-        max_answer_tokens=int(usage[1]),
+        tokens=counts[0],
+        max_answer_tokens=counts[1],
         parts=tuple(parts),
         expected_answer_tokens=_read_count(fields.get(b"length-hint")),
     )
@@ -216,15 +235,16 @@
 
 def _read_load(text: bytes | None) -> ReportedLoad | None:
     parts = (text or b"").split(b",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+    counts = _read_counts(parts)
+    if len(parts) != 3 or len(counts) != 3:
         return None
-    running, waiting, slots = map(int, parts)
-    return ReportedLoad(running, waiting, slots)
+    return ReportedLoad(*counts)
 
 
 def _read_keep_alive(text: bytes | None) -> float | None:
     for part in (text or b"").split(b","):
         name, _, value = part.strip().partition(b"=")
-        if name.lower() == b"timeout" and value.strip().isdigit():
-            return float(value)
+        time_s = _read_count(value.strip())
+        if name.lower() == b"timeout" and time_s is not None:
+            return float(time_s)
     return None
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -160,11 +160,9 @@
     assert head.unreadable_headers == ("server-limit",)
 
 
-KNOWN_RED = pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt, issue 40")
 DIGITS = b"9" * 5000
 
 
-@KNOWN_RED
 @pytest.mark.parametrize("tokens", [DIGITS, b"1" + b"0" * 4000, b"9" * 30])
 def test_numbers_of_callers_out_of_range_are_treated_as_absent(tokens: bytes) -> None:
     fields = dict(REQUEST)
@@ -188,13 +186,11 @@
             assert head.prompt.parts == ()
 
 
-@KNOWN_RED
 @pytest.mark.parametrize("text", [b"nan", b"inf", b"-inf", b"1e300", b"1e999", DIGITS])
 def test_deadline_that_is_no_time_is_treated_as_absent(text: bytes) -> None:
     assert read_request(((b"deadline-ms", text),)).deadline_s is None
 
 
-@KNOWN_RED
 @pytest.mark.parametrize("number", [DIGITS, b"9" * 30, b"1" + b"0" * 4000])
 def test_numbers_of_targets_out_of_range_are_treated_as_absent(number: bytes) -> None:
     for load in (number + b",0,8", b"3," + number + b",8", b"3,0," + number):
