Read targets' lists and reports without trusting their values

A part's id nested 900 deep in a target's list of held prompts raised RecursionError when it was turned into a text; a start of 2^64 - 1 in a report was taken, and fits into no datagram.

--- a/tests/platform/test_targets.py
+++ b/tests/platform/test_targets.py
@@ -12,7 +12,6 @@
 )
 from tests.odd_values import DEEP, ODD_VALUES, list_paths, replace_value
 
-KNOWN_RED = pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt, issue 40")
 HELD: dict[str, Any] = {
     "epoch": 1,
     "held": [["", "5c1e", 800, "m"], ["", "91bd", 410, "m"]],
@@ -51,7 +50,6 @@
         read_start(body)
 
 
-@KNOWN_RED
 @given(strategies.sampled_from(list_paths(HELD)), ODD_VALUES)
 @example(("held", 1, 1), DEEP)
 def test_odd_value_in_a_targets_list_costs_itself_or_the_list(
@@ -67,7 +65,6 @@
         assert "91bd" in parts
 
 
-@KNOWN_RED
 @given(ODD_VALUES)
 @example(b"18446744073709551615")
 def test_odd_start_of_a_target_is_treated_as_absent(odd: bytes) -> None:
