--- a/src/lycheepath/core/catalog/checks.py
+++ b/src/lycheepath/core/catalog/checks.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from functools import lru_cache
 from ipaddress import ip_address
 from typing import TYPE_CHECKING, Any
 
@@ -18,6 +19,7 @@
     read_integer,
     read_name,
     read_number,
+    read_text,
 )
 from .model import RouteKind
 
@@ -36,6 +38,8 @@
 MAX_SMALL_NUMBER = 2**31 - 1
 # Largest size of a path prefix in UTF-8, in bytes.
 MAX_PREFIX_BYTES = 4096
+# Number of addresses whose check is remembered, as each is announced again and again.
+REMEMBERED_ADDRESSES = 4096
 
 
 def check_entry(entry: TargetEntry) -> TargetEntry:
@@ -44,13 +48,13 @@
     if entry.version != "":
         _check(entry, read_name, "version")
     _check(entry, _read_address, "address")
-    _check(entry, lambda value: read_integer(value, 1, MAX_SLOTS), "slots")
+    _check(entry, _read_slots, "slots")
     _check(entry, _read_flag, "draining")
     _check(entry, _read_time, "cold_s")
     if entry.leaves_in_s is not None:
         _check(entry, _read_time, "leaves_in_s")
     _check(entry, _read_count, "sequence", "born_ms")
-    _check(entry, lambda value: read_integer(value, 0, MAX_REVISION), "restarted_at")
+    _check(entry, _read_revision, "restarted_at")
     return entry
 
 
@@ -113,6 +117,14 @@
             raise ValueError(f"{name}: expected an integer, found {value!r}")
 
 
+def _read_slots(value: Any) -> int:
+    return read_integer(value, 1, MAX_SLOTS)
+
+
+def _read_revision(value: Any) -> int:
+    return read_integer(value, 0, MAX_REVISION)
+
+
 def _read_count(value: Any) -> int:
     return read_integer(value, 0, MAX_INTEGER)
 
@@ -137,6 +149,10 @@
 
 
 def _read_address(value: Any) -> str:
-    address = parse_address(read_name(value))
-    ip_address(address.ip)
-    return str(address)
+    return _read_address_text(read_text(value))
+
+
+@lru_cache(REMEMBERED_ADDRESSES)
+def _read_address_text(text: str) -> str:
+    ip_address(parse_address(read_name(text)).ip)
+    return text
--- a/src/lycheepath/core/json_values.py
+++ b/src/lycheepath/core/json_values.py
@@ -64,7 +64,8 @@
     text = read_text(value)
     if not text or not text.isprintable() or text != text.strip():
         raise ValueError(f"expected a printable name, found {describe(value)}")
-    if len(text.encode()) > max_bytes:
+    # No character takes more than 4 bytes.
+    if len(text) * 4 > max_bytes and len(text.encode()) > max_bytes:
         raise ValueError(
             f"expected at most {max_bytes} bytes, found {describe(value)} of "
             f"{len(text)} characters"
--- a/src/lycheepath/platform/store.py
+++ b/src/lycheepath/platform/store.py
@@ -14,7 +14,6 @@
 
 import orjson
 
-from ..core.addresses import parse_address
 from ..core.catalog.changes import (
     Delta,
     Evacuation,
@@ -31,7 +30,6 @@
     read_integer,
     read_name,
     read_number,
-    read_text,
     shorten,
 )
 from .configuration import read_configuration
@@ -194,9 +192,9 @@
     remaining_ms = value.get("remaining_ms")
     return TargetEntry(
         id=target,
-        service=read_name(value["service"]),
-        address=str(parse_address(read_text(value["address"]))),
-        zone=read_name(value["zone"]),
+        service=value["service"],
+        address=value["address"],
+        zone=value["zone"],
         slots=read_integer(value["slots"]),
         draining=state == "draining",
         cold_s=read_integer(value["cold_left_ms"]) / 1000.0,
