Check the entries that copies of peers bring as those of the store

A name nested 900 deep in a copy raised RecursionError in the host that decoded it, and ended the reading that had asked for the copy; a number like 1e300 was taken and raised in the next copy. What a peer of another version holds comes this way, also what this host's store reading refuses.

The fields are checked by the same functions. A value out of its range costs its entry; fields of another format still cost the whole copy, so that a host reads from the store what it can't apply.

--- a/src/lycheepath/adapters/catalog_copies.py
+++ b/src/lycheepath/adapters/catalog_copies.py
@@ -3,13 +3,14 @@
 
 A copy holds a complete snapshot, or the changes since a revision. It is encoded from
 the types of ``core``, so that it doesn't depend on the formats of the platform.
-``age_s`` is the time since the copy was known to be current. Invalid copies raise
-CopyError.
+``age_s`` is the time since the copy was known to be current. Copies of another format
+raise CopyError; a change of this format with a value out of its range is decoded as an
+UnreadableEntry, as it would be from the store.
 """
 
 from __future__ import annotations
 
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, dataclass, fields
 from typing import TYPE_CHECKING, Any
 
 import orjson
@@ -20,7 +21,9 @@
     EvacuationEnded,
     Snapshot,
     TargetRemoved,
+    UnreadableEntry,
 )
+from ..core.catalog.checks import MAX_REVISION, check_configuration, check_entry
 from ..core.catalog.model import (
     CallerLimits,
     Configuration,
@@ -31,12 +34,25 @@
     ServiceShare,
     TargetEntry,
 )
+from ..core.json_values import (
+    describe,
+    describe_error,
+    read_integer,
+    read_name,
+    read_number,
+    shorten,
+)
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ..core.catalog.changes import Change
 
 FORMAT = 1
 TARGET, REMOVED, EVACUATED, EVACUATION_ENDED, CONFIGURATION = range(5)
+# Fields of a target's entry, and those that hosts of some earlier versions leave out.
+TARGET_FIELDS = frozenset(field.name for field in fields(TargetEntry))
+OPTIONAL_TARGET_FIELDS = frozenset({"leaves_in_s", "version", "restarted_at"})
 
 
 class CopyError(ValueError):
@@ -69,8 +85,8 @@
         for change in changes
         if with_configuration or not isinstance(change, Configuration)
     ]
-    fields = [FORMAT, is_snapshot, content.revision, round(copy.age_s, 3), items]
-    return orjson.dumps(fields, default=_encode_set)
+    values = [FORMAT, is_snapshot, content.revision, round(copy.age_s, 3), items]
+    return orjson.dumps(values, default=_encode_set)
 
 
 def decode_catalog_copy(data: bytes) -> CatalogCopy:
@@ -78,17 +94,18 @@
     try:
         version, is_snapshot, revision, age_s, items = orjson.loads(data)
         if version != FORMAT:
-            raise CopyError(f"the format {version!r} is unknown")
-        changes = tuple(_decode_change(kind, fields) for kind, fields in items)
-        content: Snapshot | Delta = Delta(changes, int(revision))
+            raise CopyError(f"expected format {FORMAT}, found {describe(version)}")
+        revision = read_integer(revision, 0, MAX_REVISION)
+        changes = tuple(_decode_change(kind, value) for kind, value in items)
+        content: Snapshot | Delta = Delta(changes, revision)
         if is_snapshot:
             entries = tuple(
                 c for c in changes if not isinstance(c, TargetRemoved | EvacuationEnded)
             )
-            content = Snapshot(entries, int(revision))
-        return CatalogCopy(content, float(age_s))
-    except (OverflowError, ValueError, TypeError, KeyError) as error:
-        raise CopyError(f"a copy can't be read: {error}") from error
+            content = Snapshot(entries, revision)
+        return CatalogCopy(content, read_number(age_s))
+    except (ValueError, TypeError) as error:
+        raise CopyError(f"a copy can't be read: {describe_error(error)}") from error
 
 
 def _encode_set(value: object) -> list[str]:
@@ -101,9 +118,9 @@
     if isinstance(change, TargetEntry):
         if with_versions:
             return [TARGET, change]
-        fields = asdict(change)
-        del fields["version"]
-        return [TARGET, fields]
+        values = asdict(change)
+        del values["version"]
+        return [TARGET, values]
     if isinstance(change, TargetRemoved):
         return [REMOVED, change.id]
     if isinstance(change, Evacuation):
@@ -115,21 +132,41 @@
     raise TypeError(f"{type(change).__name__} is no part of a copy")
 
 
-def _decode_change(kind: int, value: Any) -> Change:
-    if kind == TARGET:
-        return TargetEntry(**value)
-    if kind == REMOVED:
-        return TargetRemoved(str(value))
-    if kind == EVACUATED:
-        return Evacuation(str(value))
-    if kind == EVACUATION_ENDED:
-        return EvacuationEnded(str(value))
-    if kind == CONFIGURATION:
-        return _decode_configuration(value)
-    raise CopyError(f"a change of the kind {kind!r} is unknown")
+def _decode_change(kind: Any, value: Any) -> Change:
+    """Decode a change; whatever reading its values raises concerns it alone."""
+    decode = _DECODERS.get(kind)
+    if decode is None:
+        raise CopyError(f"expected the kind of a change, found {describe(kind)}")
+    try:
+        return decode(value)
+    except CopyError:
+        raise
+    except Exception as error:
+        key = value.get("id") if isinstance(value, dict) else value
+        name = shorten(key) if isinstance(key, str) else ""
+        return UnreadableEntry(name, describe_error(error))
+
+
+def _decode_target(value: Any) -> TargetEntry:
+    # Other fields are those of another version's format, which this host can't apply.
+    if not (
+        isinstance(value, dict)
+        and TARGET_FIELDS - OPTIONAL_TARGET_FIELDS <= value.keys() <= TARGET_FIELDS
+    ):
+        raise CopyError(f"expected the fields of a target, found {describe(value)}")
+    return check_entry(TargetEntry(**value))
+
+
+def _decode_configuration(value: Any) -> Configuration:
+    try:
+        configuration = _build_configuration(value)
+    except (AttributeError, KeyError, TypeError) as error:
+        reason = describe_error(error)
+        raise CopyError(f"a configuration can't be read: {reason}") from error
+    return check_configuration(configuration)
 
 
-def _decode_configuration(value: dict[str, Any]) -> Configuration:
+def _build_configuration(value: dict[str, Any]) -> Configuration:
     return Configuration(
         version=value["version"],
         routes=tuple(_decode_route(route) for route in value["routes"]),
@@ -154,3 +191,12 @@
 def _decode_service(value: dict[str, Any]) -> Service:
     engine = value["engine"]
     return Service(**(value | {"engine": engine and EngineFacts(**engine)}))
+
+
+_DECODERS: dict[Any, Callable[[Any], Change]] = {
+    TARGET: _decode_target,
+    REMOVED: lambda value: TargetRemoved(read_name(value)),
+    EVACUATED: lambda value: Evacuation(read_name(value)),
+    EVACUATION_ENDED: lambda value: EvacuationEnded(read_name(value)),
+    CONFIGURATION: _decode_configuration,
+}
--- a/tests/adapters/test_odd_messages.py
+++ b/tests/adapters/test_odd_messages.py
@@ -114,7 +114,6 @@
             decode(parse_datagram(replace_value(fields, path, DEEP)))
 
 
-@KNOWN_RED
 @given(strategies.sampled_from(sorted(COPIED)), ODD_VALUES)
 @example("id", DEEP[10:-10])
 @example("slots", b"1e300")
@@ -138,7 +137,6 @@
     assert decode_catalog_copy(encode_catalog_copy(single, False)) == single
 
 
-@KNOWN_RED
 @pytest.mark.parametrize("kind", [1, 2, 3])
 @pytest.mark.parametrize("odd", [b"7", b"null", b'""', b'"a\\u0000"', NESTED])
 def test_odd_copied_name_costs_itself_only(kind: int, odd: bytes) -> None:
@@ -155,7 +153,6 @@
 )[4][0][1]
 
 
-@KNOWN_RED
 @given(strategies.sampled_from(list_paths(ENCODED_CONFIGURATION)), ODD_VALUES)
 @example(("version",), b"1e300")
 def test_odd_copied_configuration_costs_itself_only(
