--- a/tests/adapters/http1/test_upstream.py
+++ b/tests/adapters/http1/test_upstream.py
@@ -5,6 +5,7 @@
 import pytest
 import trio
 
+from lycheepath.adapters.http1 import upstream as upstream_module
 from lycheepath.adapters.http1.sockets import connect
 from lycheepath.adapters.http1.upstream import BrokenAnswerError, Upstream
 from lycheepath.core.addresses import Address
@@ -223,3 +224,31 @@
     await copied.wait()
     await trio.sleep(0.02)
     assert not upstream.is_usable(trio.current_time(), 0.0)
+
+
+@pytest.mark.parametrize(
+    ("error", "ended"),
+    [
+        (ConnectionResetError(104, "reset"), True),
+        pytest.param(
+            TimeoutError(110, "timed out"),
+            False,
+            marks=pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt, issue 40"),
+        ),
+    ],
+    ids=["reset", "timed out"],
+)
+async def test_connection_that_times_out_while_sending_has_not_ended(
+    nursery: trio.Nursery,
+    monkeypatch: pytest.MonkeyPatch,
+    error: OSError,
+    ended: bool,
+) -> None:
+    async def fail(stream: trio.SocketStream, data: bytes) -> None:
+        raise trio.BrokenResourceError(str(error)) from error
+
+    monkeypatch.setattr(upstream_module, "send", fail)
+    upstream = await open_upstream(nursery, [])
+    with pytest.raises(BrokenAnswerError) as raised:
+        await ask(upstream, "a")
+    assert raised.value.connection_ended == ended
