--- a/soak/checks.py
+++ b/soak/checks.py
@@ -7,17 +7,16 @@
 
 from __future__ import annotations
 
-import json
 from collections import Counter, defaultdict
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from standins.stated_limits import LIMIT_HEADER, NOTICE_S
 
 from .answers import RequestKind, is_valid_body, is_valid_prefix, read_path
 from .callers import ANSWER_GRACE_S, DEADLINE_S, is_signed
+from .evidence import Violation
 from .fatal import FATAL_PART, FatalArrival, find_late
-from .limits import CONTACT_S, Sent, StatedLimit, find_exceeded
+from .limits import CONTACT_S, Sent, find_exceeded
 from .versions import (
     StreamPart,
     find_joined,
@@ -27,9 +26,9 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Sequence
-    from pathlib import Path
 
-    from .callers import DirectoryAnswer, Outcome
+    from .callers import Outcome
+    from .evidence import Evidence, Execution, Probe
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # ``max_attempts`` of the routes in these runs.
@@ -46,84 +45,6 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class Violation:
-    """A violated guarantee, and the evidence."""
-
-    check: str
-    detail: str
-
-
-@dataclass(frozen=True, slots=True)
-class Execution:
-    """A request that a target started to run."""
-
-    id: str
-    target: str
-    at: float
-    method: str
-    path: str
-    bytes: int
-    fault: str
-
-
-@dataclass(frozen=True, slots=True)
-class AppliedFault:
-    """A fault that was applied to a host, target or link, and its period."""
-
-    kind: str
-    subject: str
-    since: float
-    until: float
-
-
-@dataclass(frozen=True, slots=True)
-class Location:
-    """The host or target that a name belongs to, and its zone."""
-
-    subject: str
-    zone: str
-
-
-@dataclass(frozen=True, slots=True)
-class Probe:
-    """Whether a host had a version's own route when it was probed."""
-
-    at: float
-    host: str
-    start: int
-    version: int
-    known: bool
-
-
-@dataclass(slots=True)
-class Evidence:
-    """
-    The records of one run.
-
-    ``versions`` maps each version to the time of the store's acknowledgement, in
-    order; ``settled_at`` is the time by which everything must have recovered.
-    ``locations`` has the hosts, by name, and the targets, by each id they had.
-    ``downtimes`` maps a host's address to the periods without a process.
-    ``process_failures`` describes processes that ended unexpectedly. ``older_hosts`` run
-    an earlier version, which needn't keep what is new.
-    """
-
-    outcomes: list[Outcome] = field(default_factory=list)
-    directory_answers: list[DirectoryAnswer] = field(default_factory=list)
-    executions: list[Execution] = field(default_factory=list)
-    limits: list[StatedLimit] = field(default_factory=list)
-    still_running: list[str] = field(default_factory=list)
-    applied_faults: list[AppliedFault] = field(default_factory=list)
-    probes: list[Probe] = field(default_factory=list)
-    versions: dict[int, float] = field(default_factory=dict)
-    locations: dict[str, Location] = field(default_factory=dict)
-    downtimes: dict[str, list[tuple[float, float]]] = field(default_factory=dict)
-    process_failures: list[str] = field(default_factory=list)
-    older_hosts: frozenset[str] = frozenset()
-    settled_at: float = 0.0
-
-
 def check_all(evidence: Evidence) -> list[Violation]:
     """Return the violations that all checks find."""
     checks = (
@@ -146,39 +67,6 @@
     return [violation for check in checks for violation in check(evidence)]
 
 
-def read_records(
-    directory: Path,
-) -> tuple[list[Execution], list[str], list[StatedLimit]]:
-    """Return recorded executions, the names of those without an end, and limits."""
-    executions: list[Execution] = []
-    limits: list[StatedLimit] = []
-    unfinished: list[str] = []
-    for path in sorted(directory.glob("*.record")):
-        running: set[str] = set()
-        for line in path.read_bytes().splitlines():
-            entry = json.loads(line)
-            if entry["what"] == "limit":
-                limits.append(StatedLimit(entry["target"], entry["at"], entry["rate"]))
-                continue
-            if entry["what"] == "end":
-                running.discard(entry["id"])
-                continue
-            running.add(entry["id"])
-            executions.append(
-                Execution(
-                    entry["id"],
-                    entry["target"],
-                    entry["at"],
-                    entry["method"],
-                    entry["path"],
-                    entry["bytes"],
-                    entry["how"],
-                )
-            )
-        unfinished += [f"{path.stem}/{request_id}" for request_id in running]
-    return executions, unfinished, limits
-
-
 def find_repeated(evidence: Evidence) -> Iterator[Violation]:
     """Yield requests that ran more than once though they may not be repeated."""
     ran = Counter(each.id for each in evidence.executions)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -33,7 +33,7 @@
 
 from .answers import RequestKind
 from .callers import HostEndpoints
-from .checks import Location
+from .evidence import Location
 from .fatal import FATAL_EXIT
 from .proxy import open_proxy
 from .versions import name_version
--- a/soak/run.py
+++ b/soak/run.py
@@ -16,7 +16,8 @@
 
 from .answers import RequestKind, Work
 from .callers import Caller, CallerLog, Outcome, exchange
-from .checks import AppliedFault, Evidence, Probe, Violation, check_all, read_records
+from .checks import check_all
+from .evidence import AppliedFault, Evidence, Probe, Violation, read_records
 from .fatal import FATAL_PART, SHARED_PART
 from .fleet import ENTRY_EXPIRY_S, RESTART_S, SERVICES, Fleet
 from .plan import (
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -13,12 +13,14 @@
 from soak.checks import (
     CONFIG_DEADLINE_S,
     DIRECTORY_EXPIRY_S,
+    check_all,
+)
+from soak.evidence import (
     AppliedFault,
     Evidence,
     Execution,
     Location,
     Probe,
-    check_all,
     read_records,
 )
 from standins.site import Answer
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -7,7 +7,7 @@
 from lycheepath.console.request_logs import read_log_lines
 from lycheepath.core.serving.fingerprints import PART
 from soak.__main__ import read_regressions
-from soak.checks import read_records
+from soak.evidence import read_records
 from soak.fatal import FATAL_PART
 from soak.plan import Sizes
 from soak.run import run_seed
