--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -63,6 +63,8 @@
         fatal_per_s=options.fatal,
         versions=options.versions,
         older_checkout=options.older_checkout,
+        stranded_share=options.stranded,
+        brittle_share=options.brittle,
     )
     first = options.seed
     if first is None:
@@ -105,6 +107,15 @@
         type=Path,
         help="checkout of an earlier version that every other host runs",
     )
+    parser.add_argument(
+        "--stranded",
+        type=float,
+        default=0.0,
+        help="share of hosts cut off from targets",
+    )
+    parser.add_argument(
+        "--brittle", type=float, default=0.0, help="share of targets that are brittle"
+    )
     parser.add_argument(
         "--regressions", action="store_true", help="play the seeds that ever failed"
     )
--- /dev/null
+++ b/soak/added_faults.py
@@ -0,0 +1,84 @@
+"""Faults of a run's options, which go on beside the faults of its plan."""
+
+from __future__ import annotations
+
+import random
+import time
+from functools import partial
+from typing import TYPE_CHECKING
+
+import trio
+
+from .brittle import (
+    BRITTLE_KINDS,
+    CALLER_PAUSE_S,
+    CALLERS_PER_SLOT,
+    draw_times,
+    write_times,
+)
+from .callers import Caller
+from .cuts import AppliedCut
+from .fleet import TARGET_SLOTS
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from .brittle import BrittleTime
+    from .cuts import Cut
+    from .plan import Sizes
+    from .run import Run
+
+
+async def cut_hosts(run: Run, cuts: Sequence[Cut]) -> None:
+    """Cut hosts off from targets, one cut after the other."""
+    fleet = run.fleet
+    started = trio.current_time()
+    for cut in cuts:
+        await trio.sleep_until(started + cut.at_s)
+        hosts = [fleet.hosts[number].name for number in cut.hosts]
+        links = [fleet.targets[number].link for number in cut.targets]
+        since = time.monotonic()
+        for link in links:
+            for host in hosts:
+                link.cut(host, cut.kind)
+        await trio.sleep(cut.duration_s)
+        for link in links:
+            for host in hosts:
+                link.rejoin(host)
+        whole = len(links) == len(fleet.targets)
+        applied = AppliedCut(frozenset(hosts), since, time.monotonic(), whole)
+        run.cuts.append(applied)
+
+
+async def make_brittle(run: Run, sizes: Sizes) -> None:
+    """Let targets be brittle at times, with more requests than they have slots for."""
+    times = draw_times(sizes.seconds, sizes.brittle_share, run.seed)
+    started = time.monotonic()
+    write_times(run.fleet.brittle_file, times, started)
+    slots = TARGET_SLOTS * len(run.fleet.brittle_targets)
+    callers = round(CALLERS_PER_SLOT * slots)
+    for number, brittle in enumerate(times):
+        await trio.sleep(started + brittle.since - time.monotonic())
+        async with trio.open_nursery() as nursery:
+            for caller in _make_extra_callers(run, number, callers):
+                nursery.start_soon(caller.run, partial(_is_before, started, brittle))
+
+
+def _make_extra_callers(run: Run, number: int, callers: int) -> list[Caller]:
+    endpoints = [host.endpoints for host in run.fleet.hosts]
+    return [
+        Caller(
+            run.caller_log,
+            endpoints,
+            endpoints[each % len(endpoints)],
+            random.Random(f"brittle/{run.seed}/{number}/{each}"),
+            run.with_prompts,
+            kinds=BRITTLE_KINDS,
+            max_pause_s=CALLER_PAUSE_S,
+        )
+        for each in range(callers)
+    ]
+
+
+def _is_before(started: float, brittle: BrittleTime) -> bool:
+    return time.monotonic() < started + brittle.until
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -118,7 +118,8 @@
     State of one caller: its random generator and persistent connection.
 
     With ``with_prompts``, its streams have prompts with shared parts. With ``takes_up``
-    it goes on with resumable streams that have broken off.
+    it goes on with resumable streams that have broken off. ``kinds`` are those of its
+    requests, ``max_pause_s`` bounds the pause between two of them.
     """
 
     caller_log: CallerLog
@@ -127,6 +128,8 @@
     random: random.Random
     with_prompts: bool = False
     takes_up: bool = False
+    kinds: tuple[RequestKind, ...] = tuple(RequestKind)
+    max_pause_s: float = MAX_PAUSE_S
     stream: trio.SocketStream | None = None
     connected: HostEndpoints | None = None
     requests_sent: int = 0
@@ -134,7 +137,7 @@
     async def run(self, is_active: Callable[[], bool]) -> None:
         """Send requests as long as ``is_active()`` holds."""
         while is_active():
-            kind = self.random.choice(list(RequestKind))
+            kind = self.random.choice(self.kinds)
             work = Work(kind, self.random.choice(SIZES[kind]))
             disconnect_after_s = None
             if self.random.random() < DISCONNECT_SHARE:
@@ -142,7 +145,7 @@
             outcome = await self.ask(work, disconnect_after_s)
             if self.takes_up and work.kind is RequestKind.RESUMED:
                 await self._take_up(outcome)
-            await trio.sleep(MAX_PAUSE_S * self.random.random())
+            await trio.sleep(self.max_pause_s * self.random.random())
         self.close()
 
     async def _take_up(self, outcome: Outcome) -> None:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -13,7 +13,9 @@
 from standins.stated_limits import LIMIT_HEADER, NOTICE_S
 
 from .answers import RequestKind, is_valid_body, is_valid_prefix, read_path
+from .brittle import find_falls
 from .callers import ANSWER_GRACE_S, DEADLINE_S, is_signed
+from .cuts import FirstTry, find_cut_off
 from .evidence import Violation
 from .fatal import FATAL_PART, FatalArrival, find_late
 from .limits import CONTACT_S, Sent, find_exceeded
@@ -63,6 +65,8 @@
         find_exceeded_limits,
         find_late_fatal,
         find_joined_streams,
+        find_unserved_at_cut_off,
+        find_frequent_falls,
     )
     return [violation for check in checks for violation in check(evidence)]
 
@@ -288,6 +292,40 @@
         yield Violation("take-ups", detail)
 
 
+def find_unserved_at_cut_off(evidence: Evidence) -> Iterator[Violation]:
+    """Yield cuts of hosts from targets whose callers were served much less."""
+    if not evidence.cuts:
+        return
+    tries = [
+        FirstTry(
+            outcome.sent_at,
+            outcome.host,
+            outcome.answer.status == 200 and outcome.answer.whole,
+        )
+        for outcome in evidence.outcomes
+        if not outcome.disconnected
+        and not outcome.resumes
+        and outcome.host not in evidence.older_hosts
+        and not _is_host_disturbed(evidence, outcome.host, outcome.sent_at)
+    ]
+    for detail in find_cut_off(evidence.cuts, tries):
+        yield Violation("cut-off", detail)
+
+
+def find_frequent_falls(evidence: Evidence) -> Iterator[Violation]:
+    """Yield times in which brittle targets fell over too often."""
+    if not evidence.falls:
+        return
+    sound = {
+        outcome.id: not _is_host_disturbed(evidence, outcome.host, outcome.sent_at)
+        for outcome in evidence.outcomes
+    }
+    for detail in find_falls(
+        evidence.brittle_times, evidence.falls, evidence.brittle_targets, sound
+    ):
+        yield Violation("brittle", detail)
+
+
 def _is_host_disturbed(evidence: Evidence, host: str, at: float) -> bool:
     """Whether a host was restarted, paused or cut off shortly before a time."""
     return any(
--- a/soak/evidence.py
+++ b/soak/evidence.py
@@ -11,7 +11,9 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
+    from .brittle import BrittleTime, Fall
     from .callers import DirectoryAnswer, Outcome
+    from .cuts import AppliedCut
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,6 +91,10 @@
     downtimes: dict[str, list[tuple[float, float]]] = field(default_factory=dict)
     process_failures: list[str] = field(default_factory=list)
     older_hosts: frozenset[str] = frozenset()
+    cuts: list[AppliedCut] = field(default_factory=list)
+    brittle_times: tuple[BrittleTime, ...] = ()
+    brittle_targets: int = 0
+    falls: list[Fall] = field(default_factory=list)
     settled_at: float = 0.0
 
 
@@ -106,6 +112,8 @@
             if entry["what"] == "limit":
                 limits.append(StatedLimit(entry["target"], entry["at"], entry["rate"]))
                 continue
+            if entry["what"] == "fall":
+                continue
             if entry["what"] == "end":
                 running.discard(entry["id"])
                 continue
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -32,9 +32,11 @@
 )
 
 from .answers import RequestKind
+from .brittle import FALL_EXIT, FALL_RESTART_S
 from .callers import HostEndpoints
 from .evidence import Location
 from .fatal import FATAL_EXIT
+from .owners import find_owner
 from .proxy import open_proxy
 from .versions import name_version
 
@@ -57,6 +59,8 @@
 LOOPBACK = "127.0.0.1"
 # Connections to one target from all hosts; far more than a run's callers need.
 MAX_CONNECTIONS_PER_TARGET = 200
+# Requests that a target runs at once.
+TARGET_SLOTS = 4
 SERVICES = ("plain", "streams")
 KIND_NAMES = {
     RequestKind.SAFE: "safe",
@@ -142,15 +146,29 @@
         self.process_failures: list[str] = []
         # Names of targets that ended under a fatal request, and when it was noticed.
         self.fatal_ends: list[tuple[str, float]] = []
+        # Names of targets that fell over while they were brittle, and when it was noticed.
+        self.falls: list[tuple[str, float]] = []
         self.faulty_share = 0.0
         self.limited_share = 0.0
+        self.brittle_share = 0.0
         self.software_versions = 1
         self.older_checkout: Path | None = None
+        self.cuts_hosts = False
         self._launched: list[Process] = []
         self._seed = seed
         self._ids = itertools.count()
         self._network = draw_network()
 
+    @property
+    def brittle_file(self) -> Path:
+        """The file with the times in which targets are brittle."""
+        return self.directory / "brittle.json"
+
+    @property
+    def brittle_targets(self) -> list[TargetProcess]:
+        """The targets that are brittle at times; all of one service."""
+        return [target for target in self.targets if self._is_brittle(target)]
+
     @property
     def faults_off_file(self) -> Path:
         """The file whose presence makes targets stop injecting faults."""
@@ -192,6 +210,8 @@
         """Start a target and write its entry to the store."""
         name = f"{service}-{len(self.targets)}"
         link = await open_proxy(self.nursery, (LOOPBACK, 0))
+        if self.cuts_hosts:
+            link.find_owner = self._find_owner
         target = TargetProcess(name, service, zone, link, 0)
         self.targets.append(target)
         await self.start_target(target)
@@ -211,11 +231,14 @@
             f"--id={target.id}",
             f"--record={self.directory / target.id}.record",
             f"--port={target.port}",
+            f"--slots={TARGET_SLOTS}",
             f"--seed={self._seed + number}",
             f"--faulty-share={self.faulty_share}",
             f"--limited-share={self.limited_share}",
             f"--sound={self.faults_off_file}",
         ]
+        if self._is_brittle(target):
+            arguments.append(f"--brittle={self.brittle_file}")
         if self.software_versions > 1:
             arguments.append(f"--software={target.version}")
         target.process = await start_process(target.id, arguments, self.directory)
@@ -227,7 +250,11 @@
     def announce(self, target: TargetProcess, **fields: Any) -> None:
         """Write a target's entry to the store."""
         ip, port = target.link.address
-        fields = {"seq": next(self._ids), "version": target.version} | fields
+        fields = {
+            "seq": next(self._ids),
+            "version": target.version,
+            "slots": TARGET_SLOTS,
+        } | fields
         entry = make_entry(target.service, f"{ip}:{port}", target.zone, **fields)
         self.store.put(f"servers/{target.id}", entry)
 
@@ -243,13 +270,17 @@
         await trio.sleep(after_s)
         await self.start_target(target)
 
-    async def _replace_ended(self, target: TargetProcess) -> None:
+    async def _replace_ended(self, target: TargetProcess, after_s: float) -> None:
         """Restart a target that has ended by itself, under a new id."""
         await trio.sleep(ENTRY_EXPIRY_S)
         self.store.remove(f"servers/{target.id}")
-        await trio.sleep(RESTART_S)
+        await trio.sleep(after_s)
         await self.start_target(target)
 
+    def _is_brittle(self, target: TargetProcess) -> bool:
+        draw = random.Random(f"brittle/{self._seed}/{target.name}")
+        return target.service == SERVICES[1] and draw.random() < self.brittle_share
+
     async def drain_target(self, target: TargetProcess) -> None:
         """Announce a target as draining, end it after ``DRAIN_S``, and restart it."""
         process = target.process
@@ -384,7 +415,11 @@
             target.process = None
             if process.popen.returncode == FATAL_EXIT:
                 self.fatal_ends.append((target.name, time.monotonic()))
-                self.nursery.start_soon(self._replace_ended, target)
+                self.nursery.start_soon(self._replace_ended, target, RESTART_S)
+            elif process.popen.returncode == FALL_EXIT:
+                self.falls.append((target.name, time.monotonic()))
+                after_s = FALL_RESTART_S - ENTRY_EXPIRY_S
+                self.nursery.start_soon(self._replace_ended, target, after_s)
             else:
                 self.process_failures.append(_describe_exit(process))
 
@@ -409,6 +444,17 @@
                 process.popen.send_signal(signal.SIGCONT)
                 await process.kill()
 
+    def _find_owner(self, port: int) -> str:
+        """Return the name of the host that has a local port."""
+        return find_owner(
+            port,
+            {
+                host.name: host.process.pid
+                for host in self.hosts
+                if host.process is not None and host.running
+            },
+        )
+
     def _has_logged_start(self, host: HostProcess) -> bool:
         """Whether the current process has logged its start event."""
         return b'"event":"start"' in self._log(host).read_bytes()[host.log_from :]
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -90,7 +90,9 @@
     requests with a part in their prompts that ends targets. ``versions`` is the number of
     software versions of targets side by side; with several, callers take up streams
     and all hosts are killed at once ``ALL_KILLED`` times. Every other host runs the
-    gateway of ``older_checkout``, if there is one.
+    gateway of ``older_checkout``, if there is one. ``stranded_share`` is the share of
+    hosts that one cut takes off from the targets, ``brittle_share`` that of the targets
+    of streams that are brittle at times.
     """
 
     hosts: int
@@ -102,6 +104,8 @@
     fatal_per_s: float = 0.0
     versions: int = 1
     older_checkout: Path | None = None
+    stranded_share: float = 0.0
+    brittle_share: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/soak/run.py
+++ b/soak/run.py
@@ -14,9 +14,12 @@
 from standins.processes import ROOT
 from standins.site import REGIONS
 
+from .added_faults import cut_hosts, make_brittle
 from .answers import RequestKind, Work
+from .brittle import FALL_RESTART_S, read_falls, read_times
 from .callers import Caller, CallerLog, Outcome, exchange
 from .checks import check_all
+from .cuts import draw_cuts
 from .evidence import AppliedFault, Evidence, Probe, Violation, read_records
 from .fatal import FATAL_PART, SHARED_PART
 from .fleet import ENTRY_EXPIRY_S, RESTART_S, SERVICES, Fleet
@@ -34,6 +37,7 @@
     from collections.abc import Awaitable, Callable
     from pathlib import Path
 
+    from .cuts import AppliedCut
     from .fleet import HostProcess
     from .proxy import Proxy
 
@@ -57,6 +61,8 @@
 # The same share in runs with several versions, where streams have to break.
 CUT_SHARE = 0.4
 CALLERS_PER_HOST = 2
+# The same number where tries at hosts that are cut off are counted.
+CALLERS_PER_CUT_HOST = 5
 # Share of hosts that a KILL_MANY kills.
 KILL_MANY_SHARE = 0.5
 # Memory of the smallest machine of the first deployments.
@@ -83,6 +89,7 @@
     caller_log: CallerLog = field(default_factory=CallerLog)
     applied_faults: list[AppliedFault] = field(default_factory=list)
     probes: list[Probe] = field(default_factory=list)
+    cuts: list[AppliedCut] = field(default_factory=list)
     memory_bytes: int = 0
     with_prompts: bool = False
     takes_up: bool = False
@@ -112,12 +119,17 @@
     fleet = run.fleet
     fleet.faulty_share = FAULTY_SHARE
     fleet.limited_share = sizes.limited_share
+    fleet.brittle_share = sizes.brittle_share
     fleet.older_checkout = sizes.older_checkout
     run.with_prompts = sizes.fatal_per_s > 0.0
     if sizes.versions > 1:
         run.takes_up = True
         fleet.software_versions = sizes.versions
         fleet.faulty_share = CUT_SHARE
+    cuts = draw_cuts(
+        sizes.hosts, sizes.targets, sizes.seconds, sizes.stranded_share, run.seed
+    )
+    fleet.cuts_hosts = bool(cuts)
     await _start(fleet, sizes)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_watch, run)
@@ -132,6 +144,9 @@
                 started = trio.current_time()
                 if run.takes_up:
                     faults.start_soon(_kill_all, run, sizes.seconds)
+                faults.start_soon(cut_hosts, run, cuts)
+                if fleet.brittle_targets:
+                    faults.start_soon(make_brittle, run, sizes)
                 for fault in plan:
                     await trio.sleep_until(started + fault.at_s)
                     faults.start_soon(_apply_fault, run, fault)
@@ -163,6 +178,7 @@
 
 def _make_callers(run: Run) -> list[Caller]:
     endpoints = [host.endpoints for host in run.fleet.hosts]
+    per_host = CALLERS_PER_CUT_HOST if run.fleet.cuts_hosts else CALLERS_PER_HOST
     return [
         Caller(
             run.caller_log,
@@ -172,7 +188,7 @@
             run.with_prompts,
             run.takes_up,
         )
-        for number, home in enumerate(endpoints * CALLERS_PER_HOST)
+        for number, home in enumerate(endpoints * per_host)
     ]
 
 
@@ -384,6 +400,11 @@
         until = at + ENTRY_EXPIRY_S + RESTART_S
         fault = AppliedFault("fatal-end", name, at - WATCH_INTERVAL_S * 2, until)
         run.applied_faults.append(fault)
+    for name, at in fleet.falls:
+        fault = AppliedFault(
+            "fall", name, at - WATCH_INTERVAL_S * 2, at + FALL_RESTART_S
+        )
+        run.applied_faults.append(fault)
     return Evidence(
         outcomes=run.caller_log.outcomes,
         directory_answers=run.caller_log.directory_answers,
@@ -397,5 +418,9 @@
         downtimes={host.public_address: host.downtimes for host in fleet.hosts},
         process_failures=fleet.process_failures,
         older_hosts=frozenset(h.name for h in fleet.hosts if h.checkout != ROOT),
+        cuts=run.cuts,
+        brittle_times=read_times(fleet.brittle_file),
+        brittle_targets=len(fleet.brittle_targets),
+        falls=read_falls(directory),
         settled_at=settled_at,
     )
--- a/soak/target.py
+++ b/soak/target.py
@@ -5,7 +5,7 @@
 has ended, so that a run can tell what ran even where no answer came. Until
 the file ``--sound`` is there some requests go wrong: the answer is lost, breaks
 off, or is followed by bytes that belong to nobody. A target may also state limits on
-its request rate, which change until then.
+its request rate, which change until then, and be brittle at times.
 """
 
 from __future__ import annotations
@@ -26,6 +26,7 @@
 from standins.site import Seen, read_request
 
 from .answers import Work, make_body, make_event, read_path, sign
+from .brittle import BRITTLE_HEADER, BRITTLE_QUEUE, FALL_EXIT, BrittleWatch
 from .fatal import FATAL_EXIT, has_fatal_part
 from .limits import draw_limits
 
@@ -50,6 +51,7 @@
     waiting: int = 0
     version: str = ""
     rate_limit: float | None = None
+    brittle: BrittleWatch | None = None
     random: random.Random = field(default_factory=random.Random)
 
     async def serve(self, stream: trio.SocketStream) -> None:
@@ -68,9 +70,12 @@
     def write_head(
         self, status: int, request_id: str, length: int | None, *more: str
     ) -> bytes:
-        """Return the head of an answer, with the target's limit."""
+        """Return the head of an answer, with what the target states."""
         if self.rate_limit is not None:
             more = (*more, f"Server-Limit: {self.rate_limit}")
+        brittle = self.brittle and self.brittle.find_time(time.monotonic())
+        if brittle:
+            more = (*more, f"{BRITTLE_HEADER}: {brittle.most}")
         return write_head(status, request_id, length, *more)
 
     async def _answer(self, seen: Seen, stream: trio.SocketStream) -> bool:
@@ -78,13 +83,19 @@
         work = read_path(seen.target)
         request_id = seen.headers.get("request-id", "")
         if work is None or not request_id:
-            await stream.send_all(write_head(400, request_id, 0, "Not-Executed: 1"))
+            await stream.send_all(
+                self.write_head(400, request_id, 0, "Not-Executed: 1")
+            )
             return True
         if seen.headers.get("expect-instance", self.id) != self.id:
-            await stream.send_all(write_head(421, request_id, 0, "Not-Executed: 1"))
+            await stream.send_all(
+                self.write_head(421, request_id, 0, "Not-Executed: 1")
+            )
             return True
         fault = self._draw_fault()
-        full = self.running >= self.slots and self.waiting >= QUEUE
+        full = self._is_full()
+        if full:
+            self._count_rejection(request_id)
         if full or fault == "refuse":
             await stream.send_all(
                 self.write_head(503, request_id, 0, "Not-Executed: 1")
@@ -105,6 +116,22 @@
             self._write_record("end", seen, ending)
         return ending == "whole"
 
+    def _is_full(self) -> bool:
+        short = self.brittle is not None and self.brittle.is_short(time.monotonic())
+        queue = BRITTLE_QUEUE if short else QUEUE
+        return self.running >= self.slots and self.waiting >= queue
+
+    def _count_rejection(self, request_id: str) -> None:
+        """Count a request that is turned away for want of room; end if it's too many."""
+        if self.brittle is None:
+            return
+        now = time.monotonic()
+        rejected = self.brittle.reject(request_id, now)
+        if rejected:
+            line = {"what": "fall", "at": now, "target": self.id}
+            self._write_line(line | {"rejected": rejected})
+            os._exit(FALL_EXIT)
+
     async def _wait_for_slot(self) -> None:
         self.waiting += 1
         try:
@@ -234,6 +261,8 @@
     )
     target.version = options.software
     target.random.seed(options.seed)
+    if options.brittle is not None:
+        target.brittle = BrittleWatch(options.brittle)
     draw = random.Random(f"limits/{options.seed}")
     listeners = await trio.open_tcp_listeners(options.port, host="127.0.0.1")
     port = listeners[0].socket.getsockname()[1]
@@ -254,6 +283,7 @@
     parser.add_argument("--seed", type=int, default=0)
     parser.add_argument("--faulty-share", type=float, default=0.0)
     parser.add_argument("--limited-share", type=float, default=0.0)
+    parser.add_argument("--brittle", type=Path, help="file with the brittle times")
     parser.add_argument("--sound", type=Path, default=Path("sound"))
     return parser.parse_args()
 
--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -1,10 +1,13 @@
 from __future__ import annotations
 
+import os
 from typing import TYPE_CHECKING
 
 import pytest
 import trio
 
+from soak.cuts import CutKind
+from soak.owners import find_owner
 from soak.plan import Disturbance
 from soak.proxy import Proxy, open_proxy
 
@@ -80,3 +83,52 @@
     async with await trio.open_tcp_stream(*proxy.address) as later:
         with pytest.raises(trio.BrokenResourceError):
             await receive(later)
+
+
+async def ask(stream: trio.SocketStream) -> bytes | None:
+    """Return the answer within ``SHORT_S``, empty if the connection was reset."""
+    try:
+        await stream.send_all(b"ask")
+        return await receive(stream)
+    except trio.BrokenResourceError:
+        return b""
+
+
+@pytest.mark.parametrize(
+    ("kind", "by_open", "by_new"),
+    [
+        (CutKind.HANG, None, None),
+        (CutKind.RESET, b"", b""),
+        (CutKind.REFUSE_NEW, b"ask", b""),
+        (CutKind.HANG_OPEN, None, b"ask"),
+    ],
+)
+async def test_proxy_cuts_off_one_process(
+    proxy: Proxy, kind: CutKind, by_open: bytes | None, by_new: bytes | None
+) -> None:
+    owners = iter(["h1", "h2", "h1", "h2", "h1"])
+    proxy.find_owner = lambda _: next(owners)
+    async with (
+        await trio.open_tcp_stream(*proxy.address) as cut_off,
+        await trio.open_tcp_stream(*proxy.address) as other,
+    ):
+        assert [await ask(cut_off), await ask(other)] == [b"ask", b"ask"]
+        proxy.cut("h1", kind)
+        async with (
+            await trio.open_tcp_stream(*proxy.address) as new,
+            await trio.open_tcp_stream(*proxy.address) as new_other,
+        ):
+            assert [await ask(cut_off), await ask(new)] == [by_open, by_new]
+            assert [await ask(other), await ask(new_other)] == [b"ask", b"ask"]
+        proxy.rejoin("h1")
+        if by_open is None:
+            assert await receive(cut_off) == b"ask"
+        async with await trio.open_tcp_stream(*proxy.address) as later:
+            assert await ask(later) == b"ask"
+
+
+async def test_owner_of_a_connection_is_found(proxy: Proxy) -> None:
+    async with await trio.open_tcp_stream(*proxy.address) as stream:
+        port = stream.socket.getsockname()[1]
+        assert find_owner(port, {"other": 1, "own": os.getpid()}) == "own"
+        assert not find_owner(port, {"other": os.getppid()})
