--- a/soak/run.py
+++ b/soak/run.py
@@ -61,8 +61,9 @@
 # The same share in runs with several versions, where streams have to break.
 CUT_SHARE = 0.4
 CALLERS_PER_HOST = 2
-# The same number where tries at hosts that are cut off are counted.
-CALLERS_PER_CUT_HOST = 5
+# The same number while tries at hosts that are cut off are counted; targets haven't
+# enough slots for all of them after the recovery.
+CALLERS_PER_CUT_HOST = 4
 # Share of hosts that a KILL_MANY kills.
 KILL_MANY_SHARE = 0.5
 # Memory of the smallest machine of the first deployments.
@@ -135,8 +136,11 @@
         nursery.start_soon(_watch, run)
         nursery.start_soon(_probe, run)
         async with trio.open_nursery() as callers:
-            for caller in _make_callers(run):
-                callers.start_soon(caller.run, lambda: run.callers_active)
+            lasting = CALLERS_PER_HOST * len(fleet.hosts)
+            for number, caller in enumerate(_make_callers(run)):
+                callers.start_soon(
+                    caller.run, partial(_is_active, run, number < lasting)
+                )
             await trio.sleep(WARM_UP_S)
             if run.with_prompts:
                 callers.start_soon(_send_fatal, run, sizes.fatal_per_s)
@@ -176,6 +180,13 @@
             fleet.process_failures.append(f"{host.name} did not become ready")
 
 
+def _is_active(run: Run, lasting: bool) -> bool:
+    """Whether a caller goes on: some only until the faults are off."""
+    if lasting:
+        return run.callers_active
+    return not run.fleet.faults_off_file.exists()
+
+
 def _make_callers(run: Run) -> list[Caller]:
     endpoints = [host.endpoints for host in run.fleet.hosts]
     per_host = CALLERS_PER_CUT_HOST if run.fleet.cuts_hosts else CALLERS_PER_HOST
