--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -65,6 +65,8 @@
         older_checkout=options.older_checkout,
         stranded_share=options.stranded,
         brittle_share=options.brittle,
+        odd_entries=options.odd_entries,
+        silent=options.silent,
     )
     first = options.seed
     if first is None:
@@ -116,6 +118,12 @@
     parser.add_argument(
         "--brittle", type=float, default=0.0, help="share of targets that are brittle"
     )
+    parser.add_argument(
+        "--odd-entries", action="store_true", help="leave odd entries in the store"
+    )
+    parser.add_argument(
+        "--silent", action="store_true", help="let sound targets be silent at times"
+    )
     parser.add_argument(
         "--regressions", action="store_true", help="play the seeds that ever failed"
     )
--- a/soak/added_faults.py
+++ b/soak/added_faults.py
@@ -18,7 +18,13 @@
 )
 from .callers import Caller
 from .cuts import AppliedCut
-from .fleet import TARGET_SLOTS
+from .fleet import SERVICES, TARGET_SLOTS
+from .odd_entries import (
+    INTERVAL_S,
+    REMOVED_AFTER_S,
+    REMOVED_SHARE,
+    draw_odd_entry,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -29,6 +35,11 @@
     from .run import Run
 
 
+# Time for which a sound target is silent, and mean time until the next one is.
+SILENT_S = 1.3
+SILENT_INTERVAL_S = 1.0
+
+
 async def cut_hosts(run: Run, cuts: Sequence[Cut]) -> None:
     """Cut hosts off from targets, one cut after the other."""
     fleet = run.fleet
@@ -64,6 +75,36 @@
                 nursery.start_soon(caller.run, partial(_is_before, started, brittle))
 
 
+async def silence_targets(run: Run) -> None:
+    """Pause a target now and then, which is no fault, until the faults are off."""
+    draw = random.Random(f"silent/{run.seed}")
+    async with trio.open_nursery() as nursery:
+        while not run.fleet.faults_off_file.exists():
+            await trio.sleep(draw.expovariate(1.0 / SILENT_INTERVAL_S))
+            target = draw.choice(run.fleet.targets)
+            nursery.start_soon(run.fleet.pause, target.process, SILENT_S)
+
+
+async def write_odd_entries(run: Run) -> None:
+    """Leave odd entries among those of the targets until the faults are off."""
+    draw = random.Random(f"odd/{run.seed}")
+    number = 0
+    async with trio.open_nursery() as nursery:
+        while not run.fleet.faults_off_file.exists():
+            await trio.sleep(draw.uniform(*INTERVAL_S))
+            number += 1
+            key, data = draw_odd_entry(draw, number, SERVICES)
+            run.fleet.store.put(key, data)
+            if draw.random() < REMOVED_SHARE:
+                after_s = draw.uniform(*REMOVED_AFTER_S)
+                nursery.start_soon(_remove_entry, run, key, after_s)
+
+
+async def _remove_entry(run: Run, key: str, after_s: float) -> None:
+    await trio.sleep(after_s)
+    run.fleet.store.remove(key)
+
+
 def _make_extra_callers(run: Run, number: int, callers: int) -> list[Caller]:
     endpoints = [host.endpoints for host in run.fleet.hosts]
     return [
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -92,7 +92,9 @@
     and all hosts are killed at once ``ALL_KILLED`` times. Every other host runs the
     gateway of ``older_checkout``, if there is one. ``stranded_share`` is the share of
     hosts that one cut takes off from the targets, ``brittle_share`` that of the targets
-    of streams that are brittle at times.
+    of streams that are brittle at times. With ``odd_entries``, another writer leaves
+    odd entries among those of the targets; with ``silent``, sound targets say nothing for
+    a moment now and then.
     """
 
     hosts: int
@@ -106,6 +108,8 @@
     older_checkout: Path | None = None
     stranded_share: float = 0.0
     brittle_share: float = 0.0
+    odd_entries: bool = False
+    silent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/soak/run.py
+++ b/soak/run.py
@@ -14,7 +14,7 @@
 from standins.processes import ROOT
 from standins.site import REGIONS
 
-from .added_faults import cut_hosts, make_brittle
+from .added_faults import cut_hosts, make_brittle, silence_targets, write_odd_entries
 from .answers import RequestKind, Work
 from .brittle import FALL_RESTART_S, read_falls, read_times
 from .callers import Caller, CallerLog, Outcome, exchange
@@ -144,6 +144,10 @@
             await trio.sleep(WARM_UP_S)
             if run.with_prompts:
                 callers.start_soon(_send_fatal, run, sizes.fatal_per_s)
+            if sizes.odd_entries:
+                callers.start_soon(write_odd_entries, run)
+            if sizes.silent:
+                callers.start_soon(silence_targets, run)
             async with trio.open_nursery() as faults:
                 started = trio.current_time()
                 if run.takes_up:
