Let the soak's callers keep connections open and hold hosts up

Callers of the soak closed a connection after 20 requests and hardly paused, so that the end of an idle connection never met a request. The check lost also finds requests that weren't run and whose connection ended later than loss_slack_ms (0.2 s) after they were sent, and more than three that ran from kept connections and ended unanswered, where a hold-up is no excuse.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -67,6 +67,7 @@
         brittle_share=options.brittle,
         odd_entries=options.odd_entries,
         silent=options.silent,
+        kept=options.kept,
     )
     first = options.seed
     if first is None:
@@ -124,6 +125,9 @@
     parser.add_argument(
         "--silent", action="store_true", help="let sound targets be silent at times"
     )
+    parser.add_argument(
+        "--kept", action="store_true", help="keep connections open, hold hosts up"
+    )
     parser.add_argument(
         "--regressions", action="store_true", help="play the seeds that ever failed"
     )
--- a/soak/added_faults.py
+++ b/soak/added_faults.py
@@ -18,6 +18,7 @@
 )
 from .callers import Caller
 from .cuts import AppliedCut
+from .evidence import HOLD_UP, AppliedFault
 from .fleet import SERVICES, TARGET_SLOTS
 from .odd_entries import (
     INTERVAL_S,
@@ -31,6 +32,7 @@
 
     from .brittle import BrittleTime
     from .cuts import Cut
+    from .fleet import HostProcess
     from .plan import Sizes
     from .run import Run
 
@@ -38,6 +40,12 @@
 # Time for which a sound target is silent, and mean time until the next one is.
 SILENT_S = 1.3
 SILENT_INTERVAL_S = 1.0
+# Time for which a host is held up, and mean time until the next one is.
+HOLD_UP_S = (0.3, 0.6)
+HOLD_UP_INTERVAL_S = 2.0
+# Callers that keep their connections, for each host, and the idle limit of hosts then.
+KEPT_PER_HOST = 4
+KEPT_IDLE_S = 2.0
 
 
 async def cut_hosts(run: Run, cuts: Sequence[Cut]) -> None:
@@ -85,6 +93,40 @@
             nursery.start_soon(run.fleet.pause, target.process, SILENT_S)
 
 
+async def hold_up_hosts(run: Run) -> None:
+    """Pause a host for a moment now and then, until the faults are off."""
+    draw = random.Random(f"hold-up/{run.seed}")
+    async with trio.open_nursery() as nursery:
+        while not run.fleet.faults_off_file.exists():
+            await trio.sleep(draw.expovariate(1.0 / HOLD_UP_INTERVAL_S))
+            host = draw.choice(run.fleet.hosts)
+            duration_s = draw.uniform(*HOLD_UP_S)
+            nursery.start_soon(_hold_up, run, host, duration_s)
+
+
+async def _hold_up(run: Run, host: HostProcess, duration_s: float) -> None:
+    since = time.monotonic()
+    await run.fleet.pause(host.process, duration_s)
+    fault = AppliedFault(HOLD_UP, host.name, since, time.monotonic())
+    run.applied_faults.append(fault)
+
+
+def make_keepers(run: Run) -> list[Caller]:
+    """Return the callers that keep their connections."""
+    endpoints = [host.endpoints for host in run.fleet.hosts]
+    return [
+        Caller(
+            run.caller_log,
+            endpoints,
+            home,
+            random.Random(f"kept/{run.seed}/{number}"),
+            run.with_prompts,
+            idle_s=KEPT_IDLE_S,
+        )
+        for number, home in enumerate(endpoints * KEPT_PER_HOST)
+    ]
+
+
 async def write_odd_entries(run: Run) -> None:
     """Leave odd entries among those of the targets until the faults are off."""
     draw = random.Random(f"odd/{run.seed}")
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -42,6 +42,9 @@
 MAX_TAKE_UPS = 3
 # A persistent connection is closed after this many requests.
 MAX_REQUESTS_PER_CONNECTION = 20
+# Range of the pauses of callers that keep their connections, as parts of the idle limit;
+# clients reuse connections that have been idle for four fifths of it.
+KEPT_IDLE_PARTS = (0.7, 0.8)
 SIZES = {
     RequestKind.SAFE: (10, 900, 60_000),
     RequestKind.UNSAFE: (10, 900),
@@ -59,7 +62,8 @@
     received, with status 0 if there was none; ``end`` describes how the exchange
     ended without a complete answer. ``parts`` are the shared parts of its prompt.
     If it takes up a stream, it asks for events from ``first_event`` on, and ``resumes`` is
-    the request that brought the first one.
+    the request that brought the first one. ``kept`` says that its connection had carried
+    another before.
     """
 
     id: str
@@ -74,6 +78,7 @@
     parts: tuple[str, ...] = ()
     first_event: int = 1
     resumes: str = ""
+    kept: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,7 +124,9 @@
 
     With ``with_prompts``, its streams have prompts with shared parts. With ``takes_up``
     it goes on with resumable streams that have broken off. ``kinds`` are those of its
-    requests, ``max_pause_s`` bounds the pause between two of them.
+    requests, ``max_pause_s`` bounds the pause between two of them. With ``idle_s``, the
+    idle limit of hosts, it keeps its connection until a host closes it, and every other
+    pause on average is nearly as long as the limit allows.
     """
 
     caller_log: CallerLog
@@ -130,6 +137,7 @@
     takes_up: bool = False
     kinds: tuple[RequestKind, ...] = tuple(RequestKind)
     max_pause_s: float = MAX_PAUSE_S
+    idle_s: float = 0.0
     stream: trio.SocketStream | None = None
     connected: HostEndpoints | None = None
     requests_sent: int = 0
@@ -145,9 +153,14 @@
             outcome = await self.ask(work, disconnect_after_s)
             if self.takes_up and work.kind is RequestKind.RESUMED:
                 await self._take_up(outcome)
-            await trio.sleep(self.max_pause_s * self.random.random())
+            await trio.sleep(self._draw_pause())
         self.close()
 
+    def _draw_pause(self) -> float:
+        if self.idle_s and self.random.random() < 0.5:
+            return self.idle_s * self.random.uniform(*KEPT_IDLE_PARTS)
+        return self.max_pause_s * self.random.random()
+
     async def _take_up(self, outcome: Outcome) -> None:
         """Go on with a stream that has broken off, at any host."""
         stream = outcome.id
@@ -179,6 +192,7 @@
         request_id = self.caller_log.next_id()
         outcome = Outcome(request_id, work, self.connected.host, time.monotonic())
         outcome.resumes, outcome.first_event = takes_up
+        outcome.kept = self.requests_sent > 0
         if self.with_prompts and work.kind.is_stream:
             outcome.parts = (SHARED_PART, self.random.choice(SOUND_PARTS))
         self.caller_log.outcomes.append(outcome)
@@ -194,7 +208,8 @@
             outcome.end = "left" if outcome.disconnected else "no answer in time"
         outcome.ended_at = time.monotonic()
         self.requests_sent += 1
-        if not outcome.answer.kept or self.requests_sent >= MAX_REQUESTS_PER_CONNECTION:
+        worn = not self.idle_s and self.requests_sent >= MAX_REQUESTS_PER_CONNECTION
+        if worn or not outcome.answer.kept:
             self.close()
         return outcome
 
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -16,7 +16,7 @@
 from .brittle import find_falls
 from .callers import ANSWER_GRACE_S, DEADLINE_S, is_signed
 from .cuts import FirstTry, find_cut_off
-from .evidence import Violation
+from .evidence import HOLD_UP, Violation
 from .fatal import FATAL_PART, FatalArrival, find_late
 from .limits import CONTACT_S, Sent, find_exceeded
 from .versions import (
@@ -27,7 +27,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator, Sequence
+    from collections.abc import Iterator, Sequence, Set
 
     from .callers import Outcome
     from .evidence import Evidence, Execution, Probe
@@ -41,6 +41,11 @@
 CONFIG_DEADLINE_S = 4.0
 # Once a host served a version, it must keep serving it after this time.
 ROLLBACK_GRACE_S = 0.25
+# Longest time from sending a request to the end of its connection without an answer if a
+# host hasn't read it.
+LOSS_SLACK_S = 0.2
+# Requests from kept connections that may be passed on and end without an answer.
+MAX_LOST_KEPT = 3
 # Planned operations, which must not affect in-flight requests.
 PLANNED_KINDS = frozenset(
     {"end-host", "reload-host", "configure", "roll", "evacuate", "compact-store"}
@@ -56,6 +61,8 @@
         find_unrequested,
         find_excess_attempts,
         find_lost_answers,
+        find_lost_unsent,
+        find_lost_from_kept,
         find_unanswered,
         find_stale_directories,
         find_stale_configurations,
@@ -147,6 +154,46 @@
         yield Violation("lost", f"{_describe(outcome)} ran and ended: {outcome.end}")
 
 
+def find_lost_unsent(evidence: Evidence) -> Iterator[Violation]:
+    """Yield requests that a host read and closed without an answer or a target."""
+    ran = {run.id for run in evidence.executions}
+    for outcome in evidence.outcomes:
+        if not _is_closed_unanswered(outcome) or outcome.id in ran:
+            continue
+        took_s = outcome.ended_at - outcome.sent_at
+        if took_s <= LOSS_SLACK_S or _is_disturbed(evidence, outcome, {outcome.host}):
+            continue
+        yield Violation(
+            "lost", f"{_describe(outcome)} wasn't run and ended after {took_s:.2f} s"
+        )
+
+
+def find_lost_from_kept(evidence: Evidence) -> Iterator[Violation]:
+    """
+    Yield a description if requests from kept connections ran and got no answer.
+
+    A host that was held up for a moment is no excuse.
+    """
+    ran = defaultdict(list)
+    for run in evidence.executions:
+        ran[run.id].append(run)
+    lost = []
+    for outcome in evidence.outcomes:
+        runs = ran.get(outcome.id)
+        if not runs or not outcome.kept or not _is_closed_unanswered(outcome):
+            continue
+        involved = _list_involved(evidence, outcome, runs)
+        disturbed = _is_disturbed(evidence, outcome, involved, {HOLD_UP})
+        if not disturbed and not any(run.fault for run in runs):
+            lost.append(outcome)
+    if len(lost) > MAX_LOST_KEPT:
+        yield Violation(
+            "lost",
+            f"{len(lost)} requests from kept connections ran and ended without an"
+            f" answer, allowed {MAX_LOST_KEPT}; {_describe(lost[0])}",
+        )
+
+
 def find_unanswered(evidence: Evidence) -> Iterator[Violation]:
     """Yield requests that got no answer in time from an undisturbed host."""
     for outcome in evidence.outcomes:
@@ -335,6 +382,12 @@
     )
 
 
+def _is_closed_unanswered(outcome: Outcome) -> bool:
+    """Whether a connection ended without an answer while its caller waited."""
+    given_up = outcome.disconnected or outcome.end == "no answer in time"
+    return not outcome.answer.status and not given_up
+
+
 def _list_involved(
     evidence: Evidence, outcome: Outcome, runs: Sequence[Execution]
 ) -> set[str]:
@@ -356,18 +409,22 @@
 
 
 def _is_disturbed(
-    evidence: Evidence, outcome: Outcome, involved: set[str] | None
+    evidence: Evidence,
+    outcome: Outcome,
+    involved: set[str] | None,
+    harmless: Set[str] = frozenset(),
 ) -> bool:
     """
     Whether an unplanned fault could have affected a request.
 
-    ``involved`` are the hosts and targets whose faults count; all if None.
+    ``involved`` are the hosts and targets whose faults count; all if None. Faults of
+    ``harmless`` kinds don't count.
     """
     since, until = outcome.sent_at - ANSWER_GRACE_S, outcome.ended_at
     return any(
         fault.since < until and fault.until > since
         for fault in evidence.applied_faults
-        if fault.kind not in PLANNED_KINDS
+        if fault.kind not in PLANNED_KINDS | harmless
         and (involved is None or fault.subject in involved)
     )
 
--- a/soak/evidence.py
+++ b/soak/evidence.py
@@ -15,6 +15,9 @@
     from .callers import DirectoryAnswer, Outcome
     from .cuts import AppliedCut
 
+# The kind of the fault of a host that is paused for less than a second.
+HOLD_UP = "hold-up"
+
 
 @dataclass(frozen=True, slots=True)
 class Violation:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -154,6 +154,8 @@
         self.software_versions = 1
         self.older_checkout: Path | None = None
         self.cuts_hosts = False
+        # Idle limit in the configuration, in seconds; the hosts' own if 0.
+        self.idle_s = 0.0
         self._launched: list[Process] = []
         self._seed = seed
         self._ids = itertools.count()
@@ -201,7 +203,8 @@
             make_route(SERVICES[0], "safe", f"/v{number}/", timeout_ms=4000)
             for number in range(1, version + 1)
         ]
-        value = make_configuration(version, routes, MAX_CONNECTIONS_PER_TARGET, {})
+        limits = {"idle_timeout_ms": int(self.idle_s * 1000)} if self.idle_s else {}
+        value = make_configuration(version, routes, MAX_CONNECTIONS_PER_TARGET, limits)
         self.store.put("op/config", value)
         self.versions[version] = time.monotonic()
         return version
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -94,7 +94,8 @@
     hosts that one cut takes off from the targets, ``brittle_share`` that of the targets
     of streams that are brittle at times. With ``odd_entries``, another writer leaves
     odd entries among those of the targets; with ``silent``, sound targets say nothing for
-    a moment now and then.
+    a moment now and then. With ``kept``, some callers keep their connections and let
+    them idle nearly as long as hosts allow, and hosts are held up for a moment.
     """
 
     hosts: int
@@ -110,6 +111,7 @@
     brittle_share: float = 0.0
     odd_entries: bool = False
     silent: bool = False
+    kept: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/soak/run.py
+++ b/soak/run.py
@@ -14,7 +14,15 @@
 from standins.processes import ROOT
 from standins.site import REGIONS
 
-from .added_faults import cut_hosts, make_brittle, silence_targets, write_odd_entries
+from .added_faults import (
+    KEPT_IDLE_S,
+    cut_hosts,
+    hold_up_hosts,
+    make_brittle,
+    make_keepers,
+    silence_targets,
+    write_odd_entries,
+)
 from .answers import RequestKind, Work
 from .brittle import FALL_RESTART_S, read_falls, read_times
 from .callers import Caller, CallerLog, Outcome, exchange
@@ -120,6 +128,7 @@
     fleet = run.fleet
     fleet.faulty_share = FAULTY_SHARE
     fleet.limited_share = sizes.limited_share
+    fleet.idle_s = KEPT_IDLE_S if sizes.kept else 0.0
     fleet.brittle_share = sizes.brittle_share
     fleet.older_checkout = sizes.older_checkout
     run.with_prompts = sizes.fatal_per_s > 0.0
@@ -144,10 +153,7 @@
             await trio.sleep(WARM_UP_S)
             if run.with_prompts:
                 callers.start_soon(_send_fatal, run, sizes.fatal_per_s)
-            if sizes.odd_entries:
-                callers.start_soon(write_odd_entries, run)
-            if sizes.silent:
-                callers.start_soon(silence_targets, run)
+            _start_added(run, sizes, callers)
             async with trio.open_nursery() as faults:
                 started = trio.current_time()
                 if run.takes_up:
@@ -184,6 +190,18 @@
             fleet.process_failures.append(f"{host.name} did not become ready")
 
 
+def _start_added(run: Run, sizes: Sizes, nursery: trio.Nursery) -> None:
+    """Start what the options add until the faults are off."""
+    if sizes.kept:
+        for caller in make_keepers(run):
+            nursery.start_soon(caller.run, partial(_is_active, run, lasting=True))
+        nursery.start_soon(hold_up_hosts, run)
+    if sizes.odd_entries:
+        nursery.start_soon(write_odd_entries, run)
+    if sizes.silent:
+        nursery.start_soon(silence_targets, run)
+
+
 def _is_active(run: Run, lasting: bool) -> bool:
     """Whether a caller goes on: some only until the faults are off."""
     if lasting:
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -13,9 +13,12 @@
 from soak.checks import (
     CONFIG_DEADLINE_S,
     DIRECTORY_EXPIRY_S,
+    LOSS_SLACK_S,
+    MAX_LOST_KEPT,
     check_all,
 )
 from soak.evidence import (
+    HOLD_UP,
     AppliedFault,
     Evidence,
     Execution,
@@ -123,6 +126,35 @@
     assert find(make_evidence(lost)) == []
 
 
+def test_checks_find_requests_that_were_read_and_closed_beside_planned_work() -> None:
+    lost = make_outcome(status=0)
+    lost.answer.whole, lost.end = False, "reset"
+    lost.ended_at = lost.sent_at + LOSS_SLACK_S + 0.1
+    ended = AppliedFault("end-host", "h1", 9.0, 12.0)
+    assert find(make_evidence(lost, applied_faults=[ended])) == ["lost"]
+    assert find(make_evidence(lost, applied_faults=[KILLED])) == []
+    lost.ended_at = lost.sent_at + LOSS_SLACK_S / 2
+    assert find(make_evidence(lost, applied_faults=[ended])) == []
+
+
+def test_checks_find_requests_from_kept_connections_that_ran_unanswered() -> None:
+    lost = make_outcome(status=0)
+    lost.answer.whole, lost.end, lost.kept = False, "closed", True
+    runs = [replace(make_run(), id=f"k{n}") for n in range(MAX_LOST_KEPT + 1)]
+    held_up = AppliedFault(HOLD_UP, "h1", 9.8, 10.3)
+    for count, fault, kept, found in (
+        (MAX_LOST_KEPT + 1, held_up, True, ["lost"]),
+        (MAX_LOST_KEPT, held_up, True, []),
+        (MAX_LOST_KEPT + 1, KILLED, True, []),
+        (MAX_LOST_KEPT + 1, held_up, False, []),
+    ):
+        evidence = make_evidence(None, *runs[:count], applied_faults=[fault])
+        evidence.outcomes += [
+            replace(lost, id=run.id, kept=kept) for run in runs[:count]
+        ]
+        assert find(evidence) == found
+
+
 def test_checks_excuse_only_faults_on_the_path_of_a_request() -> None:
     lost = make_outcome(status=0)
     lost.answer.whole, lost.end = False, "closed"
