Leave hosts of an earlier version out of the checks cut-off and brittle

They don't know the header of brittle targets and needn't keep what is new; first tries at them and falls mostly under their requests don't count, as with fatal requests.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -364,7 +364,8 @@
     if not evidence.falls:
         return
     sound = {
-        outcome.id: not _is_host_disturbed(evidence, outcome.host, outcome.sent_at)
+        outcome.id: outcome.host not in evidence.older_hosts
+        and not _is_host_disturbed(evidence, outcome.host, outcome.sent_at)
         for outcome in evidence.outcomes
     }
     for detail in find_falls(
