--- a/soak/added_faults.py
+++ b/soak/added_faults.py
@@ -106,7 +106,7 @@
 
 async def _hold_up(run: Run, host: HostProcess, duration_s: float) -> None:
     since = time.monotonic()
-    await run.fleet.pause(host.process, duration_s)
+    await run.fleet.pause(host.process, duration_s, excuses=False)
     fault = AppliedFault(HOLD_UP, host.name, since, time.monotonic())
     run.applied_faults.append(fault)
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -384,12 +384,18 @@
             )
         await self._restart_after(host, since, after_s)
 
-    async def pause(self, process: Process | None, duration_s: float) -> None:
-        """Pause a process, and resume it if it is still running."""
+    async def pause(
+        self, process: Process | None, duration_s: float, excuses: bool = True
+    ) -> None:
+        """
+        Pause a process, and resume it if it is still running.
+
+        A host may then end too late, if the pause ``excuses`` it.
+        """
         if process is None or not process.running:
             return
         for host in self.hosts:
-            if host.process is process:
+            if excuses and host.process is process:
                 until = time.monotonic() + duration_s
                 host.paused_until = max(host.paused_until, until)
         process.popen.send_signal(signal.SIGSTOP)
