Show that falls of brittle targets block sound requests

Four brittle targets turn one request away and fall over with another one in flight. Requests like that one are refused from then on with "targets went down under request ...: 3 of them", though they did nothing.

The test is listed in KNOWN-RED.txt.

--- a/tests/gateway/test_brittle_targets.py
+++ b/tests/gateway/test_brittle_targets.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import pytest
 import trio
 
@@ -116,3 +118,46 @@
         answer = await site.ask(node, b"POST", "/books/1", b"x", f"r-{header}-{limit}")
         assert answer.status == 200
         assert node.grants.find_limit(node.registry.targets[target.id]) == limit
+
+
+@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt, issue 40")
+async def test_falls_of_brittle_targets_block_no_requests(site: Site) -> None:
+    site.configure(make_route("books", "unsafe"))
+    target = await site.add_target("books", fall_at_second_request(3))
+    node = await site.start_gateway("host-1")
+    for number in range(4):
+        async with trio.open_nursery() as nursery:
+            for name in ("first", "second"):
+                request_id = f"{name}-{number}"
+                nursery.start_soon(
+                    site.ask, node, b"POST", "/books/1", b"x", request_id
+                )
+                await trio.sleep(0.1)
+        site.store.remove(f"servers/{target.id}")
+        behaviour = fall_at_second_request(3) if number < 3 else answer_text(b"done")
+        target = await site.add_target("books", behaviour)
+        with trio.fail_after(2.0):
+            while list(node.registry.targets) != [target.id]:
+                await trio.sleep(0.01)
+    answer = await site.ask(node, b"POST", "/books/1", b"x", "last")
+    assert answer.status == 200, answer.body
+
+
+def fall_at_second_request(limit: int) -> Any:
+    """Return a target's behaviour that turns one request away and drops the other."""
+    full = answer_text(b"", 503, "Not-Executed: 1", f"Server-Brittle: {limit}")
+    fallen = trio.Event()
+    seen_ids: list[str] = []
+
+    async def behave(seen: Seen, stream: trio.SocketStream) -> None:
+        seen_ids.append(seen.headers["request-id"])
+        if len(seen_ids) == 1:
+            await fallen.wait()
+            # The refusal arrives before the connection ends.
+            await trio.sleep(0.05)
+            await stream.aclose()
+            return
+        await full(seen, stream)
+        fallen.set()
+
+    return behave
