--- a/tests/gateway/test_resumed_streams.py
+++ b/tests/gateway/test_resumed_streams.py
@@ -224,3 +224,20 @@
     node = await site.start_gateway("host-1")
     answer = await site.ask(node, b"POST", "/books/1", b"x")
     assert (answer.status, answer.body, answer.whole) == (200, EVENTS + rest, True)
+
+
+@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt, issue 40")
+async def test_stream_of_events_without_ids_is_not_begun_again(site: Site) -> None:
+    event = b"data: a\n\n"
+    broken = answer_stream(b"9\r\n" + event + b"\r\n", CHUNKED)
+
+    async def behave(seen: Seen, stream: trio.SocketStream) -> None:
+        await broken(seen, stream)
+        await stream.aclose()
+
+    for _ in range(2):
+        await site.add_target("books", behave)
+    site.configure(make_route("books", "streaming", resumable=True, gap_aim_ms=400))
+    node = await site.start_gateway("host-1")
+    answer = await site.ask(node, b"POST", "/books/1", b"x")
+    assert (answer.status, answer.body, answer.whole) == (200, event, False)
