Refuse for want of room only when each brittle target was found full

Requests were refused with "6 full" or "3 full, 3 tried or out of reach" while targets that hadn't been asked had slots: a placement compares three candidates, and ended when these were full. A coordinator that had been the target's all along granted only half of the slots for the first 1.3 s of its brittleness.

Only a host that has just become a target's coordinator grants half.

--- a/src/lycheepath/core/placement/brittleness.py
+++ b/src/lycheepath/core/placement/brittleness.py
@@ -123,10 +123,15 @@
     The room of one instance of a target, as granted by its coordinator.
 
     ``full_until`` is when this host may ask for room again, as a time of its monotonic
-    clock.
+    clock. ``coordinator`` is the host that should grant the room, and
+    ``coordinator_since`` when that was first seen. ``reported_at`` is when this host
+    last told all others of a refusal.
     """
 
     full_until: float = float("-inf")
+    coordinator: str = ""
+    coordinator_since: float = float("-inf")
+    reported_at: float = float("-inf")
     _reserved: dict[str, deque[float]] = field(default_factory=dict)
     _refused_at: deque[float] = field(default_factory=deque)
     _last_refused_at: float = float("-inf")
--- a/src/lycheepath/gateway/grants.py
+++ b/src/lycheepath/gateway/grants.py
@@ -29,7 +29,7 @@
 from ..core.placement.coordinators import Coordinators
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Collection, Iterable, Mapping
 
     from ..adapters.grant_messages import GrantMessage
     from ..core.placement.load_reports import TargetLoadReport
@@ -61,16 +61,24 @@
 
 
 class Grants:
-    """State: pending queries, since when targets are coordinated, and reports."""
+    """State: who grants room, and pending queries."""
 
     def __init__(self, node: GatewayNode) -> None:
         self._node = node
         self.coordinators = Coordinators(node.settings.host)
+        self._hosts: frozenset[str] = frozenset()
+        self._hosts_changed_at = node.now()
         self._pending: dict[int, _PendingGrant] = {}
         # The number of pending queries for each target.
         self._queries: Counter[str] = Counter()
-        self._coordinated: dict[str, tuple[str, float]] = {}
-        self._reported_at: dict[str, float] = {}
+
+    def set_hosts(self, hosts: Iterable[str]) -> None:
+        """Set the serving hosts of the region."""
+        found = frozenset(hosts)
+        if found != self._hosts:
+            self._hosts = found
+            self._hosts_changed_at = self._node.now()
+            self.coordinators.set_hosts(found)
 
     def find_limit(self, target: TargetState) -> int | None:
         """Return how many requests a target can turn away in a second, or None."""
@@ -93,6 +101,20 @@
                 room = target.availability.room
                 room.record_denial(FULL_WAIT_S, self._node.now())
 
+    def has_unasked(self, service: str, tried: Collection[str]) -> bool:
+        """Whether a brittle target of the region may have room that wasn't asked for."""
+        node = self._node
+        now = node.now()
+        return any(
+            target.accepts_requests
+            and target.entry.id not in tried
+            and target.availability.is_available(now)
+            and self.find_limit(target) is not None
+            for target in node.registry.list_region_targets(
+                service, node.settings.region
+            )
+        )
+
     async def acquire(self, target: TargetState) -> float:
         """Take room for a request; return 0, or when to ask again, in seconds."""
         node = self._node
@@ -125,8 +147,9 @@
         self._record_refusal(target, limit, now)
         report = RefusalReport(node.settings.host, entry.id, entry.born_ms, limit)
         hosts = {self.coordinators.find(entry.id, now)}
-        if now - self._reported_at.get(entry.id, float("-inf")) >= REPORT_INTERVAL_S:
-            self._reported_at[entry.id] = now
+        room = target.availability.room
+        if now - room.reported_at >= REPORT_INTERVAL_S:
+            room.reported_at = now
             hosts |= self._list_peers(now)
         for host in hosts - {node.settings.host}:
             await self._send(host, report)
@@ -202,19 +225,19 @@
         node = self._node
         entry = target.entry
         first = self.coordinators.find_first(entry.id)
-        known_first, since = self._coordinated.get(entry.id, ("", now))
-        if known_first != first:
-            since = now
-            self._coordinated[entry.id] = first, since
+        room = target.availability.room
+        if room.coordinator != first:
+            since = now if room.coordinator else self._hosts_changed_at
+            room.coordinator, room.coordinator_since = first, since
         most = None
         if first != node.settings.host:
             # That host may go on granting all of the room to others.
             most = 1
-        elif now - since < TAKEOVER_S:
+        elif now - room.coordinator_since < TAKEOVER_S:
             # Even if all of these are turned away, the target doesn't fall over.
             most = max(1, min(entry.slots // TAKEOVER_DIVISOR, limit))
         in_flight = target.count_in_flight(now)
-        return target.availability.room.grant(entry.slots, in_flight, now, host, most)
+        return room.grant(entry.slots, in_flight, now, host, most)
 
     def _take_share(self, target: TargetState, now: float) -> float:
         """Take room of this host's own share, as no host that grants room answers."""
--- a/src/lycheepath/gateway/node.py
+++ b/src/lycheepath/gateway/node.py
@@ -174,7 +174,13 @@
         for _ in range(MAX_PERMIT_QUERIES):
             placed = await self._choose(exchange, context)
             if isinstance(placed, Absent):
-                return self.permits.spread_returns(exchange.service, placed)
+                absent = placed
+                tried = exchange.previous_attempts.targets
+                if placed.reason is Reason.TARGETS_BUSY and self.grants.has_unasked(
+                    exchange.service, tried
+                ):
+                    continue
+                break
             if placed.is_remote:
                 return placed
             target = placed.target
--- a/src/lycheepath/gateway/peers.py
+++ b/src/lycheepath/gateway/peers.py
@@ -247,7 +247,7 @@
         hosts = [row.id for row in coordinating]
         self._node.coordination.coordinators.set_hosts(hosts)
         self._node.permits.coordinators.set_hosts(hosts)
-        self._node.grants.coordinators.set_hosts(hosts)
+        self._node.grants.set_hosts(hosts)
         if now - self._expired_at >= EXPIRY_INTERVAL_S:
             self._expired_at = now
             self.view.remove_expired(now)
