--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -82,3 +82,8 @@
     cases = read_regressions()
     assert len({case["seed"] for case in cases}) == len(cases)
     assert all(case["cause"] for case in cases)
+
+
+def test_regressions_have_the_sizes_of_a_run() -> None:
+    for case in read_regressions():
+        assert Sizes(**case["sizes"]).seconds > 0.0
