--- a/standins/site.py
+++ b/standins/site.py
@@ -30,6 +30,7 @@
 from lycheepath.gateway.node import GatewayNode
 from lycheepath.gateway.process import start_tasks
 from lycheepath.platform.settings import read_settings
+from lycheepath.platform.targets import REPORT_PATH
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -38,6 +39,8 @@
 REGIONS = {"east-a": "east", "west-a": "west", "south-a": "south"}
 PORTS = {"front": 20_001, "ready": 20_002, "control": 20_003, "directory": 20_004}
 POLL_S = 0.01
+# The report of a target, which hosts ask for when they doubt their link to it.
+REPORT = b"HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\n{}"
 READY_WITHIN_S = 5.0
 
 
@@ -116,8 +119,11 @@
         connection = h11.Connection(h11.SERVER)
         try:
             while (seen := await read_request(connection, stream)) is not None:
-                self.seen.append(seen)
-                await self.behaviour(seen, stream)
+                if seen.target == REPORT_PATH and "request-id" not in seen.headers:
+                    await stream.send_all(REPORT)
+                else:
+                    self.seen.append(seen)
+                    await self.behaviour(seen, stream)
                 connection = h11.Connection(h11.SERVER)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return
