Tell peers of a brittle service once, not at each number that its targets state

Targets may state another number in each answer. Each host told all hosts of its region each such change, so datagrams grew with answers and the square of hosts. Found by reading; not measured.

The query for room has the number of its target. The new unit test fails without the change: each change was news.

--- a/src/lycheepath/core/placement/brittleness.py
+++ b/src/lycheepath/core/placement/brittleness.py
@@ -88,14 +88,19 @@
         self._stated: dict[tuple[str, str], tuple[int, float]] = {}
 
     def observe(self, service: str, region: str, limit: int, at: float) -> bool:
-        """Apply a statement made at a time; return whether it is news."""
+        """
+        Apply a statement made at a time; return whether it is news for peers.
+
+        Another limit isn't: targets may state another one in each answer, and queries
+        for room have the limit of their target.
+        """
         before = self._stated.get((service, region))
         if before is not None and at <= before[1]:
             return False
         if before is None and len(self._stated) >= MAX_SERVICES:
             del self._stated[min(self._stated, key=lambda key: self._stated[key][1])]
         self._stated[service, region] = limit, at
-        return before is None or at - before[1] > SERVICE_TTL_S or before[0] != limit
+        return before is None or at - before[1] > SERVICE_TTL_S
 
     def find_limit(
         self, service: str, region: str, own: Brittleness, now: float
--- a/tests/core/placement/test_brittleness.py
+++ b/tests/core/placement/test_brittleness.py
@@ -42,6 +42,14 @@
     assert services.find_limit("books", "east", Brittleness(), 10.0) == 3
 
 
+def test_another_limit_in_each_answer_is_kept_but_no_news_for_peers() -> None:
+    services = BrittleServices()
+    assert services.observe("books", "east", 3, 10.0)
+    for at, limit in ((10.1, 4), (10.2, 3), (10.3, 5)):
+        assert not services.observe("books", "east", limit, at)
+        assert services.find_limit("books", "east", Brittleness(), at) == limit
+
+
 def test_grants_and_requests_in_flight_never_exceed_the_slots() -> None:
     room = Room()
     assert [room.grant(SLOTS, 2, 0.0, "host-2") for _ in range(2)] == [0.0, 0.0]
