Don't take an assumed wait for an observed one

Cause: a target whose coordinator doesn't answer in 25 ms is assumed to have the wait that the host last observed, and the wait so assumed was observed again. The mean never ended, and refused requests bring no answer to correct it.

Ruled out: loads that stay counted at a coordinator; they end after 3.5 s.

Change: only waits of targets that were reported are observed, so an assumed one ends after 2 s.

Before: the new test is refused for ever (5.030 s x 1.20). After: placed once the last observation is over. Waits of other regions and of targets with reports are as before.

--- a/src/lycheepath/core/placement/choice.py
+++ b/src/lycheepath/core/placement/choice.py
@@ -118,7 +118,7 @@
     )
     inputs = _gather_inputs(registry, request, context, now, candidates, queried)
     best, best_local = _find_best(registry, inputs, candidates, random, previous)
-    if best_local is not None:
+    if best_local is not None and _is_wait_known(best_local, queried):
         registry.region_waits.observe(request.queue, best_local.queued_work_s, now)
     if best is None:
         return explain_unavailable(service, request, now, context.unreachable)
@@ -126,6 +126,11 @@
     return _admit(request, best, ratio)
 
 
+def _is_wait_known(placed: Placement, queried: QueriedTargets | None) -> bool:
+    """Whether a wait was reported, rather than assumed from the last ones."""
+    return queried is None or placed.target.entry.id in queried.load_reports
+
+
 def is_conclusive(placed: Placement | Absent, queried: QueriedTargets) -> bool:
     """Whether querying further coordinators would gain little for a request."""
     if isinstance(placed, Absent) or placed.is_remote:
