Ask full brittle targets for room no more often the more hosts there are

Each host asked each full target again after 50 ms, so what that costs grew with the hosts.

Change: a host passes a full target over for longer where there are more hosts, so that all together ask it 60 times a second, 300 ms at most.

--- a/src/lycheepath/core/placement/brittleness.py
+++ b/src/lycheepath/core/placement/brittleness.py
@@ -29,6 +29,10 @@
 MAX_SERVICES = 1024
 # Time after which a host asks again for room that it was denied, in seconds.
 FULL_WAIT_S = 0.05
+# Longest such time, and how often all hosts together ask a full target for room, per
+# second.
+MAX_FULL_WAIT_S = 0.3
+FULL_QUERIES_PER_S = 60.0
 # Time within which the host that was granted room reports the request, in seconds.
 RESERVATION_S = 0.3
 # Time over which refusals count, in seconds: the second of the statement and the time
@@ -225,6 +229,11 @@
     return slots // hosts + (position < slots % hosts)
 
 
+def find_full_wait_s(hosts: int) -> float:
+    """Return how long each of some hosts passes over a target that is full."""
+    return min(MAX_FULL_WAIT_S, max(FULL_WAIT_S, hosts / FULL_QUERIES_PER_S))
+
+
 def describe_limit(limit: int | None) -> str:
     """Return a statement as text for the log."""
     return "none" if limit is None else f"{limit} a second"
--- a/src/lycheepath/gateway/grants.py
+++ b/src/lycheepath/gateway/grants.py
@@ -25,7 +25,12 @@
 )
 from ..core.catalog.catalog import StateChange
 from ..core.hosts.rendezvous import rank
-from ..core.placement.brittleness import FULL_WAIT_S, describe_limit, find_share
+from ..core.placement.brittleness import (
+    FULL_WAIT_S,
+    describe_limit,
+    find_full_wait_s,
+    find_share,
+)
 from ..core.placement.coordinators import Coordinators
 
 if TYPE_CHECKING:
@@ -93,13 +98,14 @@
         self, targets: Iterable[TargetState], reports: Mapping[str, TargetLoadReport]
     ) -> None:
         """Pass over the brittle targets that are full by their coordinators' reports."""
+        wait_s = find_full_wait_s(len(self._hosts))
         for target in targets:
             report = reports.get(target.entry.id)
             if report is None or report.in_flight < target.entry.slots:
                 continue
             if self.find_limit(target) is not None:
                 room = target.availability.room
-                room.record_denial(FULL_WAIT_S, self._node.now())
+                room.record_denial(wait_s, self._node.now())
 
     def has_unasked(self, service: str, tried: Collection[str]) -> bool:
         """Whether a brittle target of the region may have room that wasn't asked for."""
@@ -130,6 +136,7 @@
         else:
             wait_s = self._grant(target, limit, now)
         if wait_s > 0.0:
+            wait_s = max(wait_s, find_full_wait_s(len(self._hosts)))
             wait_s = min(wait_s, MAX_DENIAL_S)
             target.availability.room.record_denial(wait_s, node.now())
         result = "denied" if wait_s > 0.0 else "granted"
--- a/tests/core/placement/test_brittleness.py
+++ b/tests/core/placement/test_brittleness.py
@@ -1,6 +1,8 @@
 from __future__ import annotations
 
 from lycheepath.core.placement.brittleness import (
+    FULL_QUERIES_PER_S,
+    MAX_FULL_WAIT_S,
     REFUSALS_S,
     RESERVATION_S,
     SERVICE_TTL_S,
@@ -8,6 +10,7 @@
     Brittleness,
     BrittleServices,
     Room,
+    find_full_wait_s,
     find_share,
 )
 
@@ -102,3 +105,9 @@
         for hosts in (1, 3, 6):
             shares = [find_share(slots, hosts, place) for place in range(hosts)]
             assert sum(shares) == slots
+
+
+def test_full_target_is_asked_no_more_often_by_more_hosts() -> None:
+    for hosts in (4, 9, 18):
+        assert hosts / find_full_wait_s(hosts) <= FULL_QUERIES_PER_S + 0.01
+    assert find_full_wait_s(200) == MAX_FULL_WAIT_S
