--- a/src/lycheepath/core/placement/choice.py
+++ b/src/lycheepath/core/placement/choice.py
@@ -267,20 +267,19 @@
     previous: PreviousAttempts,
     now: float,
 ) -> bool:
-    """Whether a target accepts requests and this host may send it one."""
-    if not target.accepts_requests or target.entry.id in previous.targets:
+    """Whether a target accepts requests and this host, or another, may send it one."""
+    if not target.accepts_requests or not request.may_go_to(target.entry.version):
         return False
-    if not request.may_go_to(target.entry.version):
+    if target.region == context.region and target.entry.id in context.unreachable:
+        # The peer knows better what the target refused, and whether it is cold.
+        withdrawn = target.availability.is_withdrawn(now)
+        return context.peer_rtt_s is not None and not withdrawn
+    if target.entry.id in previous.targets:
         return False
     if target.region == context.region:
-        if target.entry.id not in context.unreachable:
-            return target.availability.is_available(now) and _may_send(
-                target, context, now
-            )
-        if context.peer_rtt_s is None:
-            return False
+        return target.availability.is_available(now) and _may_send(target, context, now)
     # A target's refusals apply only to the host that received them, so they don't
-    # exclude a target that gets the request from another host.
+    # exclude a remote target, which gets the request from a host of its region.
     return not (target.availability.is_withdrawn(now) or target.cold.is_cold(now))
 
 
--- a/tests/core/placement/test_choice.py
+++ b/tests/core/placement/test_choice.py
@@ -488,3 +488,39 @@
     assert (
         registry.estimate_errors.find_ratio(expected.queue, "east", 6.1) == PRIOR_RATIO
     )
+
+
+CUT_OFF = replace(
+    EAST,
+    remote_rtt_s={},
+    unreachable=frozenset({"i-0", "i-1"}),
+    peer_rtt_s=0.005,
+)
+
+
+def test_unreachable_targets_are_used_by_way_of_a_peer() -> None:
+    registry = make_registry(make_entry(0), make_entry(1))
+    for target in registry.targets.values():
+        target.health.record_refusal(0.0)
+        target.cold.assume_cold(0.0)
+        target.availability.record_refusal(5.0, 0.0)
+    previous = PreviousAttempts(targets=frozenset({"i-0", "i-1"}))
+    placed = choose(registry, context=CUT_OFF, previous=previous)
+    assert isinstance(placed, Placement)
+    assert placed.is_remote
+
+
+def test_few_unreachable_targets_are_left_out_rather_than_relayed_to() -> None:
+    registry = make_registry(*(make_entry(n) for n in range(5)))
+    for number in range(20):
+        request = make_request(make_prompt(f"part-{number}"))
+        placed = choose(registry, request, CUT_OFF)
+        assert chosen_id(placed) not in CUT_OFF.unreachable
+
+
+def test_refusal_without_a_peer_says_that_targets_are_out_of_reach() -> None:
+    registry = make_registry(make_entry(0), make_entry(1))
+    refused = choose(registry, context=replace(CUT_OFF, peer_rtt_s=None))
+    assert isinstance(refused, Absent)
+    assert "2 out of reach" in refused.detail
+    assert refused.retry_after_s > 0.0
