Keep the health of targets over a short false suspicion

A suspicion that ends within 1 s was no cut of the links, so what was seen of the targets before stays: an ejected target must not come back for it. Found by reading; the tests of reachability and the 21 cases of test_unreachable_targets.py pass (one run).

--- a/src/lycheepath/core/placement/reachability.py
+++ b/src/lycheepath/core/placement/reachability.py
@@ -279,6 +279,7 @@
         self._record_change("targets-in-reach", self._region, detail)
         if lasted_s < SHORT_SUSPICION_S:
             for target, link in self._links.items():
+                link.cut = False
                 if link.assumed:
                     self._clear_failure(target, link, now)
 
