Try another host of a region whose first host reaches no targets

A request that a host of another region didn't run since it reaches no targets itself left out that whole region afterwards. It goes to another host there now; hosts that a request was relayed to aren't picked again for it.

--- a/src/lycheepath/gateway/relay.py
+++ b/src/lycheepath/gateway/relay.py
@@ -142,7 +142,7 @@
         fields = dict(headers)
         if RESULT_HEADER in fields and fields[RESULT_HEADER] != FAILED_RESULT:
             outcome, reusable = await _read_result(upstream, fields), True
-            if UNREACHABLE_HEADER in fields:
+            if outcome.unreachable:
                 _avoid_host(node, host, outcome.reason)
             elif outcome.closed:
                 node.record_region_closed(exchange.service, placed.target.region)
@@ -415,7 +415,11 @@
     reason = fields.get(REASON_HEADER, b"").decode("latin-1")
     result = AttemptResult(fields[RESULT_HEADER].decode())
     return SendOutcome(
-        result, AttemptOutcome.UNDETERMINED, reason, CLOSED_HEADER in fields
+        result,
+        AttemptOutcome.UNDETERMINED,
+        reason,
+        CLOSED_HEADER in fields,
+        UNREACHABLE_HEADER in fields,
     )
 
 
--- a/src/lycheepath/gateway/sending.py
+++ b/src/lycheepath/gateway/sending.py
@@ -79,13 +79,15 @@
     """
     The outcome of one attempt: its result, how it ended at the target, and why.
 
-    ``closed`` says that no target of the other region is open for the service.
+    ``closed`` says that no target of the other region is open for the service,
+    ``unreachable`` that the other host can't reach them.
     """
 
     result: AttemptResult
     ending: AttemptOutcome
     reason: str = ""
     closed: bool = False
+    unreachable: bool = False
 
 
 async def send_to_target(
--- a/src/lycheepath/gateway/serving.py
+++ b/src/lycheepath/gateway/serving.py
@@ -175,7 +175,7 @@
         exchange.reason = outcome.reason
         _log_send_failure(node, exchange, placed, outcome)
         exchange.previous_attempts = _add_attempt(
-            node, exchange.previous_attempts, placed, outcome.result
+            node, exchange.previous_attempts, placed, outcome
         )
         may_retry = may_send_again(exchange.route, exchange.attempts, outcome.result)
         hosts = node.count_hosts()
@@ -198,15 +198,17 @@
     node: GatewayNode,
     previous: PreviousAttempts,
     placed: Placement,
-    result: AttemptResult,
+    outcome: SendOutcome,
 ) -> PreviousAttempts:
     target = placed.target
-    if placed.is_remote and target.region == node.settings.region:
-        # Another peer may reach the targets of this region.
+    if placed.is_remote and (
+        outcome.unreachable or target.region == node.settings.region
+    ):
+        # Another host of that region may reach its targets.
         return previous
     if placed.is_remote:
         return replace(previous, regions=previous.regions | {target.region})
-    if result is AttemptResult.FAILED:
+    if outcome.result is AttemptResult.FAILED:
         return replace(previous, failed=previous.failed | {target.entry.id})
     return replace(previous, targets=previous.targets | {target.entry.id})
 
