Read no number from an event id of thousands of digits

An id of over 4,300 digits in an event of a target raised ValueError, and its caller's stream ended in a fault of the gateway.

Cause: int() of a text without a bound, the same class as odd numbers in entries and headers. Change: at most 18 digits are read; a longer id counts as none. The new test raised before.

--- a/src/lycheepath/core/serving/events.py
+++ b/src/lycheepath/core/serving/events.py
@@ -12,6 +12,8 @@
 from __future__ import annotations
 
 EVENT_END = b"\n\n"
+# Most digits of an id that is read as a number.
+MAX_ID_DIGITS = 18
 ID_FIELD = b"id:"
 # Prefix of a comment line.
 COMMENT_PREFIX = b":"
@@ -130,4 +132,4 @@
         return None
     end = event.find(b"\n", at)
     text = event[at + len(ID_FIELD) : end if end >= 0 else len(event)].strip()
-    return int(text) if text.isdigit() else None
+    return int(text) if text.isdigit() and len(text) <= MAX_ID_DIGITS else None
--- a/tests/core/serving/test_events.py
+++ b/tests/core/serving/test_events.py
@@ -85,3 +85,7 @@
     with pytest.raises(EventOrderError):
         for _ in range(MAX_EVENT_BYTES // 1000 + 1):
             splitter.feed(b"x" * 1000)
+
+
+def test_id_with_more_digits_than_a_number_can_have_is_no_id() -> None:
+    assert read_id(b"id: " + b"9" * 5000 + b"\ndata: x\n\n") is None
