--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -4,8 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-import pytest
-
 from lycheepath.console.request_logs import read_log_lines
 from lycheepath.core.serving.fingerprints import PART
 from soak.__main__ import read_regressions
@@ -45,7 +43,6 @@
     silent=True,
     kept=True,
 )
-KNOWN_RED = pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt, issue 40")
 MIN_REQUESTS = 100
 # Take-ups from which the check on them counts.
 MIN_TAKE_UPS = 12
@@ -95,7 +92,6 @@
     assert sum(bool(outcome.resumes) for outcome in result.outcomes) >= MIN_TAKE_UPS
 
 
-@KNOWN_RED
 async def test_short_run_violates_no_guarantee_beside_cuts_and_brittle_targets(
     tmp_path: Path,
 ) -> None:
