Add a failing test: a region that fails again after a late answer isn't suspected again

A failure's time is kept from the first one, so after an answer on an old connection no later failure counts as more recent. Requests still go by way of peers; the host goes on saying that it is ready.

--- a/tests/core/placement/test_reachability.py
+++ b/tests/core/placement/test_reachability.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import pytest
+
 from lycheepath.core.placement.reachability import (
     LONG_SUSPICION_S,
     MIN_PROBE_INTERVAL_S,
@@ -144,3 +146,19 @@
     assert len(links.list_probes(2.5, 2)) == 2
     links.record_contact("a", 2.6)
     assert not links.needs_probes
+
+
+@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt, issue 40")
+def test_region_that_fails_again_after_a_late_answer_is_suspected_again() -> None:
+    reachability = Reachability("east")
+    reachability.set_targets(("i-1", "i-2", "i-3"), 0.0)
+    reachability.record_failure("i-1", "no connection", 1.0)
+    reachability.record_failure("i-2", "no connection", 1.1)
+    reachability.record_failure("i-3", "no connection", 1.2)
+    assert reachability.is_suspected
+    # An answer on a connection that has lived on.
+    reachability.record_contact("i-3", 1.3)
+    for at in (3.0, 3.3, 3.6):
+        for target in ("i-1", "i-2", "i-3"):
+            reachability.record_failure(target, "no connection", at)
+    assert reachability.is_suspected
