Ask coordinators for permits and for room with one piece of code

grants wrote again what permits had: a pending reply, two time-outs, the loop that repeats a query, and finding a target's instance by its start. PendingQueries and find_instance serve both; time-outs, metrics, log lines and messages are the same.

--- a/src/lycheepath/core/placement/statements.py
+++ b/src/lycheepath/core/placement/statements.py
@@ -99,14 +99,14 @@
 
 
 def find_instance(
-    registry: TargetRegistry, statement: LimitStatement
+    registry: TargetRegistry, name: str, born_ms: int
 ) -> TargetState | None:
-    """Return the target of a statement, None if another instance is known."""
-    target = registry.targets.get(statement.target)
+    """Return a target, None if another instance of it is known; 0 is no known start."""
+    target = registry.targets.get(name)
     if target is None:
         return None
-    born_ms = target.entry.born_ms
-    same = not (born_ms and statement.born_ms) or born_ms == statement.born_ms
+    known_ms = target.entry.born_ms
+    same = not (known_ms and born_ms) or known_ms == born_ms
     return target if same else None
 
 
@@ -118,7 +118,7 @@
 
     Returns whether it contradicts what this host itself knows to be newer.
     """
-    target = find_instance(registry, statement)
+    target = find_instance(registry, statement.target, statement.born_ms)
     if target is None:
         return False
     limit = target.availability.rate_limit
--- a/src/lycheepath/gateway/grants.py
+++ b/src/lycheepath/gateway/grants.py
@@ -10,11 +10,8 @@
 from __future__ import annotations
 
 from collections import Counter
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-import trio
-
 from ..adapters.events import record_event
 from ..adapters.grant_messages import (
     BrittleReport,
@@ -32,6 +29,8 @@
     find_share,
 )
 from ..core.placement.coordinators import Coordinators
+from ..core.placement.statements import find_instance
+from .queries import PendingQueries
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable, Mapping
@@ -41,9 +40,6 @@
     from ..core.placement.registry import TargetState
     from .node import GatewayNode
 
-# Times to wait for a reply before the query is repeated, and then given up: several
-# round trips between zones and a busy coordinator.
-QUERY_TIMEOUTS_S = (0.05, 0.1)
 # Time after which room is asked for again if the coordinator hasn't answered.
 UNANSWERED_WAIT_S = 0.1
 # Longest time for which a denial counts; the target may have ended by then.
@@ -57,14 +53,6 @@
 REPORT_INTERVAL_S = 0.2
 
 
-@dataclass(slots=True)
-class _PendingGrant:
-    """A query for room that waits for its reply."""
-
-    reply: GrantReply | None = None
-    done: trio.Event = field(default_factory=trio.Event)
-
-
 class Grants:
     """State: who grants room, and pending queries."""
 
@@ -73,9 +61,9 @@
         self.coordinators = Coordinators(node.settings.host)
         self._hosts: frozenset[str] = frozenset()
         self._hosts_changed_at = node.now()
-        self._pending: dict[int, _PendingGrant] = {}
+        self._queries: PendingQueries[GrantReply] = PendingQueries(node.next_number)
         # The number of pending queries for each target.
-        self._queries: Counter[str] = Counter()
+        self._query_counts: Counter[str] = Counter()
 
     def set_hosts(self, hosts: Iterable[str]) -> None:
         """Set the serving hosts of the region."""
@@ -180,7 +168,7 @@
         node = self._node
         now = node.now()
         if isinstance(message, GrantQuery):
-            target = self._find_instance(message.target, message.born_ms)
+            target = find_instance(node.registry, message.target, message.born_ms)
             wait_s = UNANSWERED_WAIT_S
             if target is not None:
                 started = target.peer_loads.put_count(
@@ -192,12 +180,9 @@
             await self._send(message.host, reply)
         elif isinstance(message, GrantReply):
             self.coordinators.record_answer(message.host)
-            pending = self._pending.get(message.number)
-            if pending is not None:
-                pending.reply = message
-                pending.done.set()
+            self._queries.deliver(message.number, message)
         elif isinstance(message, RefusalReport):
-            target = self._find_instance(message.target, message.born_ms)
+            target = find_instance(node.registry, message.target, message.born_ms)
             if target is not None:
                 self._record_refusal(target, message.limit, now)
         else:
@@ -217,14 +202,6 @@
     def _record_refusal(self, target: TargetState, limit: int, now: float) -> None:
         target.availability.room.record_refusal(target.entry.slots, limit, now)
 
-    def _find_instance(self, name: str, born_ms: int) -> TargetState | None:
-        """Return a target, None if another instance of it is known."""
-        target = self._node.registry.targets.get(name)
-        if target is None:
-            return None
-        known = target.entry.born_ms
-        return target if not (known and born_ms) or known == born_ms else None
-
     def _grant(
         self, target: TargetState, limit: int, now: float, host: str = ""
     ) -> float:
@@ -259,28 +236,24 @@
 
     async def _query(self, coordinator: str, target: TargetState, limit: int) -> float:
         node = self._node
-        number = node.next_number()
         own, entry = node.settings.host, target.entry
-        if self._queries[entry.id] >= entry.slots:
+        if self._query_counts[entry.id] >= entry.slots:
             return FULL_WAIT_S
-        pending = self._pending[number] = _PendingGrant()
-        self._queries[entry.id] += 1
+
+        async def send(number: int) -> None:
+            in_flight = node.registry.local_load(target).in_flight
+            query = GrantQuery(number, own, entry.id, entry.born_ms, limit, in_flight)
+            await self._send(coordinator, query)
+
+        self._query_counts[entry.id] += 1
         try:
-            for timeout_s in QUERY_TIMEOUTS_S:
-                in_flight = node.registry.local_load(target).in_flight
-                query = GrantQuery(
-                    number, own, entry.id, entry.born_ms, limit, in_flight
-                )
-                await self._send(coordinator, query)
-                with trio.move_on_after(timeout_s):
-                    await pending.done.wait()
-                if pending.reply is not None:
-                    return pending.reply.wait_s
+            reply = await self._queries.ask(send)
         finally:
-            del self._pending[number]
-            self._queries[entry.id] -= 1
-            if not self._queries[entry.id]:
-                del self._queries[entry.id]
+            self._query_counts[entry.id] -= 1
+            if not self._query_counts[entry.id]:
+                del self._query_counts[entry.id]
+        if reply is not None:
+            return reply.wait_s
         node.metrics.count("grants_unanswered_total")
         if self.coordinators.record_timeout(coordinator, node.now()):
             record_event("grants-unanswered", subject=coordinator)
--- a/src/lycheepath/gateway/permits.py
+++ b/src/lycheepath/gateway/permits.py
@@ -9,11 +9,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
-import trio
-
 from ..adapters.events import record_event
 from ..adapters.limit_messages import (
     LimitReport,
@@ -30,6 +28,7 @@
     make_limit_statement,
 )
 from ..core.reasons import Absent, Reason
+from .queries import PendingQueries
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -39,9 +38,6 @@
     from ..core.placement.registry import TargetState
     from .node import GatewayNode
 
-# Times to wait for a permit before the query is repeated, and then given up: several
-# round trips between zones and a busy coordinator.
-QUERY_TIMEOUTS_S = (0.05, 0.1)
 # Time after which a permit is asked for again if the coordinator can't grant any.
 UNDECIDED_WAIT_S = 0.25
 # Part of the rate that a host grants in place of a coordinator that is still live: some
@@ -49,21 +45,13 @@
 SUBSTITUTE_SHARE = 0.5
 
 
-@dataclass(slots=True)
-class _PendingPermit:
-    """A query for a permit that waits for its reply."""
-
-    reply: PermitReply | None = None
-    done: trio.Event = field(default_factory=trio.Event)
-
-
 class RatePermits:
     """State: who grants permits, pending queries, and returns by service."""
 
     def __init__(self, node: GatewayNode) -> None:
         self._node = node
         self.coordinators = Coordinators(node.settings.host)
-        self._pending: dict[int, _PendingPermit] = {}
+        self._queries: PendingQueries[PermitReply] = PendingQueries(node.next_number)
         self._returns: dict[str, ReturnSchedule] = {}
 
     async def acquire(self, target: TargetState) -> float:
@@ -144,10 +132,7 @@
         elif isinstance(message, PermitReply):
             self.coordinators.record_answer(message.host)
             self._apply(message.statement, message.host)
-            pending = self._pending.get(message.number)
-            if pending is not None:
-                pending.reply = message
-                pending.done.set()
+            self._queries.deliver(message.number, message)
         else:
             outdated = [
                 statement.target
@@ -173,7 +158,8 @@
         node = self._node
         now = node.now()
         self._apply(query.statement, query.host)
-        target = find_instance(node.registry, query.statement)
+        stated = query.statement
+        target = find_instance(node.registry, stated.target, stated.born_ms)
         if target is None:
             wait_s, statement = UNDECIDED_WAIT_S, query.statement
         else:
@@ -184,19 +170,15 @@
 
     async def _query(self, coordinator: str, target: TargetState) -> float:
         node = self._node
-        number = node.next_number()
-        pending = self._pending[number] = _PendingPermit()
-        try:
-            for timeout_s in QUERY_TIMEOUTS_S:
-                statement = make_limit_statement(target, node.now())
-                query = PermitQuery(number, node.settings.host, statement)
-                await self._send(coordinator, query)
-                with trio.move_on_after(timeout_s):
-                    await pending.done.wait()
-                if pending.reply is not None:
-                    return pending.reply.wait_s
-        finally:
-            del self._pending[number]
+
+        async def send(number: int) -> None:
+            statement = make_limit_statement(target, node.now())
+            query = PermitQuery(number, node.settings.host, statement)
+            await self._send(coordinator, query)
+
+        reply = await self._queries.ask(send)
+        if reply is not None:
+            return reply.wait_s
         node.metrics.count("limit_permits_unanswered_total")
         if self.coordinators.record_timeout(coordinator, node.now()):
             record_event("permits-unanswered", subject=coordinator)
