Abort answers that aren't sent in time in one place

A refusal after a fault, a result for another host and pages each wrote the same scope and its abort; abort_after of the caller's connection serves them. The refusal after a deadline keeps its own, as it logs the outcome too. An argument order in relay follows that of the other functions.

--- a/src/lycheepath/adapters/http1/downstream.py
+++ b/src/lycheepath/adapters/http1/downstream.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from contextlib import contextmanager
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -17,7 +18,7 @@
 from .sockets import abort, is_idle, receive, send
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable, Sequence
+    from collections.abc import Awaitable, Callable, Iterator, Sequence
 
     Headers = Sequence[tuple[bytes, bytes]]
 
@@ -180,8 +181,14 @@
         self, timeout_s: float, status: int, headers: Headers, body: bytes
     ) -> None:
         """Send a complete answer; abort it if it isn't sent in time."""
-        with trio.move_on_after(timeout_s) as scope:
+        with self.abort_after(timeout_s):
             await self.answer(status, headers, body)
+
+    @contextmanager
+    def abort_after(self, timeout_s: float) -> Iterator[None]:
+        """Abort the answer that is sent in the block if that takes longer."""
+        with trio.move_on_after(timeout_s) as scope:
+            yield
         if scope.cancelled_caught:
             self.abort_answer()
 
--- a/src/lycheepath/gateway/relay.py
+++ b/src/lycheepath/gateway/relay.py
@@ -287,10 +287,8 @@
     if caller.answer_started:
         caller.abort_answer()
         return
-    with trio.move_on_after(RESULT_TIMEOUT_S) as scope:
+    with caller.abort_after(RESULT_TIMEOUT_S):
         await _answer_result(caller, AttemptResult.LOST, reason)
-    if scope.cancelled_caught:
-        caller.abort_answer()
 
 
 async def _send_locally(node: GatewayNode, exchange: Exchange) -> None:
@@ -307,7 +305,7 @@
             Reason.NO_TARGET,
             Reason.RATE_LIMITED,
         )
-        unreachable = closed and _lacks_links(exchange, node, context)
+        unreachable = closed and _lacks_links(node, exchange, context)
         await _answer_result(
             exchange.caller, AttemptResult.NOT_RUN, placed.detail, closed, unreachable
         )
@@ -424,7 +422,7 @@
 
 
 def _lacks_links(
-    exchange: Exchange, node: GatewayNode, context: PlacementContext
+    node: GatewayNode, exchange: Exchange, context: PlacementContext
 ) -> bool:
     """Whether this host can't reach any target of the region that serves a request."""
     targets = node.registry.list_region_targets(exchange.service, context.region)
--- a/src/lycheepath/gateway/serving.py
+++ b/src/lycheepath/gateway/serving.py
@@ -102,10 +102,8 @@
         caller.abort_answer()
         return
     status, wait_s = NOT_RUN_STATUS, RETRY_SOON_S
-    with trio.move_on_after(LATE_REFUSAL_TIMEOUT_S) as scope:
+    with caller.abort_after(LATE_REFUSAL_TIMEOUT_S):
         await _refuse(node, caller, request_id, status, wait_s, FAULT_REASON)
-    if scope.cancelled_caught:
-        caller.abort_answer()
 
 
 async def _open_exchange(
