Look for other regions' hosts only while this region is suspected

Each heartbeat and each question to the directory listed all ready hosts, though the result is used only while no target of the region is in reach.

--- a/src/lycheepath/gateway/links.py
+++ b/src/lycheepath/gateway/links.py
@@ -76,7 +76,9 @@
         """Whether this host can serve callers as well as others can."""
         view = self._node.peers.view
         region = self._node.settings.region
-        others_serve = any(row.region != region for row in view.ready_hosts(now))
+        others_serve = self.reachability.is_suspected and any(
+            row.region != region for row in view.ready_hosts(now)
+        )
         return self.reachability.is_serving(now, others_serve)
 
     def record_connect_error(self, target: TargetState, error: ConnectError) -> None:
