--- a/src/lycheepath/adapters/http1/sockets.py
+++ b/src/lycheepath/adapters/http1/sockets.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import fcntl
 import os
 import select
 import socket
+import struct
+import termios
 from typing import TYPE_CHECKING
 
 import trio
@@ -94,6 +97,20 @@
         return False
 
 
+def count_undelivered_bytes(stream: trio.SocketStream) -> int:
+    """
+    Return how many sent bytes the other side hasn't acknowledged.
+
+    The kernel goes on sending them after a plain close. Returns 0 for a connection that
+    is closed already.
+    """
+    try:
+        queued = fcntl.ioctl(stream.socket.fileno(), termios.TIOCOUTQ, bytes(4))
+    except (OSError, ValueError):
+        return 0
+    return int(struct.unpack("i", queued)[0])
+
+
 def abort(stream: trio.SocketStream) -> None:
     """Close a connection immediately, without waiting for unsent data."""
     stream.socket.close()
--- a/src/lycheepath/adapters/http1/upstream.py
+++ b/src/lycheepath/adapters/http1/upstream.py
@@ -13,7 +13,7 @@
 import trio
 
 from .chunks import ChunkError, ChunkReader
-from .sockets import abort, is_idle, receive, send
+from .sockets import abort, count_undelivered_bytes, is_idle, receive, send
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -158,6 +158,10 @@
             return False
         return is_idle(self.stream)
 
+    def count_undelivered_bytes(self) -> int:
+        """Return how many bytes of requests the other side hasn't acknowledged."""
+        return count_undelivered_bytes(self.stream)
+
     def close(self) -> None:
         """Close immediately, so that the other side cancels its work."""
         abort(self.stream)
--- a/src/lycheepath/gateway/relay.py
+++ b/src/lycheepath/gateway/relay.py
@@ -31,6 +31,7 @@
 from .sending import (
     SendOutcome,
     WrongVersionError,
+    abandon,
     find_head_timeout_s,
     forward_answer,
     log_target_changes,
@@ -178,7 +179,7 @@
         if reusable:
             node.pool.release(upstream, IDLE_TIMEOUT_S, node.now())
         else:
-            upstream.close()
+            abandon(node, exchange, upstream)
 
 
 async def _connect_host(
--- a/src/lycheepath/gateway/sending.py
+++ b/src/lycheepath/gateway/sending.py
@@ -191,7 +191,21 @@
         return SendOutcome(AttemptResult.LOST, ERROR_ENDINGS[type(error)], str(error))
     finally:
         if not reusable:
-            upstream.close()
+            abandon(node, exchange, upstream)
+
+
+def abandon(node: GatewayNode, exchange: Exchange, upstream: Upstream) -> None:
+    """Close the connection of an attempt; log bytes of its request on their way."""
+    undelivered_bytes = upstream.count_undelivered_bytes()
+    if undelivered_bytes:
+        node.metrics.count("requests_undelivered_total")
+        record_event(
+            "request-undelivered",
+            request=exchange.request_head.id,
+            subject=str(upstream.address),
+            bytes=undelivered_bytes,
+        )
+    upstream.close()
 
 
 def _record_refused_connection(node: GatewayNode, target: TargetState) -> None:
--- a/src/lycheepath/gateway/serving.py
+++ b/src/lycheepath/gateway/serving.py
@@ -354,6 +354,7 @@
         left_s=round(exchange.deadline - node.now(), 3),
         version=node.catalog.version,
         revision=node.catalog.revision,
+        catalog_age_s=round(node.store.catalog_status(node.now()).age_s, 3),
     )
 
 
