--- a/src/lycheepath/adapters/http1/sockets.py
+++ b/src/lycheepath/adapters/http1/sockets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import fcntl
 import os
 import select
@@ -16,6 +17,10 @@
     from ...core.addresses import Address
 
 
+# Value of SO_LINGER: on, for 0 s.
+DISCARD_AT_CLOSE = struct.pack("ii", 1, 0)
+
+
 class ConnectError(Exception):
     """
     The connection wasn't established, so no byte of a request was sent.
@@ -112,5 +117,12 @@
 
 
 def abort(stream: trio.SocketStream) -> None:
-    """Close a connection immediately, without waiting for unsent data."""
+    """Close a connection immediately; the kernel still delivers what was sent."""
+    stream.socket.close()
+
+
+def reset(stream: trio.SocketStream) -> None:
+    """Close a connection immediately and discard what isn't delivered yet."""
+    with contextlib.suppress(OSError):
+        stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, DISCARD_AT_CLOSE)
     stream.socket.close()
--- a/src/lycheepath/adapters/http1/upstream.py
+++ b/src/lycheepath/adapters/http1/upstream.py
@@ -13,7 +13,14 @@
 import trio
 
 from .chunks import ChunkError, ChunkReader
-from .sockets import abort, count_undelivered_bytes, is_idle, receive, send
+from .sockets import (
+    abort,
+    count_undelivered_bytes,
+    is_idle,
+    receive,
+    reset,
+    send,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -69,6 +76,8 @@
         self._body = b""
         self._carried_ids: set[bytes] = set()
         self._request_sent = False
+        # Whether no exchange is in progress.
+        self._complete = True
         self._at_eof = False
         self._chunks: ChunkReader | None = None
         # Bytes of a chunked body that were received with its head.
@@ -91,7 +100,7 @@
         self.exchanges += 1
         if request_id is not None:
             self._carried_ids.add(request_id)
-        self._request_sent = False
+        self._request_sent = self._complete = False
         self._request = h11.Request(method=method, target=target, headers=list(headers))
         self._body = body
         data = self._write_request()
@@ -103,12 +112,15 @@
     async def read_body(self) -> bytes | None:
         """Return the next bytes of the answer's body, or None at its end."""
         if self._chunks is not None:
-            return await self._read_chunks(self._chunks)
+            data = await self._read_chunks(self._chunks)
+            self._complete = data is None and self._request_sent
+            return data
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Data):
                 return bytes(event.data)
             if isinstance(event, h11.EndOfMessage):
+                self._complete = self._request_sent
                 return None
             if not isinstance(event, h11.InformationalResponse):
                 raise BrokenAnswerError("the answer ended early", True)
@@ -163,8 +175,16 @@
         return count_undelivered_bytes(self.stream)
 
     def close(self) -> None:
-        """Close immediately, so that the other side cancels its work."""
-        abort(self.stream)
+        """
+        Close immediately, so that the other side cancels its work.
+
+        Within an exchange, what the other side hasn't received of the request is
+        discarded: it must not arrive after the request was given up.
+        """
+        if self._complete:
+            abort(self.stream)
+        else:
+            reset(self.stream)
 
     async def _send(self, data: bytes) -> None:
         try:
@@ -264,6 +284,7 @@
         """Discard an answer to an earlier request and continue after its end."""
         while await self.read_body() is not None:
             pass
+        self._complete = False
         rest, ended = self._h11.trailing_data
         if self._chunks is not None:
             rest, ended = self._chunks.trailing_data, False
