--- a/src/lycheepath/core/placement/availability.py
+++ b/src/lycheepath/core/placement/availability.py
@@ -106,16 +106,31 @@
     def __init__(self) -> None:
         self._saved: dict[str, tuple[TargetEntry, Availability]] = {}
 
-    def save(self, entry: TargetEntry, availability: Availability, now: float) -> None:
-        """Save the availability of a removed target, dropping the oldest ones."""
+    def save(
+        self,
+        entry: TargetEntry,
+        availability: Availability,
+        now: float,
+        in_use: bool = False,
+    ) -> None:
+        """
+        Save the availability of a removed target, dropping the oldest ones.
+
+        A target that is ``in_use`` may still say something about itself.
+        """
         stated = availability.rate_limit.rate, availability.brittleness.limit
-        if availability.is_available(now) and stated == (None, None):
+        if not in_use and availability.is_available(now) and stated == (None, None):
             return
         self._saved.pop(entry.id, None)
         self._saved[entry.id] = entry, availability
         while len(self._saved) > MAX_SAVED:
             del self._saved[next(iter(self._saved))]
 
+    def find(self, target_id: str) -> Availability | None:
+        """Return the saved availability of a target, or None."""
+        saved = self._saved.get(target_id)
+        return None if saved is None else saved[1]
+
     def restore(self, entry: TargetEntry) -> Availability:
         """Return the availability of an announced target, a new one by default."""
         before, availability = self._saved.pop(entry.id, (entry, Availability()))
--- a/src/lycheepath/core/placement/registry.py
+++ b/src/lycheepath/core/placement/registry.py
@@ -14,7 +14,6 @@
 
 from collections import Counter
 from dataclasses import dataclass, field
-from enum import Enum
 from typing import TYPE_CHECKING
 
 from ..catalog.catalog import StateChange, has_restarted, is_new_instance
@@ -25,6 +24,7 @@
 from .candidates import OwnerRanking
 from .cold import ColdRateLimit
 from .loads import PeerLoads, TargetLoad
+from .outcomes import AttemptOutcome
 from .prompts import PromptCache
 from .region_waits import RegionWaits
 from .slowdown import Slowdown
@@ -54,19 +54,6 @@
 CACHE_SHARE = 0.85
 
 
-class AttemptOutcome(Enum):
-    """Outcome of one request sent to a target; the values appear in the log."""
-
-    COMPLETED = "whole"
-    FAILED = "failed"
-    INVALID = "wrong"
-    REFUSED = "refused"
-    NOT_RUN = "not-run"
-    REPLACED = "replaced"
-    TIMED_OUT = "silent"
-    UNDETERMINED = "left"
-
-
 @dataclass(slots=True)
 class InFlightRequest:
     """
@@ -181,7 +168,7 @@
         services = catalog.routes.configuration.services if catalog.routes else {}
         for target in self.targets.keys() - catalog.targets.keys():
             state = self.targets.pop(target)
-            self._saved.save(state.entry, state.availability, now)
+            self._saved.save(state.entry, state.availability, now, bool(state.requests))
         for entry in catalog.targets.values():
             region = zone_regions.get(entry.zone, "")
             self._put_target(entry, region, services.get(entry.service), now)
@@ -393,10 +380,17 @@
             target.peer_loads.expire(now)
 
     def record_draining(self, target_id: str, now: float) -> None:
-        """Record that a target announced in an answer that it is draining."""
+        """
+        Record that a target announced in an answer that it is draining.
+
+        Its entry may be absent at the moment, and come back later.
+        """
         target = self.targets.get(target_id)
-        if target is not None and target.availability.record_draining(now):
-            self._record_change(target, "target-leaving", "by its own word")
+        availability = target.availability if target else self._saved.find(target_id)
+        if availability is not None and availability.record_draining(now):
+            self.state_changes.append(
+                StateChange("target-leaving", target_id, "by its own word")
+            )
 
     def record_busy(self, target_id: str, wait_s: float, now: float) -> None:
         """Record that a target refuses this host's requests for ``wait_s`` seconds."""
--- a/src/lycheepath/gateway/relay.py
+++ b/src/lycheepath/gateway/relay.py
@@ -21,7 +21,7 @@
 from ..adapters.http1.sockets import ConnectError
 from ..adapters.http1.upstream import BrokenAnswerError
 from ..core.addresses import Address
-from ..core.placement.registry import AttemptOutcome
+from ..core.placement.outcomes import AttemptOutcome
 from ..core.reasons import Absent, Reason
 from ..core.serving.attempts import AttemptResult
 from ..core.serving.events import EventOrderError
--- a/src/lycheepath/gateway/sending.py
+++ b/src/lycheepath/gateway/sending.py
@@ -16,7 +16,7 @@
 from ..adapters.http1.upstream import BrokenAnswerError
 from ..core.addresses import parse_address
 from ..core.catalog.model import RouteKind
-from ..core.placement.registry import AttemptOutcome
+from ..core.placement.outcomes import AttemptOutcome
 from ..core.placement.statements import (
     record_rate_limit,
     record_turn_away_limit,
--- a/tests/core/placement/simulated_region.py
+++ b/tests/core/placement/simulated_region.py
@@ -41,8 +41,9 @@
     PlacementRequest,
     QueriedTargets,
 )
+from lycheepath.core.placement.outcomes import AttemptOutcome
 from lycheepath.core.placement.prompts import PromptCache
-from lycheepath.core.placement.registry import AttemptOutcome, TargetRegistry
+from lycheepath.core.placement.registry import TargetRegistry
 from lycheepath.core.serving.requests import Prompt, PromptPart
 from standins.batched_engine import BatchedEngine, EngineShape, Generation
 from tests.core.catalog.test_routes import make_route
--- a/tests/core/placement/test_choice.py
+++ b/tests/core/placement/test_choice.py
@@ -27,7 +27,8 @@
     PlacementRequest,
     PreviousAttempts,
 )
-from lycheepath.core.placement.registry import AttemptOutcome, TargetRegistry
+from lycheepath.core.placement.outcomes import AttemptOutcome
+from lycheepath.core.placement.registry import TargetRegistry
 from lycheepath.core.reasons import Absent, Reason
 from lycheepath.core.serving.requests import Prompt, PromptPart
 from tests.core.catalog.test_routes import make_route
--- a/tests/core/placement/test_drain_machine.py
+++ b/tests/core/placement/test_drain_machine.py
@@ -36,7 +36,8 @@
     PlacementContext,
     PlacementRequest,
 )
-from lycheepath.core.placement.registry import AttemptOutcome, TargetRegistry
+from lycheepath.core.placement.outcomes import AttemptOutcome
+from lycheepath.core.placement.registry import TargetRegistry
 from lycheepath.core.reasons import Absent, Reason
 from tests.core.catalog.test_routes import make_route
 from tests.core.randomised import run_machine
--- a/tests/core/placement/test_large_region.py
+++ b/tests/core/placement/test_large_region.py
@@ -12,6 +12,7 @@
 import heapq
 import random
 from collections import Counter
+from typing import TYPE_CHECKING
 
 import pytest
 
@@ -20,11 +21,14 @@
 from lycheepath.core.placement.coordinators import Coordinators
 from lycheepath.core.placement.load_reports import make_target_load_report
 from lycheepath.core.placement.model import Placement, PlacementContext, QueriedTargets
+from lycheepath.core.placement.outcomes import AttemptOutcome
 from lycheepath.core.placement.prompts import PromptCache
-from lycheepath.core.placement.registry import AttemptOutcome, TargetRegistry
 from lycheepath.core.serving.requests import Prompt, PromptPart
 from tests.core.placement.test_choice import make_entry, make_registry, make_request
 
+if TYPE_CHECKING:
+    from lycheepath.core.placement.registry import TargetRegistry
+
 HOSTS = 30
 ENGINES = 14
 TOKEN_S = 1 / 112_000
--- a/tests/core/placement/test_load.py
+++ b/tests/core/placement/test_load.py
@@ -12,16 +12,20 @@
 import random
 from collections import Counter
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 import pytest
 
 from lycheepath.core.placement.choice import choose_target
 from lycheepath.core.placement.model import Placement, PlacementContext
+from lycheepath.core.placement.outcomes import AttemptOutcome
 from lycheepath.core.placement.prompts import PromptCache
-from lycheepath.core.placement.registry import AttemptOutcome, TargetRegistry
 from lycheepath.core.serving.requests import Prompt, PromptPart
 from tests.core.placement.test_choice import make_entry, make_registry, make_request
 
+if TYPE_CHECKING:
+    from lycheepath.core.placement.registry import TargetRegistry
+
 TOKEN_S = 1e-5
 SUBJECTS = 300
 SECONDS = 30.0
--- a/tests/gateway/test_draining_targets.py
+++ b/tests/gateway/test_draining_targets.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import pytest
 import trio
 
 from standins.site import Site, answer_bytes, answer_text, make_route
 from tests.gateway.test_fleet import wait_until_live
 
+if TYPE_CHECKING:
+    from standins.site import Seen
+
 DRAINING_HEADER = "Server-Leaving: 1"
 NOT_EXECUTED_HEADER = "Not-Executed: 1"
 STREAM = (
@@ -144,3 +149,34 @@
     assert len(target.seen) == 2
     text = node.metrics.render()
     assert 'answer_headers_unread_total{header="retry-after"} 2' in text
+
+
+async def test_target_that_says_it_is_draining_while_its_entry_is_absent_stays_left_out(
+    site: Site,
+) -> None:
+    entry_absent = trio.Event()
+
+    async def answer_without_entry(seen: Seen, stream: trio.SocketStream) -> None:
+        site.store.remove(f"servers/{draining.id}")
+        await entry_absent.wait()
+        await answer_text(b"done", 200, DRAINING_HEADER)(seen, stream)
+
+    draining = await site.add_target("books", answer_without_entry, born=7)
+    site.configure(make_route("books", "unsafe", timeout_ms=5000))
+    node = await site.start_gateway("host-1")
+
+    async def note_absence() -> None:
+        while node.registry.targets.get(draining.id) is not None:
+            await trio.sleep(0.02)
+        entry_absent.set()
+
+    site.nursery.start_soon(note_absence)
+    headers = {"deadline-ms": "5000"}
+    answer = await site.ask(node, b"POST", "/books/1", b"x", headers=headers)
+    assert answer.status == 200
+    site.announce(draining, born=7, seq=9)
+    with trio.fail_after(5.0):
+        while draining.id not in node.registry.targets:
+            await trio.sleep(0.02)
+    assert (await site.ask(node, b"POST", "/books/1", b"x", "r2")).status == 503
+    assert len(draining.seen) == 1
