--- a/src/lycheepath/core/placement/availability.py
+++ b/src/lycheepath/core/placement/availability.py
@@ -59,6 +59,10 @@
     def record_draining(self, now: float) -> bool:
         """Record that the target says it is draining; return whether that is new."""
         self.observed_at = now
+        return self.apply_leaving()
+
+    def apply_leaving(self) -> bool:
+        """Apply that the target has said it is draining; return whether that is new."""
         known, self.leaving = self.leaving, True
         return not known
 
--- a/src/lycheepath/core/placement/registry.py
+++ b/src/lycheepath/core/placement/registry.py
@@ -34,7 +34,7 @@
     from collections.abc import Iterable, Mapping
 
     from ..catalog.catalog import Catalog
-    from ..catalog.model import Service, TargetEntry
+    from ..catalog.model import Instance, Service, TargetEntry
     from ..catalog.routes import RouteTable
     from ..serving.requests import PromptPart
     from .accuracy import FirstEventEstimate
@@ -380,11 +380,7 @@
             target.peer_loads.expire(now)
 
     def record_draining(self, target_id: str, now: float) -> None:
-        """
-        Record that a target announced in an answer that it is draining.
-
-        Its entry may be absent at the moment, and come back later.
-        """
+        """Record that a target, listed or not, announced that it is draining."""
         target = self.targets.get(target_id)
         availability = target.availability if target else self._saved.find(target_id)
         if availability is not None and availability.record_draining(now):
@@ -392,6 +388,19 @@
                 StateChange("target-leaving", target_id, "by its own word")
             )
 
+    def list_leaving(self, service: str, region: str) -> tuple[Instance, ...]:
+        """Return the targets that announced in answers that they are draining."""
+        targets = self.list_region_targets(service, region)
+        return tuple(t.entry.instance for t in targets if t.availability.leaving)
+
+    def apply_leaving(self, instance: Instance) -> None:
+        """Apply what a target announced in an answer that a peer has passed on."""
+        target = self.targets.get(instance.target)
+        if target is None or target.entry.instance != instance:
+            return
+        if target.availability.apply_leaving():
+            self._record_change(target, "target-leaving", "by a peer's word")
+
     def record_busy(self, target_id: str, wait_s: float, now: float) -> None:
         """Record that a target refuses this host's requests for ``wait_s`` seconds."""
         target = self.targets.get(target_id)
--- a/src/lycheepath/gateway/relay.py
+++ b/src/lycheepath/gateway/relay.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass, replace
 from functools import partial
 from typing import TYPE_CHECKING
+from urllib.parse import quote, unquote
 
 import trio
 
@@ -21,6 +22,7 @@
 from ..adapters.http1.sockets import ConnectError
 from ..adapters.http1.upstream import BrokenAnswerError
 from ..core.addresses import Address
+from ..core.catalog.model import Instance
 from ..core.placement.outcomes import AttemptOutcome
 from ..core.reasons import Absent, Reason
 from ..core.serving.attempts import AttemptResult
@@ -57,6 +59,8 @@
 LAST_EVENT_HEADER = b"lycheepath-last-event"
 COMMITTED_HEADER = b"lycheepath-committed"
 TRIAL_HEADER = b"lycheepath-trial"
+# In a request: the targets that told the first host that they are draining.
+LEAVING_HEADER = b"lycheepath-leaving"
 # In a request the version at which a stream has to go on, in an answer the target's.
 VERSION_HEADER = b"lycheepath-version"
 RESULT_HEADER = b"lycheepath-result"
@@ -73,6 +77,7 @@
         LAST_EVENT_HEADER,
         COMMITTED_HEADER,
         TRIAL_HEADER,
+        LEAVING_HEADER,
         VERSION_HEADER,
         RESULT_HEADER,
         REASON_HEADER,
@@ -84,6 +89,8 @@
 
 FAILED_RESULT = AttemptResult.FAILED.value.encode()
 MAX_RESULT_BYTES = 4096
+# Largest number of draining targets that are named with a request.
+MAX_LEAVING = 32
 
 # Time within which the result of a request whose time is over has to be sent.
 RESULT_TIMEOUT_S = 1.0
@@ -109,6 +116,7 @@
     committed: bool
     on_trial: bool
     version: str | None
+    leaving: tuple[Instance, ...]
 
 
 async def send_to_region(
@@ -137,7 +145,7 @@
             status, headers = await upstream.request(
                 exchange.request.method,
                 exchange.request.target,
-                _write_headers(node, exchange),
+                _write_headers(node, exchange, placed.target.region),
                 exchange.request.body,
             )
         fields = dict(headers)
@@ -262,6 +270,9 @@
     route = table and table.match(request_head.host, request.target.decode("latin-1"))
     if metadata is None or not route:
         return "this host has no such route"
+    for instance in metadata.leaving:
+        node.registry.apply_leaving(instance)
+    log_target_changes(node)
     refusal = _check_home(node, route)
     if refusal:
         return refusal
@@ -367,7 +378,9 @@
     await caller.answer(503, headers, b"")
 
 
-def _write_headers(node: GatewayNode, exchange: Exchange) -> list[tuple[bytes, bytes]]:
+def _write_headers(
+    node: GatewayNode, exchange: Exchange, region: str
+) -> list[tuple[bytes, bytes]]:
     now = node.now()
     waited_s = now - exchange.received_at
     headers = [h for h in exchange.request_head.headers if h[0] not in RELAY_HEADERS]
@@ -382,6 +395,9 @@
         headers.append((COMMITTED_HEADER, b"1"))
     if exchange.on_trial:
         headers.append((TRIAL_HEADER, b"1"))
+    leaving = node.registry.list_leaving(exchange.service, region)
+    if leaving:
+        headers.append((LEAVING_HEADER, _write_instances(leaving[:MAX_LEAVING])))
     version = node.versions.find_bound_version(exchange)
     if version is not None:
         headers.append((VERSION_HEADER, version.encode("latin-1")))
@@ -403,11 +419,25 @@
             COMMITTED_HEADER in fields,
             TRIAL_HEADER in fields,
             None if version is None else version.decode("latin-1"),
+            _read_instances(fields.get(LEAVING_HEADER, b"")),
         )
     except (KeyError, ValueError):
         return None
 
 
+def _write_instances(instances: tuple[Instance, ...]) -> bytes:
+    """Return a list like ``i-7f:1790000000000,i-2b:0``, whose ids are quoted."""
+    names = [quote(each.target, "", errors="replace") for each in instances]
+    parts = zip(names, instances, strict=True)
+    return ",".join(f"{name}:{each.born_ms}" for name, each in parts).encode()
+
+
+def _read_instances(text: bytes) -> tuple[Instance, ...]:
+    """Decode a list of instances; raises ValueError."""
+    parts = [part.rpartition(":") for part in text.decode("ascii").split(",") if part]
+    return tuple(Instance(unquote(name), int(born_ms)) for name, _, born_ms in parts)
+
+
 async def _read_result(upstream: Upstream, fields: dict[bytes, bytes]) -> SendOutcome:
     """Return the result that the other host reports for an unanswered request."""
     await upstream.read_all(MAX_RESULT_BYTES)
--- a/tests/gateway/test_draining_targets.py
+++ b/tests/gateway/test_draining_targets.py
@@ -7,6 +7,7 @@
 import pytest
 import trio
 
+from lycheepath.core.placement import availability
 from standins.site import Site, answer_bytes, answer_text, make_route
 from tests.gateway.test_fleet import wait_until_live
 
@@ -180,3 +181,35 @@
             await trio.sleep(0.02)
     assert (await site.ask(node, b"POST", "/books/1", b"x", "r2")).status == 503
     assert len(draining.seen) == 1
+
+
+async def test_host_that_a_request_is_relayed_to_leaves_out_targets_that_said_they_drain(
+    site: Site, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(availability, "PEER_REPORT_TTL_S", 0.0)
+    draining = await site.add_target(
+        "books", answer_text(b"done", 200, DRAINING_HEADER), "west-a", born=7
+    )
+    site.configure(make_route("books", "unsafe"))
+    east = await site.start_gateway("east")
+    west = await site.start_gateway("west", "west-a")
+    await wait_until_live(east, west)
+    assert (await site.ask(east, b"POST", "/books/1", b"x")).status == 200
+    staying = await site.add_target("books", answer_text(b"done"), "west-a")
+    other = await site.start_gateway("west-2", "west-a")
+    await wait_until_live(east, west, other)
+    with trio.fail_after(5.0):
+        while staying.id not in east.registry.targets:
+            await trio.sleep(0.02)
+    # The reports of peers have expired, and only the new host is asked.
+    monkeypatch.setattr(
+        "lycheepath.gateway.relay._pick_host",
+        lambda *_: east.peers.view.find_host(other.settings.host),
+    )
+    assert not other.registry.targets[draining.id].availability.leaving
+    for number in range(8):
+        name = f"late-{number}"
+        answer = await site.ask(east, b"POST", "/books/1", b"x", name)
+        assert answer.status == 200
+    assert len(draining.seen) == 1
+    assert len(staying.seen) == 8
