--- a/src/lycheepath/gateway/sending.py
+++ b/src/lycheepath/gateway/sending.py
@@ -157,12 +157,9 @@
         )
     reusable = False
     try:
-        if not await is_expected_instance(node, exchange, placed.target, upstream):
-            return SendOutcome(
-                AttemptResult.NOT_RUN,
-                AttemptOutcome.NOT_RUN,
-                "the target has restarted",
-            )
+        obstacle = await _find_obstacle(node, exchange, placed.target, upstream)
+        if obstacle:
+            return SendOutcome(AttemptResult.NOT_RUN, AttemptOutcome.NOT_RUN, obstacle)
         answer_head = await _send_request(node, exchange, placed, upstream)
         outcome, reusable = await forward_answer(
             node, exchange, upstream, answer_head, lambda: placed.target.last_contact_at
@@ -194,6 +191,19 @@
             abandon(node, exchange, upstream)
 
 
+async def _find_obstacle(
+    node: GatewayNode, exchange: Exchange, target: TargetState, upstream: Upstream
+) -> str:
+    """Return why the target that was chosen can't be sent the request, or ""."""
+    if not await is_expected_instance(node, exchange, target, upstream):
+        return "the target has restarted"
+    listed = node.registry.targets.get(target.entry.id) is target
+    withdrawn = target.availability.is_withdrawn(node.now())
+    if not listed or withdrawn or not target.accepts_requests:
+        return "the target has left since it was chosen"
+    return ""
+
+
 def abandon(node: GatewayNode, exchange: Exchange, upstream: Upstream) -> None:
     """Close the connection of an attempt; log bytes of its request on their way."""
     undelivered_bytes = upstream.count_undelivered_bytes()
--- a/tests/gateway/test_draining_targets.py
+++ b/tests/gateway/test_draining_targets.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import pytest
 import trio
@@ -12,6 +12,7 @@
 from tests.gateway.test_fleet import wait_until_live
 
 if TYPE_CHECKING:
+    from lycheepath.core.addresses import Address
     from standins.site import Seen
 
 DRAINING_HEADER = "Server-Leaving: 1"
@@ -213,3 +214,25 @@
         assert answer.status == 200
     assert len(draining.seen) == 1
     assert len(staying.seen) == 8
+
+
+async def test_target_that_leaves_while_a_connection_is_opened_gets_nothing(
+    site: Site, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    targets = [await site.add_target("books", answer_text(b"done")) for _ in range(2)]
+    site.configure(make_route("books", "unsafe"))
+    node = await site.start_gateway("host-1")
+    acquire = node.pool.acquire
+    left: list[str] = []
+
+    async def acquire_late(address: Address, *others: Any) -> Any:
+        target = next(t for t in targets if t.address == str(address))
+        if not left:
+            left.append(target.id)
+            node.registry.record_draining(target.id, node.now())
+        return await acquire(address, *others)
+
+    monkeypatch.setattr(node.pool, "acquire", acquire_late)
+    assert (await site.ask(node, b"POST", "/books/1", b"x")).status == 200
+    assert [target.id for target in targets if target.seen] != left
+    assert sum(len(target.seen) for target in targets) == 1
