--- a/src/lycheepath/gateway/discovery.py
+++ b/src/lycheepath/gateway/discovery.py
@@ -73,6 +73,8 @@
         self._last_answer_at = node.now()
         self._store_failing = False
         self._needs_snapshot = True
+        # Whether a reading is due that shows that the catalog is current.
+        self._confirm_due = False
         self._serving_hosts: set[str] = set()
         self._rank: int | None = None
 
@@ -95,6 +97,21 @@
             self._peer_update = sender, update_kind
             self._wakeup.set()
 
+    def is_current(self, now: float) -> bool:
+        """Whether the catalog is as recent as the store's last changes allow."""
+        return self._freshness.age_s(now) <= OUTAGE_S
+
+    async def confirm_current(self, timeout_s: float) -> bool:
+        """Wait until the catalog has all changes up to now; return whether it has."""
+        node = self._node
+        since = node.now()
+        with trio.move_on_after(timeout_s):
+            while self._freshness.current_at < since:
+                self._confirm_due = True
+                self._wakeup.set()
+                await trio.sleep(MIN_PAUSE_S)
+        return self._freshness.current_at >= since
+
     async def run(self) -> None:
         """Follow the store until cancelled."""
         node = self._node
@@ -108,8 +125,11 @@
                 and self._freshness.may_fetch_update(node.now())
             ):
                 await self._read_configuration(update[0])
+            elif self._confirm_due:
+                self._confirm_due = False
+                await self._read_store(0.0)
             elif self._wait_s() <= 0.0:
-                await self._read_store()
+                await self._read_store(LONG_POLL_S)
             if expired := node.catalog.expire(node.now()):
                 apply_state_changes(node, expired, "time")
             await trio.sleep(MIN_PAUSE_S)
@@ -143,7 +163,7 @@
             self._rank = rank_reader(local_host.id, hosts, local_host.region)
         return self._freshness.wait_s(self._rank, now)
 
-    async def _read_store(self) -> None:
+    async def _read_store(self, long_poll_s: float) -> None:
         """Read the store; if that fails, copy the catalog from a peer."""
         node = self._node
         started_at = node.now()
@@ -156,7 +176,7 @@
                 self._needs_snapshot = False
             else:
                 body = await self._fetch(
-                    changes_path(node.catalog.revision, LONG_POLL_S)
+                    changes_path(node.catalog.revision, long_poll_s)
                 )
                 changes = node.catalog.apply(read_changes(body), node.now(), outage)
         except HistoryGoneError:
--- a/src/lycheepath/gateway/stream_versions.py
+++ b/src/lycheepath/gateway/stream_versions.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import itertools
 import time
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -53,6 +54,8 @@
 QUERY_TIMEOUT_S = 0.4
 # The same if targets have to be asked first.
 LISTING_TIMEOUT_S = 0.8
+# Time to wait for a reading of the store if no peer's reply shows what is in use.
+CONFIRM_TIMEOUT_S = 0.8
 # Largest number of queries that wait for targets' lists.
 MAX_LISTING = 256
 # Time after the start of this host in which it may not know any peer yet.
@@ -220,7 +223,7 @@
         node = self._node
         since = node.now() - query.window_s
         versions = None
-        if self.history.is_complete(since):
+        if self.history.is_complete(since) and node.store.is_current(node.now()):
             versions = tuple(sorted(self.history.list_used(query.service, since)))
         known = self.origins.find(query.stream)
         host = node.settings.host
@@ -233,32 +236,43 @@
         if known is not None and known.version:
             return known, "own"
         window_s = _find_window_s(exchange)
-        since = self._node.now() - window_s
-        complete = self.history.is_complete(since)
-        if complete:
-            used = self.history.list_used(exchange.service, since)
-            only = _pick_only(exchange.service, used)
-            if only is not None:
-                return only, "only-version"
         replies = await self._query(exchange, window_s)
         origins = (reply.origin for reply in replies)
         told = next((each for each in origins if each and each.version), None)
         if told is not None:
             return told, "peer"
-        if not complete:
-            inferred = await self._infer_origin(exchange.service, window_s, replies)
-            if inferred is not None:
-                return inferred
+        if not await self._is_in_step(replies):
+            return None, "out-of-step"
+        inferred = await self._infer_origin(exchange.service, window_s, replies)
+        if inferred is not None:
+            return inferred
         return await self._find_holding(exchange, window_s)
 
+    async def _is_in_step(self, replies: list[OriginReply]) -> bool:
+        """
+        Whether no other host can have begun the stream on a version unknown here.
+
+        What this host hasn't heard shows nothing by itself: it may be cut off, or may
+        just have stood still. The replies of all other hosts show it, or one of a host
+        whose knowledge is complete, or a reading of the store that begins now.
+        """
+        node = self._node
+        if any(reply.versions is not None for reply in replies):
+            return True
+        if len(replies) >= node.count_hosts() - 1:
+            return True
+        return await node.store.confirm_current(CONFIRM_TIMEOUT_S)
+
     async def _infer_origin(
         self, service: str, window_s: float, replies: Iterable[OriginReply]
     ) -> tuple[Origin, str] | None:
         """Return the only version that can have begun a stream, if there is one."""
-        used = (reply.versions for reply in replies)
-        seen_by_peer = next((each for each in used if each is not None), None)
-        if seen_by_peer is not None:
-            only = _pick_only(service, seen_by_peer)
+        since = self._node.now() - window_s
+        complete = [r.versions for r in replies if r.versions is not None]
+        if self.history.is_complete(since):
+            complete.append(tuple(self.history.list_used(service, since)))
+        if complete:
+            only = _pick_only(service, itertools.chain(*complete))
             return None if only is None else (only, "only-version")
         past = await self._read_past()
         if past is None:
