--- a/src/lycheepath/core/placement/draining.py
+++ b/src/lycheepath/core/placement/draining.py
@@ -20,6 +20,7 @@
 if TYPE_CHECKING:
     from ..serving.requests import Prompt
     from .model import Placement, PlacementRequest
+    from .registry import TargetState
 
 # Time in seconds within which callers learn from the directory that a host is draining:
 # the longest time that they cache an answer, plus what is in transit then.
@@ -29,15 +30,20 @@
 
 
 def admit_while_draining(
-    request: PlacementRequest, placed: Placement, left_s: float, draining_s: float
+    request: PlacementRequest,
+    placed: Placement,
+    left_s: float,
+    draining_s: float,
+    longest_wait_s: float = 0.0,
 ) -> Placement | Absent:
     """
     Return a placement, or a refusal if its answer would be cut off.
 
     ``left_s`` is the time until the host ends, ``draining_s`` the time since it began
-    to drain.
+    to drain, ``longest_wait_s`` how long the target has let another request wait: the
+    estimate may be of a time when it was faster.
     """
-    ends_s = estimate_end_s(request.prompt, placed)
+    ends_s = max(estimate_end_s(request.prompt, placed), longest_wait_s)
     if draining_s > DRAIN_NOTICE_S:
         ends_s *= SLOW_FACTOR
     if ends_s <= left_s:
@@ -46,6 +52,12 @@
     return Absent(Reason.DRAINING, MIN_RETRY_AFTER_S, detail)
 
 
+def find_longest_wait_s(target: TargetState, now: float) -> float:
+    """Return how long this host's oldest request without an event waits at a target."""
+    waiting = (r for r in target.requests.values() if r.first_event_at is None)
+    return max((now - request.sent_at for request in waiting), default=0.0)
+
+
 def estimate_end_s(prompt: Prompt | None, placed: Placement) -> float:
     """Return the time until an answer of the maximum length ends."""
     service = placed.target.service
--- a/src/lycheepath/gateway/node.py
+++ b/src/lycheepath/gateway/node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from contextlib import contextmanager
 from dataclasses import dataclass, field, replace
 from itertools import count
 from typing import TYPE_CHECKING
@@ -18,7 +19,7 @@
 from ..core.placement.choice import choose_target, is_conclusive, pick_targets_to_query
 from ..core.placement.cold import MAX_COLD_SENDERS
 from ..core.placement.connections import compute_idle_limit
-from ..core.placement.draining import admit_while_draining
+from ..core.placement.draining import admit_while_draining, find_longest_wait_s
 from ..core.placement.model import (
     Placement,
     PlacementContext,
@@ -41,6 +42,8 @@
 from .stream_versions import StreamVersions
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from ..adapters.http1.downstream import CallerConnection
     from ..core.fleet.view import HostRow
     from ..core.placement.load_reports import TargetLoadReport
@@ -121,7 +124,10 @@
     shutting_down: bool = False
     shutdown_started_at: float = float("inf")
     shutdown_deadline: float = float("inf")
+    # Whether the requests that are still served get their final answers.
+    ending: bool = False
     active_requests: int = 0
+    _request_scopes: set[trio.CancelScope] = field(default_factory=set)
     total_requests: int = 0
 
     def __post_init__(self) -> None:
@@ -149,6 +155,32 @@
         """Whether callers and hosts should choose this host: ready, and not cut off."""
         return self.ready and self.links.is_serving(self.now())
 
+    @contextmanager
+    def count_request(self) -> Iterator[None]:
+        """Count a request that is served in the block."""
+        self.total_requests += 1
+        self.active_requests += 1
+        try:
+            yield
+        finally:
+            self.active_requests -= 1
+
+    @contextmanager
+    def limit_request(self, deadline: float) -> Iterator[trio.CancelScope]:
+        """Cancel what is done in the block at a deadline, or when this host ends."""
+        with trio.CancelScope(deadline=deadline) as scope:
+            self._request_scopes.add(scope)
+            try:
+                yield scope
+            finally:
+                self._request_scopes.discard(scope)
+
+    def end_requests(self) -> None:
+        """Cancel the requests that are still served, so that they are answered."""
+        self.ending = True
+        for scope in self._request_scopes:
+            scope.cancel()
+
     def remaining_s(self) -> float:
         """Return how long this host keeps running; 0 unless it is shutting down."""
         remaining_s = self.shutdown_deadline - self.now() if self.shutting_down else 0.0
@@ -247,9 +279,13 @@
             if is_conclusive(placed, queried):
                 break
         if self.shutting_down and isinstance(placed, Placement):
-            shutting_down_s = self.now() - self.shutdown_started_at
+            now = self.now()
             return admit_while_draining(
-                request, placed, self.remaining_s(), shutting_down_s
+                request,
+                placed,
+                self.remaining_s(),
+                now - self.shutdown_started_at,
+                find_longest_wait_s(placed.target, now),
             )
         return placed
 
--- a/src/lycheepath/gateway/process.py
+++ b/src/lycheepath/gateway/process.py
@@ -39,6 +39,8 @@
 TASK_RESTART_S = 0.5
 # Time kept free before SIGKILL for writing the last log lines.
 FINAL_LOG_S = 0.5
+# Time kept free before that for the final answers to requests that didn't end in time.
+FINAL_ANSWERS_S = 0.3
 # A host that shuts down exits once it had no request for this long.
 QUIESCENCE_S = 0.5
 # Interval at which idle connections are closed.
@@ -119,7 +121,7 @@
     """Stop accepting new callers, finish current requests, return in time."""
     started = node.now()
     requests = node.total_requests
-    grace_s = node.settings.bounds.grace_s - FINAL_LOG_S
+    grace_s = node.settings.bounds.grace_s - FINAL_LOG_S - FINAL_ANSWERS_S
     node.shutting_down = True
     node.shutdown_started_at, node.shutdown_deadline = started, started + grace_s
     record_event("leaving", serving=node.active_requests)
@@ -136,6 +138,12 @@
             if not (node.active_requests or has_unread_requests(node)):
                 return
         await trio.sleep(POLL_INTERVAL_S)
+    if node.active_requests:
+        record_event("drain-cut", serving=node.active_requests)
+    with trio.move_on_after(FINAL_ANSWERS_S):
+        while node.active_requests:
+            node.end_requests()
+            await trio.sleep(FINAL_ANSWERS_S / 10)
 
 
 async def _close_idle(node: GatewayNode) -> None:
--- a/src/lycheepath/gateway/relay.py
+++ b/src/lycheepath/gateway/relay.py
@@ -15,8 +15,6 @@
 from typing import TYPE_CHECKING
 from urllib.parse import quote, unquote
 
-import trio
-
 from ..adapters.events import record_event
 from ..adapters.http1.downstream import CallerGoneError
 from ..adapters.http1.sockets import ConnectError
@@ -40,7 +38,7 @@
     record_answer_head,
     send_to_target,
 )
-from .telemetry import FAULT_REASON, record_request_fault
+from .telemetry import END_REASON, FAULT_REASON, record_request_fault
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -233,7 +231,6 @@
     node: GatewayNode, caller: CallerConnection, request: ReceivedRequest
 ) -> None:
     """Serve a request that another host relays, with one attempt in this region."""
-    node.total_requests += 1
     caller.close_after_answer = caller.close_after_answer or node.shutting_down
     try:
         exchange = _open_relayed(node, caller, request)
@@ -243,19 +240,18 @@
     if isinstance(exchange, str):
         await _answer_result(caller, AttemptResult.NOT_RUN, exchange)
         return
-    node.active_requests += 1
-    try:
-        with trio.CancelScope(deadline=exchange.deadline) as scope:
-            await _send_locally(node, exchange)
-        if scope.cancelled_caught:
-            await _answer_lost(caller, "the time is over")
-    except CallerGoneError:
-        raise
-    except Exception:
-        record_request_fault(node, find_request_id(request.headers))
-        await _answer_lost(caller, FAULT_REASON)
-    finally:
-        node.active_requests -= 1
+    with node.count_request():
+        try:
+            with node.limit_request(exchange.deadline) as scope:
+                await _send_locally(node, exchange)
+            if scope.cancelled_caught:
+                reason = END_REASON if node.ending else "the time is over"
+                await _answer_lost(caller, reason)
+        except CallerGoneError:
+            raise
+        except Exception:
+            record_request_fault(node, find_request_id(request.headers))
+            await _answer_lost(caller, FAULT_REASON)
 
 
 def _open_relayed(
--- a/src/lycheepath/gateway/serving.py
+++ b/src/lycheepath/gateway/serving.py
@@ -17,13 +17,13 @@
 from ..adapters.http1.downstream import CallerGoneError
 from ..core.catalog.model import RouteKind
 from ..core.catalog.routes import draw_service
-from ..core.reasons import Absent
+from ..core.reasons import Absent, Reason
 from ..core.serving.attempts import AttemptResult, may_send_again
 from ..platform.headers import find_request_id, read_request
 from .exchange import Exchange
 from .relay import send_to_region
 from .sending import SendOutcome, send_to_target
-from .telemetry import FAULT_REASON, record_outcome, record_request_fault
+from .telemetry import END_REASON, FAULT_REASON, record_outcome, record_request_fault
 
 if TYPE_CHECKING:
     from ..adapters.http1.downstream import CallerConnection, ReceivedRequest
@@ -54,27 +54,28 @@
     node: GatewayNode, caller: CallerConnection, request: ReceivedRequest
 ) -> None:
     """Answer one request."""
-    node.total_requests += 1
     caller.close_after_answer = caller.close_after_answer or node.shutting_down
-    try:
-        exchange = await _open_exchange(node, caller, request)
-    except CallerGoneError:
-        raise
-    except Exception:
-        await _refuse_after_fault(node, caller, request)
-        return
-    if exchange is not None:
-        await _serve_exchange(node, caller, exchange)
+    with node.count_request():
+        try:
+            exchange = await _open_exchange(node, caller, request)
+        except CallerGoneError:
+            raise
+        except Exception:
+            await _refuse_after_fault(node, caller, request)
+            return
+        if exchange is not None:
+            await _serve_exchange(node, caller, exchange)
 
 
 async def _serve_exchange(
     node: GatewayNode, caller: CallerConnection, exchange: Exchange
 ) -> None:
-    node.active_requests += 1
     try:
-        with trio.CancelScope(deadline=exchange.deadline) as scope:
+        with node.limit_request(exchange.deadline) as scope:
             await _run(node, exchange)
-        if scope.cancelled_caught:
+        if scope.cancelled_caught and node.ending:
+            await _answer_at_end(node, exchange)
+        elif scope.cancelled_caught:
             await _answer_timeout(node, exchange)
     except CallerGoneError:
         raise
@@ -86,7 +87,6 @@
         if scope.cancelled_caught:
             _abort_answer(node, exchange)
     finally:
-        node.active_requests -= 1
         node.containment.end_trial(exchange)
         if caller.disconnected and not exchange.outcome_logged:
             _log_outcome(node, exchange, "left", 0)
@@ -220,8 +220,8 @@
                 node.metrics.count("relays_to_peers_total")
             return await send_to_region(node, exchange, placed)
         return await send_to_target(node, exchange, placed)
-    except Exception:
-        # Whether the request has run isn't known after a fault.
+    except BaseException:
+        # Whether the request has run isn't known after a fault, nor if it was cancelled.
         exchange.attempts.record(AttemptResult.LOST)
         raise
 
@@ -248,6 +248,14 @@
     await _refuse(node, caller, request_id, NOT_RUN_STATUS, wait_s, reason, route)
 
 
+async def _answer_at_end(node: GatewayNode, exchange: Exchange) -> None:
+    """Answer a request that is still served when this host ends."""
+    exchange.reason = END_REASON
+    absent = Absent(Reason.DRAINING, RETRY_SOON_S, END_REASON)
+    with exchange.caller.abort_after(LATE_REFUSAL_TIMEOUT_S):
+        await _give_up(node, exchange, absent)
+
+
 async def _answer_timeout(node: GatewayNode, exchange: Exchange) -> None:
     """Answer a request whose deadline has passed."""
     exchange.reason = "the time is over"
--- a/src/lycheepath/gateway/telemetry.py
+++ b/src/lycheepath/gateway/telemetry.py
@@ -15,6 +15,8 @@
 
 # What callers and other hosts are told after a fault.
 FAULT_REASON = "a fault in the gateway"
+# What they are told about requests that a drain has left no time for.
+END_REASON = "this host ends"
 
 
 def register_metrics(node: GatewayNode) -> None:
