--- a/src/lycheepath/gateway/process.py
+++ b/src/lycheepath/gateway/process.py
@@ -121,7 +121,9 @@
     """Stop accepting new callers, finish current requests, return in time."""
     started = node.now()
     requests = node.total_requests
-    grace_s = node.settings.bounds.grace_s - FINAL_LOG_S - FINAL_ANSWERS_S
+    running_s = node.settings.bounds.grace_s - FINAL_LOG_S
+    grace_s = running_s - FINAL_ANSWERS_S
+    notice_s = min(DRAIN_NOTICE_S, running_s / 2)
     node.shutting_down = True
     node.shutdown_started_at, node.shutdown_deadline = started, started + grace_s
     record_event("leaving", serving=node.active_requests)
@@ -131,7 +133,7 @@
         if node.active_requests or node.total_requests > requests:
             requests = node.total_requests
             last_request_at = now
-        callers_moved = now - started > min(DRAIN_NOTICE_S, grace_s / 2)
+        callers_moved = now - started > notice_s
         if callers_moved and now - last_request_at > QUIESCENCE_S:
             # Connections that were just accepted are served first.
             await trio.lowlevel.checkpoint()
