--- a/src/lycheepath/adapters/http1/downstream.py
+++ b/src/lycheepath/adapters/http1/downstream.py
@@ -15,7 +15,7 @@
 import trio
 
 from ..events import record_event
-from .sockets import abort, is_idle, receive, send
+from .sockets import abort, has_ended, is_idle, receive, send
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterator, Sequence
@@ -137,6 +137,11 @@
                 self._data_arrived = trio.Event()
                 await self._data_arrived.wait()
 
+    @property
+    def has_left(self) -> bool:
+        """Whether the caller has closed the connection, though that wasn't read yet."""
+        return self.disconnected or has_ended(self.stream)
+
     @property
     def has_unread(self) -> bool:
         """Whether bytes have arrived that no request has taken yet."""
--- a/src/lycheepath/adapters/http1/sockets.py
+++ b/src/lycheepath/adapters/http1/sockets.py
@@ -102,6 +102,20 @@
         return False
 
 
+def has_ended(stream: trio.SocketStream) -> bool:
+    """
+    Whether the other side has closed a connection, or it has broken.
+
+    Bytes that came before that may still be unread. Reads nothing and doesn't wait.
+    """
+    poll = select.poll()
+    try:
+        poll.register(stream.socket.fileno(), select.POLLRDHUP)
+        return bool(poll.poll(0))
+    except (OSError, ValueError):
+        return True
+
+
 def count_undelivered_bytes(stream: trio.SocketStream) -> int:
     """
     Return how many sent bytes the other side hasn't acknowledged.
--- a/src/lycheepath/gateway/sending.py
+++ b/src/lycheepath/gateway/sending.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 from ..adapters.events import record_event
+from ..adapters.http1.downstream import CallerGoneError
 from ..adapters.http1.sockets import ConnectError
 from ..adapters.http1.upstream import BrokenAnswerError
 from ..core.addresses import parse_address
@@ -194,7 +195,13 @@
 async def _find_obstacle(
     node: GatewayNode, exchange: Exchange, target: TargetState, upstream: Upstream
 ) -> str:
-    """Return why the target that was chosen can't be sent the request, or ""."""
+    """
+    Return why the target that was chosen can't be sent the request, or "".
+
+    Raises CallerGoneError if nobody waits for the answer any more.
+    """
+    if exchange.caller.has_left:
+        raise CallerGoneError("the caller left before the request was sent")
     if not await is_expected_instance(node, exchange, target, upstream):
         return "the target has restarted"
     listed = node.registry.targets.get(target.entry.id) is target
--- a/tests/gateway/test_ended_attempts.py
+++ b/tests/gateway/test_ended_attempts.py
@@ -11,7 +11,7 @@
 import pytest
 import trio
 
-from standins.site import HOST, FakeTarget, make_route, read_request
+from standins.site import HOST, FakeTarget, answer_text, make_route, read_request
 from tests.gateway.test_fleet import wait_until_live
 
 if TYPE_CHECKING:
@@ -101,3 +101,19 @@
     await trio.sleep(READ_S)
     # Hosts also ask a silent target for its report.
     assert [seen for seen in still.whole if "request-id" in seen.headers] == []
+
+
+async def test_request_whose_caller_has_left_before_it_was_read_is_not_passed_on(
+    site: Site,
+) -> None:
+    target = await site.add_target("books", answer_text(b"done"), slots=64)
+    site.configure(make_route("books", "unsafe"))
+    node = await site.start_gateway("east")
+    assert (await site.ask(node, b"POST", "/books/1", b"x")).status == 200
+    head = f"POST /books/1 HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 1\r\n"
+    for number in range(10):
+        # Without a checkpoint, the gateway runs only after the caller has left.
+        with socket.create_connection(node.settings.callers) as caller:
+            caller.sendall(f"{head}Request-Id: late-{number}\r\n\r\nx".encode())
+        await trio.sleep(0.1)
+    assert [seen.headers["request-id"] for seen in target.seen] == ["r1"]
