--- a/src/lycheepath/core/placement/reachability.py
+++ b/src/lycheepath/core/placement/reachability.py
@@ -58,12 +58,14 @@
     """
     The link to one target.
 
-    ``failed_at`` is when it went out of reach, None while it is in reach. ``assumed`` says
-    that this was assumed from other targets of the region.
+    ``failed_at`` is when it went out of reach, None while it is in reach, ``last_failed_at``
+    when it last failed by itself. ``assumed`` says that being out of reach was assumed from
+    other targets of the region.
     """
 
     contact_at: float = float("-inf")
     failed_at: float | None = None
+    last_failed_at: float = float("-inf")
     reason: str = ""
     assumed: bool = False
     probed_at: float = float("-inf")
@@ -162,6 +164,7 @@
             link.probed_at, link.probe_interval_s = now, MIN_PROBE_INTERVAL_S
             self._record_change("target-out-of-reach", target, reason)
         link.assumed = False
+        link.last_failed_at = now
         self.record_doubt(now)
         if self.suspected_at is None and self._seems_cut():
             self.suspected_at = now
@@ -253,13 +256,10 @@
 
     def _seems_cut(self) -> bool:
         """Whether several targets, or the last ones, failed since the last contact."""
-        recent = total = 0
-        for link in self._links.values():
-            if link.failed_at is not None:
-                total += 1
-                recent += link.failed_at > self.contact_at
-        if total == len(self._links):
-            return recent > 0
+        failed = [link for link in self._links.values() if link.failed_at is not None]
+        if len(failed) == len(self._links):
+            return any(link.last_failed_at > self.contact_at for link in failed)
+        recent = sum((link.failed_at or 0.0) > self.contact_at for link in failed)
         return recent >= MIN_FAILED_TARGETS
 
     def _assume_failed(self, now: float) -> None:
--- a/tests/core/placement/test_reachability.py
+++ b/tests/core/placement/test_reachability.py
@@ -1,7 +1,5 @@
 from __future__ import annotations
 
-import pytest
-
 from lycheepath.core.placement.reachability import (
     LONG_SUSPICION_S,
     MIN_PROBE_INTERVAL_S,
@@ -148,7 +146,6 @@
     assert not links.needs_probes
 
 
-@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt, issue 40")
 def test_region_that_fails_again_after_a_late_answer_is_suspected_again() -> None:
     reachability = Reachability("east")
     reachability.set_targets(("i-1", "i-2", "i-3"), 0.0)
