--- a/src/lycheepath/gateway/process.py
+++ b/src/lycheepath/gateway/process.py
@@ -64,10 +64,11 @@
         async with trio.open_nursery() as nursery:
             await start_tasks(node, nursery)
             await _wait_for_end(signals)
+            nursery.start_soon(_discard, signals)
             await drain(node)
             nursery.cancel_scope.cancel()
-    record_event("stop", serving=node.active_requests)
-    node.events.flush()
+        record_event("stop", serving=node.active_requests)
+        node.events.flush()
 
 
 async def start_tasks(node: GatewayNode, nursery: trio.Nursery) -> None:
@@ -117,6 +118,12 @@
         return
 
 
+async def _discard(signals: AsyncIterator[int]) -> None:
+    """Ignore further signals; trio raises again what was received and not taken."""
+    async for number in signals:
+        record_event("signal-ignored", signal=signal.Signals(number).name)
+
+
 async def drain(node: GatewayNode) -> None:
     """Stop accepting new callers, finish current requests, return in time."""
     started = node.now()
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -41,6 +41,7 @@
 PIPELINED = 2
 STOP_AFTER_S = 0.5
 STOPS = 3
+SIGNAL_INTERVAL_S = 0.4
 
 
 @dataclass
@@ -111,6 +112,19 @@
 async def test_planned_stop_under_load_interrupts_no_accepted_request(
     site: Site, tmp_path: Path, stop: int
 ) -> None:
+    await stop_under_load(site, tmp_path, STOP_AFTER_S + 0.017 * stop, signals=1)
+
+
+async def test_second_sigterm_interrupts_no_accepted_request(
+    site: Site, tmp_path: Path
+) -> None:
+    await stop_under_load(site, tmp_path, STOP_AFTER_S, signals=3)
+
+
+async def stop_under_load(
+    site: Site, tmp_path: Path, stop_after_s: float, signals: int
+) -> None:
+    """Send SIGTERM to a gateway under load, and check what its callers get."""
     target = await site.add_target("books", answer_later, slots=64)
     site.configure(make_route("books", "unsafe", timeout_ms=3000))
     ip = f"{draw_network()}.1"
@@ -127,8 +141,10 @@
             for number in range(CALLERS):
                 pipelined = PIPELINED if number % 3 == 0 else 1
                 nursery.start_soon(load.call, f"r{number}", pipelined)
-            await trio.sleep(STOP_AFTER_S + 0.017 * stop)
-            process.popen.send_signal(signal.SIGTERM)
+            await trio.sleep(stop_after_s)
+            for _ in range(signals):
+                process.popen.send_signal(signal.SIGTERM)
+                await trio.sleep(SIGNAL_INTERVAL_S)
             with trio.fail_after(GRACE_S + 2.0):
                 while process.running:
                     await trio.sleep(0.05)
