--- a/tests/core/explaining/test_losses.py
+++ b/tests/core/explaining/test_losses.py
@@ -6,6 +6,7 @@
 
 from lycheepath.core.explaining.causes import group_lines
 from lycheepath.core.explaining.losses import Loss, find_loss, sum_losses
+from lycheepath.gateway.telemetry import END_REASON
 from tests.core.explaining.test_causes import FAILED_SEND, PLACED, make_line
 
 
@@ -37,6 +38,7 @@
             [make_line(2.0, "refused", reason="the answer takes 3.0 s, this host")],
             Loss.HOST_DRAINING,
         ),
+        ([make_line(2.0, "refused", reason=END_REASON)], Loss.HOST_DRAINING),
     ],
 )
 def test_loss_of_a_request_is_found(
