--- a/standins/site.py
+++ b/standins/site.py
@@ -339,15 +339,10 @@
     ) -> Answer:
         """Send a caller's request on a new connection; return its answer."""
         address = node.settings.callers
+        named = {"deadline-ms": "2000"} | (headers or {})
+        request = write_request(method, path, body, request_id, named)
         async with await trio.open_tcp_stream(address.ip, address.port) as stream:
-            named = {"host": HOST, "request-id": request_id, "deadline-ms": "2000"}
-            named |= headers or {}
-            if body:
-                named["content-length"] = str(len(body))
-            lines = [f"{name}: {value}" for name, value in named.items()]
-            head = "\r\n".join([f"{method.decode()} {path} HTTP/1.1", *lines, "", ""])
-            await stream.send_all(head.encode() + body)
-            return await read_answer(stream)
+            return await send_request(stream, request)
 
     async def _run_gateway(
         self,
@@ -378,6 +373,27 @@
     return f"127.{draw.randrange(1, 255)}.{draw.randrange(255)}"
 
 
+def write_request(
+    method: bytes, path: str, body: bytes, request_id: str, headers: dict[str, str]
+) -> bytes:
+    """Return a caller's request as sent; ``headers`` come after the usual ones."""
+    named = {"host": HOST, "request-id": request_id} | headers
+    if body:
+        named["content-length"] = str(len(body))
+    lines = [f"{name}: {value}" for name, value in named.items()]
+    head = "\r\n".join([f"{method.decode()} {path} HTTP/1.1", *lines, "", ""])
+    return head.encode() + body
+
+
+async def send_request(stream: trio.SocketStream, request: bytes) -> Answer:
+    """Send a request; return its answer, empty if the connection is reset before."""
+    try:
+        await stream.send_all(request)
+    except trio.BrokenResourceError:
+        return Answer(end="reset")
+    return await read_answer(stream)
+
+
 async def read_answer(
     stream: trio.SocketStream, answer: Answer | None = None
 ) -> Answer:
