--- a/src/lycheepath/core/placement/speed.py
+++ b/src/lycheepath/core/placement/speed.py
@@ -26,6 +26,9 @@
 # Factor on the weight of earlier observations with each new one; about 100 of them
 # count.
 RETENTION = 0.99
+# Upper bound of a read's observed time, as a multiple of the expected time; what takes
+# longer was mostly held up on its way, by a link or a process that stood still.
+MAX_READ_RATIO = 3.0
 # Minimum weight of a new answer in the means of a service without engines.
 SERVICE_WEIGHT = 0.05
 # Time in seconds that an answer is assumed to occupy a slot before any was observed.
@@ -63,7 +66,8 @@
         """Add the time until a prompt was read, and the tokens read until then."""
         for name in ("_n", "_x", "_y", "_xx", "_xy"):
             setattr(self, name, getattr(self, name) * RETENTION)
-        self._add(float(tokens), took_s, 1.0)
+        longest_s = MAX_READ_RATIO * self.estimate_read_s(tokens)
+        self._add(float(tokens), min(took_s, longest_s), 1.0)
         spread = self._n * self._xx - self._x * self._x
         if spread <= 0.0:
             return
--- a/tests/core/placement/test_speed.py
+++ b/tests/core/placement/test_speed.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from lycheepath.core.placement.accuracy import PRIOR_RATIO
 from lycheepath.core.placement.speed import SpeedModel
 
 
@@ -38,3 +39,32 @@
     for _ in range(2000):
         model.observe_read(0.2, 9000)
     assert model.estimate_read_s(9000) == pytest.approx(0.2, rel=0.1)
+
+
+@pytest.mark.parametrize(("reads_before", "reads_after"), [(10, 0), (300, 0), (0, 20)])
+def test_reads_that_were_held_up_leave_later_requests_admitted(
+    reads_before: int, reads_after: int
+) -> None:
+    model = SpeedModel()
+    draw = random.Random(5)
+    for reads, shortest_s, longest_s in (
+        (reads_before, 0.03, 0.06),
+        (8, 2.0, 4.0),
+        (reads_after, 0.03, 0.06),
+    ):
+        for _ in range(reads):
+            took_s = draw.uniform(shortest_s, longest_s)
+            model.observe_read(took_s, draw.randrange(300, 1_500))
+    # Behind another prompt, at a target that needs 0.03 s for an event.
+    objective_s, event_interval_s = 0.4, 0.03
+    expected_s = model.estimate_read_s(2 * 1_000) + event_interval_s
+    assert PRIOR_RATIO * expected_s < objective_s
+
+
+def test_model_finds_engines_that_are_far_slower_than_assumed() -> None:
+    model = SpeedModel()
+    slow_s = 0.25
+    assert model.estimate_read_s(500) < slow_s / 4.0
+    for _ in range(40):
+        model.observe_read(slow_s, 500)
+    assert model.estimate_read_s(500) == pytest.approx(slow_s, rel=0.1)
