--- a/soak/checks.py
+++ b/soak/checks.py
@@ -19,6 +19,7 @@
 from .evidence import HOLD_UP, Violation
 from .fatal import FATAL_PART, FatalArrival, find_late
 from .limits import CONTACT_S, Sent, find_exceeded
+from .plan import FaultKind
 from .versions import (
     StreamPart,
     find_joined,
@@ -51,6 +52,9 @@
     {"end-host", "reload-host", "configure", "roll", "evacuate", "compact-store"}
 )
 
+# Faults after which a process of a host is a new one.
+RESTARTS = frozenset({"kill-host", "kill-many", "kill-all", "end-host"})
+
 
 def check_all(evidence: Evidence) -> list[Violation]:
     """Return the violations that all checks find."""
@@ -354,6 +358,7 @@
         and not outcome.resumes
         and outcome.host not in evidence.older_hosts
         and not _is_host_disturbed(evidence, outcome.host, outcome.sent_at)
+        and not _is_unconfigured(evidence, outcome.host, outcome.sent_at)
     ]
     for detail in find_cut_off(evidence.cuts, tries):
         yield Violation("cut-off", detail)
@@ -383,6 +388,23 @@
     )
 
 
+def _is_unconfigured(evidence: Evidence, host: str, at: float) -> bool:
+    """Whether a host was restarted while the store failed, and hasn't heard since."""
+    failures = [
+        fault
+        for fault in evidence.applied_faults
+        if fault.kind == FaultKind.FAIL_STORE.value
+        and fault.since <= at <= fault.until + CONTACT_S
+    ]
+    return any(
+        fault.subject == host
+        and fault.kind in RESTARTS
+        and failure.since <= fault.until <= min(at, failure.until)
+        for failure in failures
+        for fault in evidence.applied_faults
+    )
+
+
 def _is_closed_unanswered(outcome: Outcome) -> bool:
     """Whether a connection ended without an answer while its caller waited."""
     given_up = outcome.disconnected or outcome.end == "no answer in time"
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -17,6 +17,7 @@
     MAX_LOST_KEPT,
     check_all,
 )
+from soak.cuts import AppliedCut
 from soak.evidence import (
     HOLD_UP,
     AppliedFault,
@@ -249,3 +250,40 @@
     executions, running, _ = read_records(tmp_path)
     assert [each.id for each in executions] == ["r1", "r2"]
     assert running == ["i-1/r2"]
+
+
+@pytest.mark.parametrize(
+    ("restarted_at", "cut_until", "found"),
+    [
+        (38.0, 45.9, []),
+        # The host was restarted before the store failed.
+        (34.0, 45.9, ["cut-off"]),
+        # The store has answered again for long enough.
+        (38.0, 60.0, ["cut-off"]),
+    ],
+)
+def test_checks_excuse_unserved_tries_at_hosts_that_the_store_never_answered(
+    restarted_at: float, cut_until: float, found: list[str]
+) -> None:
+    faults = [
+        AppliedFault("fail-store", "store", 35.0, 40.0),
+        AppliedFault("kill-host", "east-1", restarted_at - 1.0, restarted_at),
+    ]
+    tries = []
+    for number in range(2000):
+        sent_at = 40.0 + number / 100.0
+        # Every other try is at the host that is cut off.
+        unserved = number % 2 == 0
+        outcome = make_outcome(status=503 if unserved else 200)
+        outcome.id, outcome.sent_at = f"t{number}", sent_at
+        outcome.host = "east-1" if unserved else "west-1"
+        outcome.answer.headers[SIGNATURE] = sign(outcome.id)
+        outcome.answer.body = make_body(outcome.id, UNSAFE.size)
+        tries.append(outcome)
+    evidence = make_evidence(
+        applied_faults=faults,
+        cuts=[AppliedCut(frozenset({"east-1"}), 30.0, cut_until)],
+        settled_at=90.0,
+    )
+    evidence.outcomes += tries
+    assert find(evidence) == found
