--- a/tests/gateway/test_cut_answers.py
+++ b/tests/gateway/test_cut_answers.py
@@ -130,3 +130,33 @@
         answered = await site.ask(east, b"POST", f"/books/{cut_at}", b"x", name)
         assert answered.status in (502, 503), (cut_at, answered)
     assert target.cuts_seen >= 0.9 * len(answer)
+
+
+@pytest.mark.parametrize("reset", [False, True], ids=["closed", "reset"])
+@pytest.mark.parametrize("kind", ["unsafe", "safe", "streaming"])
+async def test_answer_cut_on_a_kept_connection_is_never_passed_on_as_whole(
+    site: Site, kind: str, reset: bool
+) -> None:
+    body = EVENTS if kind == "streaming" else BODY
+    cutting = CuttingTarget("length", reset, body)
+
+    async def behave(seen: Seen, stream: trio.SocketStream) -> None:
+        if seen.target != "/books/whole":
+            await cutting.behave(seen, stream)
+            return
+        answer, _ = write_answer("length", seen.headers["request-id"], body)
+        await stream.send_all(answer)
+
+    target = await site.add_target("books", behave, slots=64)
+    site.configure(make_route("books", kind, max_attempts=1))
+    node = await site.start_gateway("host-1")
+    answer, _ = write_answer("length", "r100", body)
+    for cut_at in range(len(answer)):
+        whole = await site.ask(node, b"POST", "/books/whole", b"x", f"w{cut_at}")
+        assert (whole.status, whole.body, whole.whole) == (200, body, True)
+        name = f"r{100 + cut_at}"
+        answered = await site.ask(node, b"POST", f"/books/{cut_at}", b"x", name)
+        assert answered.status != 200 or not answered.whole, (cut_at, answered)
+    # Each cut ends a connection that has carried a whole answer.
+    assert cutting.cuts_seen == len(answer)
+    assert target.connections <= 1.1 * len(answer)
