--- a/src/lycheepath/gateway/discovery.py
+++ b/src/lycheepath/gateway/discovery.py
@@ -54,6 +54,8 @@
 # largest number of such readings.
 FIRST_PAST_REVISIONS = 64
 MAX_PAST_READS = 12
+# Time for which a peer that gave no copy isn't asked for another one.
+AVOID_PEER_S = 2.0
 # Longest pause between two checks of what is due.
 MAX_PAUSE_S = 0.25
 
@@ -69,6 +71,8 @@
         self._node = node
         self._freshness = Freshness(node.now())
         self._peer_update: tuple[HostRow, AvailableUpdate] | None = None
+        self._avoided_until: dict[str, float] = {}
+        self._copy_failed = False
         self._wakeup = trio.Event()
         self._last_answer_at = node.now()
         self._store_failing = False
@@ -91,9 +95,11 @@
         catalog = self._node.catalog
         local_status = CatalogStatus(catalog.version, catalog.revision, 0.0)
         update_kind = self._freshness.apply_status(local_status, peer_status, now)
-        if update_kind is not AvailableUpdate.NONE and (
-            self._peer_update is None or update_kind is AvailableUpdate.CONFIGURATION
-        ):
+        if update_kind is AvailableUpdate.NONE:
+            return
+        # A configuration is read from the store, whoever announces it.
+        is_configuration = update_kind is AvailableUpdate.CONFIGURATION
+        if is_configuration or not (self._peer_update or self._is_avoided(sender, now)):
             self._peer_update = sender, update_kind
             self._wakeup.set()
 
@@ -116,7 +122,10 @@
         node = self._node
         while True:
             update, self._peer_update = self._peer_update, None
-            if update is not None and update[1] is AvailableUpdate.CHANGES:
+            if self._copy_failed and self._wait_s() <= 0.0:
+                # Peers that give no copy don't put off the host's own reading.
+                await self._read_store(0.0)
+            elif update is not None and update[1] is AvailableUpdate.CHANGES:
                 await self._copy_from_peer(update[0], False)
             elif (
                 update is not None
@@ -171,6 +180,7 @@
         started_at = node.now()
         outage = not self.is_current(started_at)
         self._freshness.record_read(started_at)
+        self._copy_failed = False
         try:
             if self._needs_snapshot:
                 snapshot = await self._read_snapshot()
@@ -266,8 +276,23 @@
         try:
             copy = await fetch_copy(node, peer, with_configuration)
         except CallFailedError as error:
-            record_fault("copy-failed", subject=peer.id, reason=str(error))
+            now = node.now()
+            self._copy_failed = True
+            self._avoided_until = {
+                host: until
+                for host, until in self._avoided_until.items()
+                if now < until
+            }
+            self._avoided_until[peer.id] = now + AVOID_PEER_S
+            node.metrics.count("copies_failed_total")
+            record_fault(
+                "copy-failed",
+                subject=peer.id,
+                reason=str(error),
+                catalog_age_s=round(self._freshness.age_s(now), 3),
+            )
             return
+        self._copy_failed = False
         if copy is not None:
             changes = self._apply_copy(copy, outage)
             self._freshness.record_current_at(started_at - copy.age_s)
@@ -283,10 +308,16 @@
         self._needs_snapshot = node.catalog.routes is None
         return changes
 
+    def _is_avoided(self, peer: HostRow, now: float) -> bool:
+        """Whether a peer gave no copy when it was last asked."""
+        return now < self._avoided_until.get(peer.id, 0.0)
+
     def _pick_peer(self) -> HostRow | None:
         """Return a serving host, preferably of the local region."""
         node = self._node
-        peers = node.peers.view.ready_hosts(node.now())
+        now = node.now()
+        ready = node.peers.view.ready_hosts(now)
+        peers = [peer for peer in ready if not self._is_avoided(peer, now)] or ready
         local = [peer for peer in peers if peer.region == node.settings.region]
         return node.random.choice(local or peers) if peers else None
 
--- a/tests/gateway/test_unreachable_peers.py
+++ b/tests/gateway/test_unreachable_peers.py
@@ -45,7 +45,6 @@
     monkeypatch.setattr(node.pool, "acquire", acquire_unless_cut)
 
 
-@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt, issue 43")
 @pytest.mark.parametrize("others", [1, 3])
 async def test_leaving_targets_are_known_in_time_beside_unreachable_peers(
     site: Site, monkeypatch: pytest.MonkeyPatch, others: int
