--- a/src/lycheepath/core/placement/registry.py
+++ b/src/lycheepath/core/placement/registry.py
@@ -306,6 +306,13 @@
             speed.observe_read(took_s, request.unread_tokens + request.tokens_ahead)
         return target
 
+    def record_relayed_answer(self, key: int, now: float) -> None:
+        """Record that the answer to a relayed request is complete."""
+        request = self._requests.get(key)
+        if request is not None:
+            speed = self.speed(request.target.entry.service)
+            speed.observe_relayed_answer(now - request.sent_at)
+
     def find_request(self, key: int) -> InFlightRequest | None:
         """Return an in-flight request of this host, or None."""
         return self._requests.get(key)
--- a/src/lycheepath/core/placement/speed.py
+++ b/src/lycheepath/core/placement/speed.py
@@ -26,9 +26,9 @@
 # Factor on the weight of earlier observations with each new one; about 100 of them
 # count.
 RETENTION = 0.99
-# Upper bound of a read's observed time, as a multiple of the expected time; what takes
-# longer was mostly held up on its way, by a link or a process that stood still.
-MAX_READ_RATIO = 3.0
+# Upper bound of an observed time, as a multiple of the expected time; what takes longer
+# was mostly held up on its way, by a link or a process that stood still.
+MAX_OBSERVED_RATIO = 3.0
 # Minimum weight of a new answer in the means of a service without engines.
 SERVICE_WEIGHT = 0.05
 # Time in seconds that an answer is assumed to occupy a slot before any was observed.
@@ -66,7 +66,7 @@
         """Add the time until a prompt was read, and the tokens read until then."""
         for name in ("_n", "_x", "_y", "_xx", "_xy"):
             setattr(self, name, getattr(self, name) * RETENTION)
-        longest_s = MAX_READ_RATIO * self.estimate_read_s(tokens)
+        longest_s = MAX_OBSERVED_RATIO * self.estimate_read_s(tokens)
         self._add(float(tokens), min(took_s, longest_s), 1.0)
         spread = self._n * self._xx - self._x * self._x
         if spread <= 0.0:
@@ -80,11 +80,21 @@
         """Add the times until an answer began and until it ended."""
         self._answers += 1
         step = max(SERVICE_WEIGHT, 1.0 / (self._answers + 1))
-        self.begin_s += step * (min(began_s, MAX_SERVICE_S) - self.begin_s)
-        self.service_s += step * (min(took_s, MAX_SERVICE_S) - self.service_s)
+        self.begin_s += step * (_bound(began_s, self.begin_s) - self.begin_s)
+        self.service_s += step * (_bound(took_s, self.service_s) - self.service_s)
         step = max(OCCUPANCY_WEIGHT, 1.0 / (self._answers + 1))
         self.occupancy_s += step * (min(took_s, MAX_OCCUPANCY_S) - self.occupancy_s)
 
+    def observe_relayed_answer(self, took_s: float) -> None:
+        """
+        Add the time of an answer that another host relayed, an upper bound of ours.
+
+        Without it, a mean that is too long is never corrected at a host that relays all
+        requests because of it.
+        """
+        self.begin_s += SERVICE_WEIGHT * min(0.0, took_s - self.begin_s)
+        self.service_s += SERVICE_WEIGHT * min(0.0, took_s - self.service_s)
+
     def observe_occupancy(self, in_flight: int, slots: int, now: float) -> None:
         """Add the number of in-flight requests observed at a target with ``slots``."""
         if in_flight >= CROWDED_UTILIZATION * slots:
@@ -106,6 +116,11 @@
         self._xy += weight * tokens * took_s
 
 
+def _bound(observed_s: float, expected_s: float) -> float:
+    """Return an observed time of a service without engines, bounded."""
+    return min(observed_s, MAX_OBSERVED_RATIO * expected_s, MAX_SERVICE_S)
+
+
 def estimate_slot_wait_s(in_flight: int, slots: int, occupancy_s: float) -> float:
     """
     Return the time until a slot is free behind ``in_flight`` requests.
--- a/src/lycheepath/gateway/relay.py
+++ b/src/lycheepath/gateway/relay.py
@@ -173,6 +173,8 @@
             outcome, reusable = await forward_answer(
                 node, exchange, upstream, answer_head, last_activity
             )
+            if outcome.result is AttemptResult.ANSWERED:
+                node.registry.record_relayed_answer(exchange.number, node.now())
         return outcome
     except (
         BrokenAnswerError,
--- a/tests/core/placement/test_speed.py
+++ b/tests/core/placement/test_speed.py
@@ -5,7 +5,7 @@
 import pytest
 
 from lycheepath.core.placement.accuracy import PRIOR_RATIO
-from lycheepath.core.placement.speed import SpeedModel
+from lycheepath.core.placement.speed import INITIAL_SERVICE_S, SpeedModel
 
 
 @pytest.mark.parametrize("token_s", [9e-6, 2.7e-5])
@@ -68,3 +68,37 @@
     for _ in range(40):
         model.observe_read(slow_s, 500)
     assert model.estimate_read_s(500) == pytest.approx(slow_s, rel=0.1)
+
+
+@pytest.mark.parametrize("answers_before", [0, 5, 100])
+def test_first_answers_that_were_held_up_leave_later_requests_admitted(
+    answers_before: int,
+) -> None:
+    model = SpeedModel()
+    for _ in range(answers_before):
+        model.observe_answer(INITIAL_SERVICE_S, INITIAL_SERVICE_S)
+    # As the trace of a host that had just started: its first four answers took 0.9 s.
+    for _ in range(4):
+        model.observe_answer(0.9, 0.9)
+    assert PRIOR_RATIO * model.begin_s < 0.4
+
+
+def test_relayed_answers_correct_times_that_are_too_long_and_no_others() -> None:
+    model = SpeedModel()
+    for _ in range(60):
+        model.observe_answer(0.9, 0.9)
+    assert model.begin_s > 0.8
+    for _ in range(60):
+        model.observe_relayed_answer(0.04)
+    assert model.begin_s < 0.1
+    for _ in range(60):
+        model.observe_relayed_answer(0.5)
+    assert model.begin_s < 0.1
+
+
+def test_model_finds_services_that_are_far_slower_than_assumed() -> None:
+    model = SpeedModel()
+    for _ in range(60):
+        model.observe_answer(0.5, 0.8)
+    assert model.begin_s == pytest.approx(0.5, rel=0.1)
+    assert model.service_s == pytest.approx(0.8, rel=0.1)
