Log why a request that is given up had no other place

Change: 'no_place' in broken-off and in refusals 502, 'target_heard_s_ago' in send-failed lines. Nothing that is decided has changed.

--- a/src/lycheepath/gateway/exchange.py
+++ b/src/lycheepath/gateway/exchange.py
@@ -45,7 +45,8 @@
     event was passed on yet, empty: unknown), ``attempt_version`` and ``attempt_target``
     belong to the current attempt. ``relayed`` says that another host received it.
     ``started_head`` is the head of the stream that was started.
-    ``tried_hosts`` are the hosts that it was relayed to.
+    ``tried_hosts`` are the hosts that it was relayed to. ``no_place`` says why there was
+    no other target when the request was given up.
     """
 
     caller: CallerConnection
@@ -76,6 +77,7 @@
     attempt_target: str = ""
     relayed: bool = False
     started_head: AnswerHead | None = None
+    no_place: str = ""
     tried_hosts: set[str] = field(default_factory=set)
 
     def __post_init__(self) -> None:
--- a/src/lycheepath/gateway/serving.py
+++ b/src/lycheepath/gateway/serving.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from math import isfinite
 from typing import TYPE_CHECKING
 
 import trio
@@ -237,6 +238,7 @@
 ) -> None:
     """Answer a request for which all attempts have failed."""
     caller = exchange.caller
+    exchange.no_place = "" if absent is None else absent.detail
     if exchange.answer_started:
         _abort_answer(node, exchange)
         return
@@ -248,7 +250,10 @@
     reason = exchange.reason or ("" if absent is None else absent.detail)
     request_id, route = exchange.request_head.id, exchange.route.name
     if exchange.attempts.runs:
-        await _refuse(node, caller, request_id, UNKNOWN_STATUS, None, reason, route)
+        no_place = exchange.no_place
+        await _refuse(
+            node, caller, request_id, UNKNOWN_STATUS, None, reason, route, no_place
+        )
         return
     wait_s = RETRY_SOON_S if absent is None else absent.retry_after_s
     await _refuse(node, caller, request_id, NOT_RUN_STATUS, wait_s, reason, route)
@@ -296,6 +301,7 @@
     wait_s: float | None,
     reason: str,
     route: str = "",
+    no_place: str = "",
 ) -> None:
     headers = []
     if request_id:
@@ -309,6 +315,7 @@
         route=route,
         status=status,
         reason=reason,
+        no_place=no_place,
         retry_after_s=wait_s,
         version=node.catalog.version,
     )
@@ -343,6 +350,7 @@
         first_s=exchange.first_event_s and round(exchange.first_event_s, 4),
         longest_gap_s=round(exchange.longest_gap_s, 4),
         ended_with_connection=exchange.ended_with_connection,
+        no_place=exchange.no_place,
         version=node.catalog.version,
     )
 
@@ -376,6 +384,7 @@
     node: GatewayNode, exchange: Exchange, placed: Placement, outcome: SendOutcome
 ) -> None:
     node.metrics.count("sends_failed_total", result=outcome.result.value)
+    heard_s_ago = node.now() - placed.target.last_contact_at
     record_event(
         "send-failed",
         request=exchange.request_head.id,
@@ -383,5 +392,6 @@
         result=outcome.result.value,
         reason=outcome.reason,
         events=exchange.cutter.event_count,
+        target_heard_s_ago=round(heard_s_ago, 3) if isfinite(heard_s_ago) else None,
         revision=node.catalog.revision,
     )
