Keep silent attempts open until another one answers

Callers saw streams that broke off after their first events, and answers 502 to safe requests, while sound targets sent nothing for 1.3 s and then went on.

Cause: an attempt was ended by its silence before it was known whether anything could replace it: a target of the stream's version, a permit, room, a retry. The second host of a relayed request ended it by its own timer, which knows nothing of the places that the first one has. The class: something is ended for what might be, before what replaces it is there.

Ruled out: asking for a place before ending the attempt; a place that is there when asked may be gone when used, and the target may go on first.

Change: silence is reported, and ends nothing. The request is placed again beside the silent attempt; the first attempt that has something for the caller takes it over, and the others are closed at once. Attempts in flight count as runs. Forwarding is a module of its own, since each attempt has its own splitter and state.

--- a/src/lycheepath/core/placement/choice.py
+++ b/src/lycheepath/core/placement/choice.py
@@ -344,7 +344,7 @@
         # What this host has observed of it is due to the link.
         return False
     health = target.health
-    if health.is_ejected(now) or now < health.paused_until:
+    if health.is_ejected(now) or health.is_paused(now):
         return True
     if (health.on_probation or health.refusals > 0) and target.requests:
         return True
--- a/src/lycheepath/core/placement/registry.py
+++ b/src/lycheepath/core/placement/registry.py
@@ -131,7 +131,7 @@
         """Return the target's trust state for the log."""
         if self.health.is_ejected(now):
             return "ejected"
-        if now < self.health.paused_until:
+        if self.health.is_paused(now):
             return "paused"
         return "on probation" if self.health.on_probation else "trusted"
 
@@ -290,6 +290,7 @@
                 self._observe_estimate_error(request, now)
             return None
         target.last_contact_at = now
+        target.health.record_activity()
         if request.first_event_at is not None:
             if before is not None:
                 gap_s = (now - before) / max(1, count)
--- a/src/lycheepath/core/retries/window.py
+++ b/src/lycheepath/core/retries/window.py
@@ -35,13 +35,17 @@
 
     def take(self, service: str, hosts: int, now: float) -> bool:
         """Take one retry as one of ``hosts`` hosts; return False if there is none."""
-        requests = len(self._trim(self._requests, service, now))
-        retries = self._trim(self._retries, service, now)
-        if len(retries) + 1 > self._ratio * requests + self._allowance / max(1, hosts):
+        if not self.may_take(service, hosts, now):
             return False
-        retries.append(now)
+        self._retries[service].append(now)
         return True
 
+    def may_take(self, service: str, hosts: int, now: float) -> bool:
+        """Return whether there is a retry for one of ``hosts`` hosts."""
+        requests = len(self._trim(self._requests, service, now))
+        retries = len(self._trim(self._retries, service, now))
+        return retries + 1 <= self._ratio * requests + self._allowance / max(1, hosts)
+
     def _trim(
         self, times: dict[str, deque[float]], service: str, now: float
     ) -> deque[float]:
--- a/src/lycheepath/core/routing/health.py
+++ b/src/lycheepath/core/routing/health.py
@@ -25,6 +25,8 @@
 FIRST_PAUSE_S = 0.5
 MAX_PAUSE_S = 8.0
 MAX_COUNTED_REFUSALS = 16
+# Time for which a silent target is used only if there is no other.
+SILENCE_PAUSE_S = 1.0
 
 
 @dataclass(slots=True)
@@ -41,6 +43,7 @@
     refusals: int = 0
     paused_until: float = 0.0
     refused_at: float = float("-inf")
+    silent_until: float = float("-inf")
 
     def record_success(self) -> None:
         """Record a complete answer; it ends the probation of an ejected target."""
@@ -70,6 +73,19 @@
         """Record an answer, which ends the pause after refused connections."""
         self.refusals = 0
         self.paused_until = 0.0
+        self.record_activity()
+
+    def record_silence(self, now: float) -> None:
+        """Record that the target has sent nothing for too long; it may still go on."""
+        self.silent_until = now + SILENCE_PAUSE_S
+
+    def record_activity(self) -> None:
+        """Record that the target goes on after a silence."""
+        self.silent_until = float("-inf")
+
+    def is_paused(self, now: float) -> bool:
+        """Whether the target is silent, or has refused connections, at the moment."""
+        return now < self.paused_until or now < self.silent_until
 
     def record_report(self, measured_at: float) -> None:
         """End the pause of a target whose load report is newer than its refusal."""
--- a/src/lycheepath/core/serving/attempts.py
+++ b/src/lycheepath/core/serving/attempts.py
@@ -36,10 +36,35 @@
 
 @dataclass(slots=True)
 class AttemptCounts:
-    """The attempts of one request; ``runs`` are those that may have run."""
+    """
+    The attempts of one request.
+
+    ``sends`` and ``runs`` count those that have ended, and those of them that may have
+    run. ``in_flight`` are in progress and may be running.
+    """
 
     sends: int = 0
     runs: int = 0
+    in_flight: int = 0
+
+    @property
+    def started(self) -> int:
+        """The number of attempts that have been made."""
+        return self.sends + self.in_flight
+
+    @property
+    def may_have_run(self) -> int:
+        """The number of attempts that may have run."""
+        return self.runs + self.in_flight
+
+    def start(self) -> None:
+        """Count an attempt that begins."""
+        self.in_flight += 1
+
+    def end(self, result: AttemptResult) -> None:
+        """Count the end of an attempt that was counted when it began."""
+        self.in_flight -= 1
+        self.record(result)
 
     def record(self, result: AttemptResult) -> None:
         """Count an attempt by its result."""
@@ -49,16 +74,21 @@
 
 
 def may_run_again(route: Route, attempts: AttemptCounts) -> bool:
-    """Return whether another run may follow the one in flight, not counted yet."""
-    return route.repeatable and attempts.runs + 1 < route.max_attempts
+    """Return whether another run may follow those that may have run."""
+    return route.repeatable and attempts.may_have_run < route.max_attempts
+
+
+def may_start_another(route: Route, attempts: AttemptCounts) -> bool:
+    """Return whether the route allows another attempt, beside those in flight."""
+    if attempts.started >= MAX_SENDS:
+        return False
+    return attempts.may_have_run == 0 or may_run_again(route, attempts)
 
 
 def may_send_again(
     route: Route, attempts: AttemptCounts, result: AttemptResult
 ) -> bool:
     """Return whether the route allows another attempt after ``result``."""
-    if attempts.sends >= MAX_SENDS or result is AttemptResult.ANSWERED:
+    if result is AttemptResult.ANSWERED:
         return False
-    if attempts.runs == 0:
-        return True
-    return route.repeatable and attempts.runs < route.max_attempts
+    return may_start_another(route, attempts)
--- a/src/lycheepath/core/serving/events.py
+++ b/src/lycheepath/core/serving/events.py
@@ -55,10 +55,11 @@
             if self._should_pass(event)
         )
 
-    def restart(self) -> None:
-        """Discard an incomplete event, before the answer of another target."""
-        self._partial = b""
-        self.received_id = None
+    def fork(self) -> EventSplitter:
+        """Return a splitter for another answer, after the events passed on so far."""
+        splitter = EventSplitter(self.last_id)
+        splitter.event_count = self.event_count
+        return splitter
 
     def check_end(self, identified: bool) -> None:
         """
--- a/src/lycheepath/gateway/containment.py
+++ b/src/lycheepath/gateway/containment.py
@@ -32,6 +32,7 @@
     from ..core.catalog.model import Instance
     from ..core.placement.registry import TargetState
     from ..core.serving.crash_reports import CrashReport
+    from .attempts import Attempt
     from .exchange import Exchange
     from .node import GatewayNode
 
@@ -97,7 +98,7 @@
         block = self.evidence.find_block(exchange.features, now)
         if block is None:
             return None
-        first_try = not exchange.attempts.runs
+        first_try = not exchange.attempts.may_have_run
         if first_try and (exchange.on_trial or self._may_try(block, exchange, now)):
             return None
         age_s = now - block.last_end_at
@@ -118,10 +119,11 @@
         )
         return Absent(Reason.QUARANTINED, wait_s, detail)
 
-    def note_break(self, exchange: Exchange, target: TargetState) -> NotedBreak | None:
+    def note_break(self, attempt: Attempt, target: TargetState) -> NotedBreak | None:
         """Return what the end of a request's connection shows, None if it was due."""
         now = self._node.now()
-        request = self._node.registry.find_request(exchange.number)
+        exchange = attempt.exchange
+        request = self._node.registry.find_request(attempt.number)
         if request is None or _is_leaving(target, now):
             return None
         if self._is_fall(target):
@@ -157,11 +159,17 @@
             return
         self._fail_unproven(target.entry.instance, self._node.now())
 
-    def record_answer(self, exchange: Exchange, target: TargetState) -> None:
-        """Record an answer that has ended without an error."""
+    def record_answer(
+        self, exchange: Exchange, target: TargetState, ended_with_connection: bool
+    ) -> None:
+        """
+        Record an answer that has ended without an error.
+
+        One without framing ended with its connection.
+        """
         node = self._node
         now = node.now()
-        if exchange.ended_with_connection:
+        if ended_with_connection:
             answer = _UnprovenAnswer(target.entry.instance, now, exchange.features)
             self._unproven.append(answer)
             del self._unproven[:-MAX_UNPROVEN]
--- a/src/lycheepath/gateway/exchange.py
+++ b/src/lycheepath/gateway/exchange.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from ..adapters.http1.downstream import CallerConnection, ReceivedRequest
     from ..core.catalog.model import Route
-    from ..core.serving.answers import AnswerHead, ReportedLoad
+    from ..core.serving.answers import AnswerHead
     from ..core.serving.requests import RequestHead
 
 
@@ -34,17 +34,14 @@
     ``deadline`` is the earlier of the caller's and the route's deadline, on the
     loop's clock. ``waited_s`` is the time that the request spent at another host
     before this one received it; ``committed`` says that the other host has sent it to
-    a target before. ``failed_answer`` is the last failure answer of a target.
-    ``reported_load`` is the load that the last target reported. ``extra_headers`` are
-    added to the answer for the host that relayed the request. ``first_event_s`` is
+    a target before. ``failed_answer`` is the last failure answer of a target. ``cutter``
+    is that of the attempt whose events were passed on last. ``first_event_s`` is
     the time from the request to the first event of its answer, ``longest_gap_s`` the
     longest pause between two events. ``outcome_logged`` says that the outcome of the
-    request has been logged, ``ended_with_connection`` that its last answer had no
-    framing and ended with its connection. ``on_trial`` says that it tries a blocked part
+    request has been logged. ``on_trial`` says that it tries a blocked part
     of its prompt. ``version`` is the software version that began its stream (None: no
-    event was passed on yet, empty: unknown), ``attempt_version`` and ``attempt_target``
-    belong to the current attempt. ``relayed`` says that another host received it.
-    ``started_head`` is the head of the stream that was started.
+    event was passed on yet, empty: unknown). ``relayed`` says that another host received
+    it. ``started_head`` is the head of the stream that was started.
     ``tried_hosts`` are the hosts that it was relayed to. ``no_place`` says why there was
     no other target when the request was given up.
     """
@@ -61,20 +58,15 @@
     cutter: EventSplitter = field(init=False)
     features: tuple[str, ...] = field(init=False)
     failed_answer: FailedAnswer | None = None
-    reported_load: ReportedLoad | None = None
     reason: str = ""
     waited_s: float = 0.0
     committed: bool = False
-    extra_headers: tuple[tuple[bytes, bytes], ...] = ()
     first_event_s: float | None = None
     last_event_at: float = 0.0
     longest_gap_s: float = 0.0
     outcome_logged: bool = False
-    ended_with_connection: bool = False
     on_trial: bool = False
     version: str | None = None
-    attempt_version: str = ""
-    attempt_target: str = ""
     relayed: bool = False
     started_head: AnswerHead | None = None
     no_place: str = ""
--- a/src/lycheepath/gateway/inactivity.py
+++ b/src/lycheepath/gateway/inactivity.py
@@ -1,7 +1,7 @@
 """
-Cancels attempts whose target or host has stopped sending data.
+Reports attempts whose target or host has stopped sending data.
 
-A request that waits behind others is not treated as stalled: while the other side
+A silent target may be sound and go on, so nothing is ended here. A request that waits behind others is not treated as stalled: while the other side
 shows activity on other connections, an attempt may exceed its limit by
 ``MAX_WAIT_FACTOR``.
 """
@@ -20,23 +20,25 @@
 # Interval between two checks of all attempts, while there are any.
 CHECK_INTERVAL_S = 0.1
 # A single connection may stall although its other side is alive. Therefore an attempt
-# is cancelled after its limit times this factor, whatever the activity elsewhere.
+# counts as silent after its limit times this factor, whatever the activity elsewhere.
 MAX_WAIT_FACTOR = 3.0
 NO_LIMIT_S = float("inf")
 
 
-class SilentTargetError(Exception):
-    """The other side sent nothing for longer than the request's limit."""
-
-
 @dataclass(slots=True)
 class InactivityTimer:
-    """An inactivity timer for one attempt; a stream reuses it for each event."""
+    """
+    An inactivity timer for one attempt; a stream reuses it for each event.
+
+    ``report`` is called with the start of a silence that exceeds the limit, and with
+    None once it is over.
+    """
 
-    scope: trio.CancelScope
     started_at: float
     limit_s: float
     last_activity: Callable[[], float]
+    report: Callable[[float | None], None]
+    silent: bool = False
 
     def restart(self, limit_s: float) -> None:
         """Start waiting for the next data, which is due within ``limit_s``."""
@@ -52,6 +54,22 @@
         """Continue the wait that ``suspend`` interrupted, with its old start."""
         self.limit_s = limit_s
 
+    def end_silence(self) -> None:
+        """Report that the other side goes on, if it was silent."""
+        if self.silent:
+            self.silent = False
+            self.report(None)
+
+    def check(self, now: float) -> None:
+        """Report a silence that exceeds the limit, once."""
+        if self.silent:
+            return
+        waited_s = now - self.started_at
+        silent_s = now - max(self.started_at, self.last_activity())
+        if silent_s > self.limit_s or waited_s > MAX_WAIT_FACTOR * self.limit_s:
+            self.silent = True
+            self.report(self.started_at)
+
 
 class InactivityMonitor:
     """State: the timers of the attempts that wait for data."""
@@ -62,24 +80,27 @@
 
     @contextmanager
     def watch(
-        self, key: int, limit_s: float, last_activity: Callable[[], float]
+        self,
+        key: int,
+        limit_s: float,
+        last_activity: Callable[[], float],
+        report: Callable[[float | None], None],
     ) -> Iterator[InactivityTimer]:
         """
-        Raise SilentTargetError in the block if the other side stops sending data.
+        Report in the block when the other side stops sending data, and goes on.
 
         ``last_activity`` returns the time at which the other side last showed any
-        activity, on this or another connection.
+        activity, on this or another connection. ``report`` is called as by
+        ``InactivityTimer``. A silence ends with the block, unless that raises.
         """
-        with trio.CancelScope() as scope:
-            timer = InactivityTimer(scope, trio.current_time(), limit_s, last_activity)
-            self._timers[key] = timer
-            self._timer_added.set()
-            try:
-                yield timer
-            finally:
-                self._timers.pop(key, None)
-        if scope.cancelled_caught:
-            raise SilentTargetError(f"no sign for {timer.limit_s:.3f} s")
+        timer = InactivityTimer(trio.current_time(), limit_s, last_activity, report)
+        self._timers[key] = timer
+        self._timer_added.set()
+        try:
+            yield timer
+            timer.end_silence()
+        finally:
+            self._timers.pop(key, None)
 
     async def run(self) -> None:
         """Check all attempts periodically until cancelled."""
@@ -105,10 +126,6 @@
             timer.started_at += held_up_s
 
     def check(self, now: float) -> None:
-        """Cancel the attempts whose other side has been inactive for too long."""
-        for timer in self._timers.values():
-            waited_s = now - timer.started_at
-            silent_s = now - max(timer.started_at, timer.last_activity())
-            max_wait_s = MAX_WAIT_FACTOR * timer.limit_s
-            if silent_s > timer.limit_s or waited_s > max_wait_s:
-                timer.scope.cancel()
+        """Report the attempts whose other side has been inactive for too long."""
+        for timer in list(self._timers.values()):
+            timer.check(now)
--- a/src/lycheepath/gateway/node.py
+++ b/src/lycheepath/gateway/node.py
@@ -251,7 +251,7 @@
             )
             retry_s = max(MIN_RETRY_AFTER_S, wait_s)
             absent = Absent(Reason.RATE_LIMITED, retry_s, AT_LIMITS)
-        return self.permits.spread_returns(exchange.service, absent)
+        return absent
 
     async def _choose(
         self, exchange: Exchange, context: PlacementContext
@@ -299,7 +299,7 @@
             exchange.request_head.prompt,
             now - exchange.received_at,
             exchange.deadline - now,
-            exchange.committed or exchange.attempts.sends > 0,
+            exchange.committed or exchange.attempts.started > 0,
             self.versions.find_bound_version(exchange),
         )
 
--- a/src/lycheepath/gateway/relay.py
+++ b/src/lycheepath/gateway/relay.py
@@ -27,14 +27,11 @@
 from ..core.serving.attempts import AttemptResult
 from ..core.serving.events import EventOrderError
 from ..platform.headers import find_request_id, read_answer, read_request
+from .attempts import SendOutcome, make_attempt, watch_silence
 from .exchange import Exchange
-from .inactivity import SilentTargetError
+from .forwarding import WrongVersionError, find_head_timeout_s, forward_answer
 from .sending import (
-    SendOutcome,
-    WrongVersionError,
     abandon,
-    find_head_timeout_s,
-    forward_answer,
     log_target_changes,
     record_answer_head,
     send_to_target,
@@ -47,14 +44,15 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Callable, Collection
 
     from ..adapters.http1.downstream import CallerConnection, ReceivedRequest
     from ..adapters.http1.upstream import Upstream
     from ..core.catalog.model import Route
     from ..core.fleet.view import HostRow
-    from ..core.placement.model import Placement, PlacementContext
+    from ..core.placement.model import PlacementContext
     from ..core.placement.registry import TargetState
+    from .attempts import Attempt
     from .node import GatewayNode
 
 SERVICE_HEADER = b"lycheepath-service"
@@ -124,9 +122,14 @@
 
 
 async def send_to_region(
-    node: GatewayNode, exchange: Exchange, placed: Placement
+    node: GatewayNode, attempt: Attempt, on_silence: Callable[[], None]
 ) -> SendOutcome:
-    """Send a request to another host of the target's region; forward its answer."""
+    """
+    Send a request to another host of the target's region; forward its answer.
+
+    ``on_silence`` is called when the host is silent for too long, and when it goes on.
+    """
+    exchange, placed = attempt.exchange, attempt.placed
     connected = await _connect_host(node, exchange, placed.target.region)
     if isinstance(connected, str):
         return SendOutcome(AttemptResult.NOT_RUN, AttemptOutcome.NOT_RUN, connected)
@@ -134,7 +137,7 @@
     reusable = False
     prompt = exchange.request_head.prompt
     node.registry.record_relay(
-        exchange.number,
+        attempt.number,
         placed.target,
         placed.priority or 0,
         prompt.tokens - placed.cached_tokens if prompt else 0,
@@ -143,13 +146,13 @@
     )
     sent_at = node.now()
     try:
-        timeout_s = find_head_timeout_s(exchange)
         last_activity = partial(node.peers.view.last_heartbeat_at, host.id)
-        with node.inactivity.watch(exchange.number, timeout_s, last_activity):
+        watch = watch_silence(node, attempt, last_activity, on_silence)
+        with watch(find_head_timeout_s(exchange)):
             status, headers = await upstream.request(
                 exchange.request.method,
                 exchange.request.target,
-                _write_headers(node, exchange, placed.target.region),
+                _write_headers(node, attempt),
                 exchange.request.body,
             )
         fields = dict(headers)
@@ -167,27 +170,22 @@
             answering = node.registry.targets.get(target_id)
             if placed.target.region == node.settings.region:
                 node.links.record_peer_answer(target_id)
-            _record_version(exchange, target_id, answering, fields)
+            _record_version(attempt, target_id, answering, fields)
             if answering is not None and prompt and answer_head.succeeded:
                 node.registry.record_prompt_parts(answering, prompt.parts)
             outcome, reusable = await forward_answer(
-                node, exchange, upstream, answer_head, last_activity
+                node, attempt, upstream, answer_head, watch
             )
             if outcome.result is AttemptResult.ANSWERED:
-                node.registry.record_relayed_answer(exchange.number, node.now())
+                node.registry.record_relayed_answer(attempt.number, node.now())
         return outcome
-    except (
-        BrokenAnswerError,
-        EventOrderError,
-        SilentTargetError,
-        WrongVersionError,
-    ) as error:
+    except (BrokenAnswerError, EventOrderError, WrongVersionError) as error:
         return SendOutcome(
             AttemptResult.LOST, AttemptOutcome.UNDETERMINED, f"{host.id}: {error}"
         )
     finally:
         node.registry.record_end(
-            exchange.number, AttemptOutcome.UNDETERMINED, node.now()
+            attempt.number, AttemptOutcome.UNDETERMINED, node.now()
         )
         log_target_changes(node)
         if reusable:
@@ -217,17 +215,17 @@
 
 
 def _record_version(
-    exchange: Exchange,
+    attempt: Attempt,
     target_id: str,
     target: TargetState | None,
     fields: dict[bytes, bytes],
 ) -> None:
     """Record the version of the target that answers through the other host."""
-    exchange.attempt_target = target_id
-    exchange.attempt_version = fields.get(VERSION_HEADER, b"").decode("latin-1")
-    if not exchange.attempt_version and target is not None:
+    attempt.target = target_id
+    attempt.version = fields.get(VERSION_HEADER, b"").decode("latin-1")
+    if not attempt.version and target is not None:
         # Hosts of earlier versions name only the target.
-        exchange.attempt_version = target.entry.version
+        attempt.version = target.entry.version
 
 
 def is_host_call(request: ReceivedRequest) -> bool:
@@ -327,11 +325,14 @@
         )
         return
     entry = placed.target.entry
-    exchange.extra_headers = (
+    attempt = make_attempt(node, exchange, placed)
+    attempt.extra_headers = (
         (TARGET_HEADER, entry.id.encode()),
         (VERSION_HEADER, entry.version.encode("latin-1", "replace")),
     )
-    outcome = await send_to_target(node, exchange, placed)
+    exchange.attempts.start()
+    # The first host decides what is done about a silent target.
+    outcome = await send_to_target(node, attempt, lambda: None)
     record_event(
         "relayed",
         request=exchange.request_head.id,
@@ -382,9 +383,8 @@
     await caller.answer(503, headers, b"")
 
 
-def _write_headers(
-    node: GatewayNode, exchange: Exchange, region: str
-) -> list[tuple[bytes, bytes]]:
+def _write_headers(node: GatewayNode, attempt: Attempt) -> list[tuple[bytes, bytes]]:
+    exchange, region = attempt.exchange, attempt.placed.target.region
     now = node.now()
     waited_s = now - exchange.received_at
     headers = [h for h in exchange.request_head.headers if h[0] not in RELAY_HEADERS]
@@ -393,9 +393,9 @@
         (LEFT_MS_HEADER, b"%d" % int((exchange.deadline - now) * 1000)),
         (WAITED_MS_HEADER, b"%d" % int(waited_s * 1000)),
     ]
-    if exchange.cutter.last_id is not None:
-        headers.append((LAST_EVENT_HEADER, b"%d" % exchange.cutter.last_id))
-    if exchange.attempts.sends:
+    if attempt.cutter.last_id is not None:
+        headers.append((LAST_EVENT_HEADER, b"%d" % attempt.cutter.last_id))
+    if exchange.attempts.started > 1:
         headers.append((COMMITTED_HEADER, b"1"))
     if exchange.on_trial:
         headers.append((TRIAL_HEADER, b"1"))
--- a/src/lycheepath/gateway/serving.py
+++ b/src/lycheepath/gateway/serving.py
@@ -8,8 +8,8 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import replace
-from math import isfinite
 from typing import TYPE_CHECKING
 
 import trio
@@ -18,12 +18,14 @@
 from ..adapters.http1.downstream import CallerGoneError
 from ..core.catalog.model import RouteKind
 from ..core.catalog.routes import draw_service
+from ..core.placement.silence import find_heard_s_ago
 from ..core.reasons import Absent, Reason
-from ..core.serving.attempts import AttemptResult, may_send_again
+from ..core.serving.attempts import AttemptResult, may_start_another
 from ..platform.headers import find_request_id, read_request
+from .attempts import Attempt, AttemptRace
 from .exchange import Exchange
 from .relay import send_to_region
-from .sending import SendOutcome, send_to_target
+from .sending import send_to_target
 from .telemetry import (
     END_REASON,
     FAULT_REASON,
@@ -33,8 +35,11 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ..adapters.http1.downstream import CallerConnection, ReceivedRequest
     from ..core.placement.model import Placement, PreviousAttempts
+    from .attempts import SendOutcome
     from .node import GatewayNode
 
 NOT_RUN_STATUS = 503
@@ -50,6 +55,13 @@
 LATE_REFUSAL_TIMEOUT_S = 1.0
 # Retry-after time while no configuration or no target is known.
 RETRY_SOON_S = 0.5
+# Interval at which another place is looked for while all attempts are silent.
+PLACE_AGAIN_S = 0.25
+# Why no other attempt is made.
+NO_ATTEMPT = "the route allows no other attempt"
+NO_RETRY = "the retry budget is used up"
+# The reason of an attempt that was silent until another one answered.
+REPLACED_REASON = "another attempt has answered"
 # Largest number of parts of a prompt that are named in a log line.
 MAX_LOGGED_PARTS = 8
 # Retry-after times are increased randomly by up to this share, so that refused callers
@@ -159,34 +171,104 @@
         if unbound is not None:
             await _give_up(node, exchange, unbound)
             return
+    ending = await _answer_by_attempts(node, exchange)
+    if isinstance(ending, Attempt):
+        _log_outcome(node, exchange, "answered", 200, ending)
+        return
+    await _give_up(node, exchange, ending)
+
+
+async def _answer_by_attempts(
+    node: GatewayNode, exchange: Exchange
+) -> Attempt | Absent | None:
+    """
+    Make attempts until one answers; return that one, or why no other can be made.
+
+    None means that the route or the retry budget allows no other.
+    """
+    ending: Attempt | Absent | None = None
+    fault: Exception | None = None
+    async with trio.open_nursery() as nursery:
+        race = AttemptRace(node, exchange, nursery, _send)
+        try:
+            ending = await _run_race(node, exchange, race)
+        except Exception as error:
+            # A nursery would raise it within a group.
+            fault = error
+        nursery.cancel_scope.cancel()
+    if fault is not None:
+        raise fault
+    return ending
+
+
+async def _run_race(
+    node: GatewayNode, exchange: Exchange, race: AttemptRace
+) -> Attempt | Absent | None:
     while True:
-        await _wait_for_targets(node, exchange)
-        await node.links.await_evidence(exchange.features)
-        blocked = node.containment.find_refusal(exchange)
-        if blocked is not None:
+        if race.needs_another:
+            absent = await _start_another(node, exchange, race)
+            if not race.running:
+                return absent
+        await race.wait(PLACE_AGAIN_S if race.needs_another else math.inf)
+        for attempt in race.take_ended():
+            if attempt.error is not None:
+                raise attempt.error
+            if attempt.outcome.result is AttemptResult.ANSWERED:
+                return attempt
+            _log_send_failure(node, attempt)
+            if not attempt.replaced:
+                exchange.reason = attempt.outcome.reason
+                exchange.previous_attempts = _add_attempt(node, attempt)
+
+
+async def _start_another(
+    node: GatewayNode, exchange: Exchange, race: AttemptRace
+) -> Absent | None:
+    """
+    Place a request beside the attempts that are silent; return why it can't be.
+
+    Nothing is started if one of them goes on meanwhile.
+    """
+    exchange.no_place = ""
+    is_repeat = exchange.attempts.started > 0
+    if is_repeat and not _may_repeat(node, exchange):
+        return None
+    for attempt in race.running:
+        exchange.previous_attempts = _add_attempt(node, attempt)
+    await _wait_for_targets(node, exchange)
+    await node.links.await_evidence(exchange.features)
+    blocked = node.containment.find_refusal(exchange)
+    if blocked is not None:
+        if not race.running:
             exchange.reason = blocked.detail
-            await _give_up(node, exchange, blocked)
-            return
-        placed = await node.place(exchange, node.build_request_context(exchange))
-        if isinstance(placed, Absent):
-            await _give_up(node, exchange, placed)
-            return
-        _log_placed(node, exchange, placed)
-        outcome = await _send(node, exchange, placed)
-        exchange.attempts.record(outcome.result)
-        if outcome.result is AttemptResult.ANSWERED:
-            _log_outcome(node, exchange, "answered", 200, placed)
-            return
-        exchange.reason = outcome.reason
-        _log_send_failure(node, exchange, placed, outcome)
-        exchange.previous_attempts = _add_attempt(
-            node, exchange.previous_attempts, placed, outcome
-        )
-        may_retry = may_send_again(exchange.route, exchange.attempts, outcome.result)
-        hosts = node.count_hosts()
-        if not may_retry or not node.retries.take(exchange.service, hosts, node.now()):
-            await _give_up(node, exchange, None)
-            return
+        return blocked
+    placed = await node.place(exchange, node.build_request_context(exchange))
+    if isinstance(placed, Absent):
+        exchange.no_place = placed.detail
+        if race.running:
+            return placed
+        return node.permits.spread_returns(exchange.service, placed)
+    if not race.needs_another:
+        return None
+    if is_repeat and not node.retries.take(
+        exchange.service, node.count_hosts(), node.now()
+    ):
+        exchange.no_place = NO_RETRY
+        return None
+    _log_placed(node, exchange, placed)
+    race.start(placed)
+    return None
+
+
+def _may_repeat(node: GatewayNode, exchange: Exchange) -> bool:
+    """Whether the route and the retry budget allow another attempt."""
+    if not may_start_another(exchange.route, exchange.attempts):
+        exchange.no_place = NO_ATTEMPT
+        return False
+    if not node.retries.may_take(exchange.service, node.count_hosts(), node.now()):
+        exchange.no_place = NO_RETRY
+        return False
+    return True
 
 
 async def _wait_for_targets(node: GatewayNode, exchange: Exchange) -> None:
@@ -199,19 +281,15 @@
             await node.catalog_changed.wait()
 
 
-def _add_attempt(
-    node: GatewayNode,
-    previous: PreviousAttempts,
-    placed: Placement,
-    outcome: SendOutcome,
-) -> PreviousAttempts:
-    target = placed.target
-    if placed.is_remote and (
-        outcome.unreachable or target.region == node.settings.region
-    ):
+def _add_attempt(node: GatewayNode, attempt: Attempt) -> PreviousAttempts:
+    """Return where a request has been tried, with an attempt that failed or is silent."""
+    previous = attempt.exchange.previous_attempts
+    target, outcome = attempt.placed.target, attempt.outcome
+    is_remote = attempt.placed.is_remote
+    if is_remote and (outcome.unreachable or target.region == node.settings.region):
         # Another host of that region may reach its targets.
         return previous
-    if placed.is_remote:
+    if is_remote:
         return replace(previous, regions=previous.regions | {target.region})
     if outcome.result is AttemptResult.FAILED:
         return replace(previous, failed=previous.failed | {target.entry.id})
@@ -219,18 +297,14 @@
 
 
 async def _send(
-    node: GatewayNode, exchange: Exchange, placed: Placement
+    node: GatewayNode, attempt: Attempt, on_silence: Callable[[], None]
 ) -> SendOutcome:
-    try:
-        if placed.is_remote:
-            if placed.target.region == node.settings.region:
-                node.metrics.count("relays_to_peers_total")
-            return await send_to_region(node, exchange, placed)
-        return await send_to_target(node, exchange, placed)
-    except BaseException:
-        # Whether the request has run isn't known after a fault, nor if it was cancelled.
-        exchange.attempts.record(AttemptResult.LOST)
-        raise
+    target = attempt.placed.target
+    if not attempt.placed.is_remote:
+        return await send_to_target(node, attempt, on_silence)
+    if target.region == node.settings.region:
+        node.metrics.count("relays_to_peers_total")
+    return await send_to_region(node, attempt, on_silence)
 
 
 async def _give_up(
@@ -238,7 +312,6 @@
 ) -> None:
     """Answer a request for which all attempts have failed."""
     caller = exchange.caller
-    exchange.no_place = "" if absent is None else absent.detail
     if exchange.answer_started:
         _abort_answer(node, exchange)
         return
@@ -328,8 +401,10 @@
     exchange: Exchange,
     event: str,
     status: int,
-    placed: Placement | None = None,
+    attempt: Attempt | None = None,
 ) -> None:
+    placed = attempt and attempt.placed
+    load = attempt and attempt.reported_load
     took_s = node.now() - exchange.received_at
     exchange.outcome_logged = True
     record_outcome(node, exchange, event)
@@ -343,13 +418,13 @@
         aim_s=exchange.route.aim_s,
         sends=exchange.attempts.sends,
         target=placed.target.entry.id if placed else "",
-        target_running=exchange.reported_load and exchange.reported_load.running,
-        target_waiting=exchange.reported_load and exchange.reported_load.waiting,
+        target_running=load and load.running,
+        target_waiting=load and load.waiting,
         urgency=placed.priority if placed else None,
         expected_s=round(placed.first_event_s, 4) if placed else None,
         first_s=exchange.first_event_s and round(exchange.first_event_s, 4),
         longest_gap_s=round(exchange.longest_gap_s, 4),
-        ended_with_connection=exchange.ended_with_connection,
+        ended_with_connection=attempt is not None and attempt.ended_with_connection,
         no_place=exchange.no_place,
         version=node.catalog.version,
     )
@@ -372,7 +447,7 @@
         last_event=exchange.cutter.last_id,
         in_flight=target.count_in_flight(node.now()),
         rate_limit=target.availability.rate_limit.rate,
-        attempt=exchange.attempts.sends + 1,
+        attempt=exchange.attempts.started + 1,
         left_s=round(exchange.deadline - node.now(), 3),
         version=node.catalog.version,
         revision=node.catalog.revision,
@@ -380,18 +455,16 @@
     )
 
 
-def _log_send_failure(
-    node: GatewayNode, exchange: Exchange, placed: Placement, outcome: SendOutcome
-) -> None:
+def _log_send_failure(node: GatewayNode, attempt: Attempt) -> None:
+    exchange, outcome = attempt.exchange, attempt.outcome
     node.metrics.count("sends_failed_total", result=outcome.result.value)
-    heard_s_ago = node.now() - placed.target.last_contact_at
     record_event(
         "send-failed",
         request=exchange.request_head.id,
-        target=placed.target.entry.id,
+        target=attempt.placed.target.entry.id,
         result=outcome.result.value,
-        reason=outcome.reason,
-        events=exchange.cutter.event_count,
-        target_heard_s_ago=round(heard_s_ago, 3) if isfinite(heard_s_ago) else None,
+        reason=REPLACED_REASON if attempt.replaced else outcome.reason,
+        events=attempt.cutter.event_count,
+        target_heard_s_ago=find_heard_s_ago(attempt.placed.target, node.now()),
         revision=node.catalog.revision,
     )
--- a/src/lycheepath/gateway/stream_versions.py
+++ b/src/lycheepath/gateway/stream_versions.py
@@ -137,14 +137,13 @@
         """Whether a request has to go to one of several versions that are in use."""
         return exchange.version is not None and len(self._list_used(exchange)) > 1
 
-    async def record_begun(self, exchange: Exchange) -> None:
-        """Record the first event of a stream, and the version that began it."""
+    async def record_begun(self, exchange: Exchange, target: str, version: str) -> None:
+        """Record the first event of a stream, and what began it."""
         node = self._node
-        version = exchange.attempt_version
         exchange.version = version
         if not version or not exchange.route.repeatable:
             return
-        origin = Origin(exchange.service, version, exchange.attempt_target)
+        origin = Origin(exchange.service, version, target)
         self.origins.record(exchange.stream, origin, node.now())
         if exchange.relayed or len(self._list_used(exchange)) < 2:
             return
--- a/tests/core/retries/test_window.py
+++ b/tests/core/retries/test_window.py
@@ -31,3 +31,10 @@
             window.count_request("books", 0.0)
     taken = sum(window.take("books", 9, 0.0) for window in windows for _ in range(1000))
     assert taken <= 0.2 * 180 + 58
+
+
+def test_asking_for_a_retry_takes_none() -> None:
+    window = RetryWindow(ratio=0.0, allowance=18, window_s=10.0)
+    assert [window.may_take("books", 9, 0.0) for _ in range(3)] == [True] * 3
+    assert window.take("books", 9, 0.0)
+    assert not window.may_take("books", 9, 0.0)
--- a/tests/core/serving/test_attempts.py
+++ b/tests/core/serving/test_attempts.py
@@ -10,6 +10,7 @@
     AttemptCounts,
     AttemptResult,
     may_send_again,
+    may_start_another,
 )
 from tests.core.catalog.test_routes import make_route
 
@@ -54,3 +55,23 @@
     for _ in range(MAX_SENDS):
         attempts.record(AttemptResult.NOT_RUN)
     assert not may_send_again(make_route("/"), attempts, AttemptResult.NOT_RUN)
+
+
+def test_attempts_in_flight_count_as_runs() -> None:
+    route = replace(make_route("/"), max_attempts=2)
+    attempts = AttemptCounts()
+    attempts.start()
+    assert may_start_another(route, attempts)
+    attempts.start()
+    assert not may_start_another(route, attempts)
+    attempts.end(AttemptResult.NOT_RUN)
+    assert may_start_another(route, attempts)
+    attempts.end(AttemptResult.LOST)
+    assert (attempts.sends, attempts.runs, attempts.in_flight) == (2, 1, 0)
+
+
+def test_request_that_may_run_once_is_not_sent_beside_one_in_flight() -> None:
+    route = replace(make_route("/"), kind=RouteKind.UNSAFE, max_attempts=5)
+    attempts = AttemptCounts()
+    attempts.start()
+    assert not may_start_another(route, attempts)
--- a/tests/core/serving/test_events.py
+++ b/tests/core/serving/test_events.py
@@ -27,8 +27,8 @@
 def test_splitter_drops_events_that_were_passed_on_before() -> None:
     splitter = EventSplitter(None)
     splitter.feed(make_event(1) + make_event(2) + b"id: 3\n")
-    splitter.restart()
-    assert splitter.feed(make_event(2) + make_event(3)) == make_event(3)
+    other = splitter.fork()
+    assert other.feed(make_event(2) + make_event(3)) == make_event(3)
 
 
 def test_splitter_raises_at_a_gap() -> None:
--- a/tests/gateway/test_silent_attempts.py
+++ b/tests/gateway/test_silent_attempts.py
@@ -13,6 +13,7 @@
 import trio
 
 from standins.pausing_target import (
+    HEADERS,
     RESUMABLE,
     SAFE,
     PausingTarget,
@@ -27,7 +28,6 @@
     from lycheepath.gateway.node import GatewayNode
     from standins.site import Answer, Site
 
-KNOWN_RED = pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt, issue 46")
 PAUSES = 4
 # Time between two pauses, in which targets work.
 BETWEEN_S = 0.8
@@ -90,7 +90,6 @@
     return targets
 
 
-@KNOWN_RED
 @pytest.mark.parametrize("count", [4, 1])
 @pytest.mark.parametrize("prefix", [RESUMABLE, SAFE])
 async def test_requests_are_answered_when_all_targets_were_silent_together(
@@ -104,7 +103,6 @@
     assert count_statuses(answers)[502] == 0
 
 
-@KNOWN_RED
 async def test_stream_is_not_broken_off_when_no_other_target_has_its_version(
     site: Site,
 ) -> None:
@@ -116,7 +114,6 @@
     assert not find_broken_off(answers)
 
 
-@KNOWN_RED
 @pytest.mark.parametrize("together", [True, False])
 async def test_relayed_stream_is_not_broken_off_when_its_target_was_silent(
     site: Site, together: bool
@@ -138,3 +135,55 @@
     for prefix in (RESUMABLE, SAFE):
         answers = await ask_beside_pauses(site, node, prefix, groups)
         assert all(is_complete(answer) for answer in answers.values())
+
+
+async def test_silent_attempt_is_closed_once_another_one_has_answered(
+    site: Site,
+) -> None:
+    targets = await add_targets(site, "east-a", ["v1"] * 2)
+    configure_routes(site)
+    node = await site.start_gateway("host-1")
+    for prefix in (RESUMABLE, SAFE):
+        async with trio.open_nursery() as pausing:
+            pausing.start_soon(targets[0].pause, 5.0)
+            for number in range(8):
+                request_id = f"{prefix}{number}"
+                answer = await site.ask(
+                    node, b"POST", f"{prefix}1", b"x", request_id, HEADERS
+                )
+                assert is_complete(answer)
+            await trio.sleep(0.5)
+            busy = sum(len(t.requests) for t in node.registry.targets.values())
+            assert (busy, node.active_requests) == (0, 0)
+            pausing.cancel_scope.cancel()
+        targets[0].awake.set()
+
+
+async def test_attempts_of_a_request_do_not_outlive_its_caller(site: Site) -> None:
+    targets = await add_targets(site, "east-a", ["v1"] * 2)
+    configure_routes(site)
+    node = await site.start_gateway("host-1")
+    async with trio.open_nursery() as pausing:
+        for target in targets:
+            pausing.start_soon(target.pause, 5.0)
+        with trio.move_on_after(1.0):
+            await site.ask(node, b"POST", f"{SAFE}1", b"x", "r1", HEADERS)
+        await trio.sleep(0.2)
+        busy = sum(len(t.requests) for t in node.registry.targets.values())
+        assert (busy, node.active_requests) == (0, 0)
+        pausing.cancel_scope.cancel()
+
+
+async def test_request_runs_at_no_more_targets_than_allowed_while_all_are_silent(
+    site: Site,
+) -> None:
+    targets = await add_targets(site, "east-a", ["v1"] * 4)
+    configure_routes(site, max_attempts=3)
+    node = await site.start_gateway("host-1")
+    async with trio.open_nursery() as pausing:
+        for target in targets:
+            pausing.start_soon(target.pause, 2.5)
+        answer = await site.ask(node, b"POST", f"{SAFE}1", b"x", "r1", HEADERS)
+    assert is_complete(answer)
+    reached = [target for target in site.targets if target.seen]
+    assert len(reached) == 3
--- a/tests/gateway/test_stalled_streams.py
+++ b/tests/gateway/test_stalled_streams.py
@@ -12,7 +12,7 @@
 import pytest
 import trio
 
-from lycheepath.gateway import sending
+from lycheepath.gateway import forwarding
 from standins.site import Seen, Site, make_route
 
 if TYPE_CHECKING:
@@ -71,8 +71,8 @@
 
 @pytest.fixture(autouse=True)
 def short_gap(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(sending, "MIN_GAP_S", GAP_S)
-    monkeypatch.setattr(sending, "GAP_FACTOR", 1.0)
+    monkeypatch.setattr(forwarding, "MIN_GAP_S", GAP_S)
+    monkeypatch.setattr(forwarding, "GAP_FACTOR", 1.0)
 
 
 @pytest.mark.parametrize("data", [b"i", b": alive\n\n"], ids=["bytes", "comments"])
