Report silent and broken targets to the host that relays a request

Callers saw streams break off, or wait for 2.4 s, when one of several targets of another region was silent or broke, though others of that region could go on.

Ruled out: a second attempt by the second host; it doesn't know the attempts that the route has left, and with two a second one of its own leaves none for the end of a host.

Change: the second host reports silence by an interim answer or a comment, only to hosts that ask for it. Results name their target. The first host excludes that target instead of the region, and names what was tried. The module is split: relay (first host), relayed (second host), relay_headers (what they say).

Hosts of earlier versions: unknown headers are ignored both ways; interim answers and comments go only to hosts that ask for them.

--- a/src/lycheepath/adapters/http1/downstream.py
+++ b/src/lycheepath/adapters/http1/downstream.py
@@ -7,7 +7,8 @@
 
 from __future__ import annotations
 
-from contextlib import contextmanager
+import contextlib
+import os
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -15,7 +16,14 @@
 import trio
 
 from ..events import record_event
-from .sockets import abort, has_ended, is_idle, receive, send
+from .sockets import (
+    abort,
+    count_undelivered_bytes,
+    has_ended,
+    is_idle,
+    receive,
+    send,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterator, Sequence
@@ -161,6 +169,24 @@
         response = h11.Response(status_code=status, headers=answer_headers)
         return self._h11.send(response) or b""
 
+    async def send_interim(self, status: int, headers: Headers) -> None:
+        """Send an interim answer before the answer starts."""
+        interim = h11.InformationalResponse(status_code=status, headers=list(headers))
+        await self._send(self._h11.send(interim) or b"")
+
+    def offer_interim(self, status: int, headers: Headers) -> None:
+        """Send an interim answer if that needs no waiting, and no answer has begun."""
+        if self._h11.our_state is h11.SEND_RESPONSE and self._sends_at_once:
+            interim = h11.InformationalResponse(
+                status_code=status, headers=list(headers)
+            )
+            self._offer(self._h11.send(interim) or b"")
+
+    def offer_data(self, data: bytes) -> None:
+        """Send bytes of an answer's body if that needs no waiting."""
+        if self._h11.our_state is h11.SEND_BODY and self._sends_at_once:
+            self._offer(self._h11.send(h11.Data(data=data)) or b"")
+
     async def send_data(self, data: bytes, head: bytes = b"") -> None:
         """Send bytes of the answer's body."""
         body = self._h11.send(h11.Data(data=data)) if data else b""
@@ -189,7 +215,7 @@
         with self.abort_after(timeout_s):
             await self.answer(status, headers, body)
 
-    @contextmanager
+    @contextlib.contextmanager
     def abort_after(self, timeout_s: float) -> Iterator[None]:
         """Abort the answer that is sent in the block if that takes longer."""
         with trio.move_on_after(timeout_s) as scope:
@@ -312,8 +338,7 @@
         if int(fields.get(b"content-length", b"0")) > max_bytes:
             raise BadRequestError(413, f"the body is over {max_bytes} bytes")
         if fields.get(b"expect", b"").lower() == b"100-continue":
-            interim = h11.InformationalResponse(status_code=100, headers=[])
-            await self._send(self._h11.send(interim) or b"")
+            await self.send_interim(100, [])
         parts: list[bytes] = []
         size = 0
         while True:
@@ -396,6 +421,16 @@
         except (CallerGoneError, h11.LocalProtocolError):
             return
 
+    @property
+    def _sends_at_once(self) -> bool:
+        """Whether a few bytes can be sent without waiting."""
+        return not self.disconnected and not count_undelivered_bytes(self.stream)
+
+    def _offer(self, data: bytes) -> None:
+        # If the connection has just ended, its reader notices.
+        with contextlib.suppress(OSError):
+            os.write(self.stream.socket.fileno(), data)
+
     def _log_unanswered(self) -> None:
         """Log a whole or partly read request that the connection leaves unanswered."""
         theirs, ours = self._h11.their_state, self._h11.our_state
--- a/src/lycheepath/adapters/http1/upstream.py
+++ b/src/lycheepath/adapters/http1/upstream.py
@@ -23,11 +23,12 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
     from ...core.addresses import Address
 
     Headers = Sequence[tuple[bytes, bytes]]
+    OnInterim = Callable[[Headers], None]
 
 RECEIVE_BYTES = 65_536
 # Larger requests are sent while the answer is read concurrently, since it may arrive
@@ -79,6 +80,7 @@
         # Whether no exchange is in progress.
         self._complete = True
         self._at_eof = False
+        self._on_interim: OnInterim | None = None
         self._chunks: ChunkReader | None = None
         # Bytes of a chunked body that were received with its head.
         self._pending = b""
@@ -90,13 +92,16 @@
         headers: Headers,
         body: bytes,
         request_id: bytes | None = None,
+        on_interim: OnInterim | None = None,
     ) -> tuple[int, list[tuple[bytes, bytes]]]:
         """
         Send a request; return the status and headers of its answer.
 
         ``request_id`` is the id that the answer has to repeat; None if the other side
-        isn't known to repeat it. Raises BrokenAnswerError.
+        isn't known to repeat it. ``on_interim`` is called with the headers of each
+        interim answer. Raises BrokenAnswerError.
         """
+        self._on_interim = on_interim
         self.exchanges += 1
         if request_id is not None:
             self._carried_ids.add(request_id)
@@ -256,6 +261,8 @@
                 return event.status_code, headers
             if not isinstance(event, h11.InformationalResponse):
                 raise BrokenAnswerError("the connection ended without an answer", True)
+            if self._on_interim is not None:
+                self._on_interim(list(event.headers))
         raise BrokenAnswerError(f"over {MAX_INTERIM_HEADS} interim heads came")
 
     def _start_chunk_reader(self, headers: Headers) -> None:
--- a/src/lycheepath/core/serving/events.py
+++ b/src/lycheepath/core/serving/events.py
@@ -32,12 +32,15 @@
 
     ``event_count`` is the number of events passed on that aren't just comments,
     ``received_id`` the id of the current answer's last event, passed on or not.
+    ``notice`` is a comment that isn't passed on, ``notice_count`` how often it came.
     """
 
     def __init__(self, last_id: int | None) -> None:
         self.last_id = last_id
         self.event_count = 0
         self.received_id: int | None = None
+        self.notice = b""
+        self.notice_count = 0
         self._partial = b""
 
     def feed(self, data: bytes) -> bytes:
@@ -111,6 +114,9 @@
         return True
 
     def _should_pass_without_id(self, event: bytes) -> bool:
+        if self.notice and event == self.notice:
+            self.notice_count += 1
+            return False
         if is_comment(event):
             return True
         if self.last_id is not None and self.received_id is None:
--- a/src/lycheepath/gateway/attempts.py
+++ b/src/lycheepath/gateway/attempts.py
@@ -69,7 +69,7 @@
     State of one attempt at a target, or through another host.
 
     ``number`` is unique among the attempts of this host. ``target`` and ``version`` are
-    those of the target that answers. ``cutter`` becomes the exchange's if the attempt goes
+    those of the target that answers, empty until the other ``host`` names it. ``cutter`` becomes the exchange's if the attempt goes
     on. ``reported_load`` is the load that the target reported, ``ended_with_connection``
     says that its answer had no framing and ended with its connection. ``extra_headers`` are
     added to the answer for the host that relayed the request. ``silent_since`` is when
@@ -83,6 +83,7 @@
     number: int
     target: str
     version: str
+    host: str = ""
     cutter: EventSplitter = field(init=False)
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     reported_load: ReportedLoad | None = None
@@ -122,7 +123,8 @@
 def make_attempt(node: GatewayNode, exchange: Exchange, placed: Placement) -> Attempt:
     """Return an attempt of a request that is about to begin."""
     entry = placed.target.entry
-    return Attempt(exchange, placed, node.next_number(), entry.id, entry.version)
+    named = ("", "") if placed.is_remote else (entry.id, entry.version)
+    return Attempt(exchange, placed, node.next_number(), *named)
 
 
 class AttemptRace:
--- a/src/lycheepath/gateway/exchange.py
+++ b/src/lycheepath/gateway/exchange.py
@@ -41,7 +41,7 @@
     request has been logged. ``on_trial`` says that it tries a blocked part
     of its prompt. ``version`` is the software version that began its stream (None: no
     event was passed on yet, empty: unknown). ``relayed`` says that another host received
-    it. ``started_head`` is the head of the stream that was started.
+    it, ``reports_silence`` that this host is told when its target is silent. ``started_head`` is the head of the stream that was started.
     ``tried_hosts`` are the hosts that it was relayed to. ``no_place`` says why there was
     no other target when the request was given up.
     """
@@ -68,6 +68,7 @@
     on_trial: bool = False
     version: str | None = None
     relayed: bool = False
+    reports_silence: bool = False
     started_head: AnswerHead | None = None
     no_place: str = ""
     tried_hosts: set[str] = field(default_factory=set)
--- a/src/lycheepath/gateway/forwarding.py
+++ b/src/lycheepath/gateway/forwarding.py
@@ -148,7 +148,10 @@
     events_before = cutter.event_count
     with watch(_find_gap_timeout_s(exchange)) as timer:
         while (data := await upstream.read_body()) is not None:
+            notices_before = cutter.notice_count
             events = cutter.feed(data)
+            if cutter.notice_count > notices_before:
+                timer.report_silence()
             if not events:
                 continue
             timeout_s = timer.suspend()
--- a/src/lycheepath/gateway/inactivity.py
+++ b/src/lycheepath/gateway/inactivity.py
@@ -54,6 +54,12 @@
         """Continue the wait that ``suspend`` interrupted, with its old start."""
         self.limit_s = limit_s
 
+    def report_silence(self) -> None:
+        """Report that the other side is silent, unless it has no limit."""
+        if not self.silent and self.limit_s != NO_LIMIT_S:
+            self.silent = True
+            self.report(self.started_at)
+
     def end_silence(self) -> None:
         """Report that the other side goes on, if it was silent."""
         if self.silent:
@@ -62,13 +68,10 @@
 
     def check(self, now: float) -> None:
         """Report a silence that exceeds the limit, once."""
-        if self.silent:
-            return
         waited_s = now - self.started_at
         silent_s = now - max(self.started_at, self.last_activity())
         if silent_s > self.limit_s or waited_s > MAX_WAIT_FACTOR * self.limit_s:
-            self.silent = True
-            self.report(self.started_at)
+            self.report_silence()
 
 
 class InactivityMonitor:
--- a/src/lycheepath/gateway/listeners.py
+++ b/src/lycheepath/gateway/listeners.py
@@ -13,7 +13,7 @@
 from ..core.catalog.model import CallerLimits
 from ..platform.entry import READY_PATH, read_resolve, write_resolved
 from .copying import COPY_PATH, answer_copy
-from .relay import is_host_call, serve_relayed
+from .relayed import is_host_call, serve_relayed
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
--- a/src/lycheepath/gateway/serving.py
+++ b/src/lycheepath/gateway/serving.py
@@ -24,7 +24,7 @@
 from ..platform.headers import find_request_id, read_request
 from .attempts import Attempt, AttemptRace
 from .exchange import Exchange
-from .relay import send_to_region
+from .relay import has_other_host, send_to_region
 from .sending import send_to_target
 from .telemetry import (
     END_REASON,
@@ -289,11 +289,28 @@
     if is_remote and (outcome.unreachable or target.region == node.settings.region):
         # Another host of that region may reach its targets.
         return previous
-    if is_remote:
+    if is_remote and not _may_return(node, attempt):
         return replace(previous, regions=previous.regions | {target.region})
+    if is_remote and not attempt.target:
+        return previous
     if outcome.result is AttemptResult.FAILED:
-        return replace(previous, failed=previous.failed | {target.entry.id})
-    return replace(previous, targets=previous.targets | {target.entry.id})
+        return replace(previous, failed=previous.failed | {attempt.target})
+    return replace(previous, targets=previous.targets | {attempt.target})
+
+
+def _may_return(node: GatewayNode, attempt: Attempt) -> bool:
+    """
+    Whether other targets or hosts of the region of a relayed request may serve it.
+
+    A host that sent it to no target has found none, for all hosts of its region. One
+    that names its target as the cause can send it to another one.
+    """
+    if attempt.outcome.result is AttemptResult.NOT_RUN:
+        return False
+    tried = attempt.exchange.tried_hosts
+    if attempt.target:
+        tried.discard(attempt.host)
+    return has_other_host(node, attempt.placed.target.region, tried)
 
 
 async def _send(
--- a/standins/pausing_target.py
+++ b/standins/pausing_target.py
@@ -4,8 +4,7 @@
 A paused target holds back everything on all its connections, and loses nothing. One that
 serves streams goes on after ``last-event-id``::
 
-    target = PausingTarget()
-    await site.add_target("books", target.behave, slots=64)
+    target = await add_pausing_target(site, "east-a")
     await target.pause(1.3)
     target.ran["r1"]
 """
@@ -59,6 +58,10 @@
         await trio.sleep(silent_s)
         self.awake.set()
 
+    async def wait_until_awake(self) -> None:
+        """Wait until the target isn't paused."""
+        await self.awake.wait()
+
     async def behave(self, seen: Seen, stream: trio.SocketStream) -> None:
         """Answer a request, as a stream or with a text according to its prefix."""
         request_id = seen.headers.get("request-id", "")
@@ -79,6 +82,18 @@
         await stream.send_all(b"0\r\n\r\n")
 
 
+async def add_pausing_target(
+    site: Site, zone: str = "east-a", version: str = "v1"
+) -> PausingTarget:
+    """Start a target of the service ``books`` that can be paused."""
+    target = PausingTarget()
+    added = await site.add_target(
+        "books", target.behave, zone=zone, slots=64, version=version
+    )
+    added.awaken = target.wait_until_awake
+    return target
+
+
 def configure_routes(site: Site, timeout_ms: int = 5000, **fields: int) -> None:
     """Write a configuration with one route for each prefix."""
     site.configure(
--- a/standins/site.py
+++ b/standins/site.py
@@ -33,7 +33,7 @@
 from lycheepath.platform.targets import REPORT_PATH
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Awaitable, Callable, Iterable
 
 HOST = "books.example"
 REGIONS = {"east-a": "east", "west-a": "west", "south-a": "south"}
@@ -101,7 +101,11 @@
 
 @dataclass
 class FakeTarget:
-    """A target; ``seen`` holds the requests that it received."""
+    """
+    A target; ``seen`` holds the requests that it received.
+
+    ``awaken`` waits until the target sends anything.
+    """
 
     id: str
     service: str
@@ -111,6 +115,7 @@
     seen: list[Seen] = field(default_factory=list)
     connections: int = 0
     open: int = 0
+    awaken: Callable[[], Awaitable[object]] = trio.lowlevel.checkpoint
 
     async def serve(self, stream: trio.SocketStream) -> None:
         """Serve one connection."""
@@ -120,6 +125,7 @@
         try:
             while (seen := await read_request(connection, stream)) is not None:
                 if seen.target == REPORT_PATH and "request-id" not in seen.headers:
+                    await self.awaken()
                     await stream.send_all(REPORT)
                 else:
                     self.seen.append(seen)
--- a/tests/adapters/http1/test_upstream.py
+++ b/tests/adapters/http1/test_upstream.py
@@ -261,3 +261,15 @@
     with pytest.raises(BrokenAnswerError) as raised:
         await ask(upstream, "a")
     assert raised.value.connection_ended == ended
+
+
+async def test_headers_of_interim_answers_are_reported(nursery: trio.Nursery) -> None:
+    interim = b"HTTP/1.1 102 Processing\r\nx-silent: i-1\r\n\r\n"
+    answers = [2 * interim + answer_chunks("a", "one")] * 2
+    upstream = await open_upstream(nursery, answers, cut=5)
+    seen: list[tuple[bytes, bytes]] = []
+    await upstream.request(
+        b"GET", b"/", [(b"host", b"x")], b"", b"a", on_interim=seen.extend
+    )
+    assert await upstream.read_all(MAX_BYTES) == b"one"
+    assert seen == [(b"x-silent", b"i-1")] * 2
--- a/tests/core/serving/test_events.py
+++ b/tests/core/serving/test_events.py
@@ -89,3 +89,15 @@
 
 def test_id_with_more_digits_than_a_number_can_have_is_no_id() -> None:
     assert read_id(b"id: " + b"9" * 5000 + b"\ndata: x\n\n") is None
+
+
+def test_notices_of_another_host_are_not_passed_on() -> None:
+    splitter = EventSplitter(None)
+    splitter.notice = b": silent"
+    data = make_event(1) + b": silent\n\n: other\n\n" + make_event(2)
+    assert splitter.feed(data) == make_event(1) + b": other\n\n" + make_event(2)
+    assert (splitter.notice_count, splitter.event_count) == (1, 2)
+
+
+def test_comments_that_look_like_notices_are_passed_on_without_another_host() -> None:
+    assert EventSplitter(None).feed(b": silent\n\n") == b": silent\n\n"
--- a/tests/gateway/test_inactivity.py
+++ b/tests/gateway/test_inactivity.py
@@ -85,3 +85,19 @@
             nursery.cancel_scope.cancel()
     assert received == [b"event"] * 3
     assert not reported
+
+
+async def test_silence_that_another_host_reports_counts_once_and_only_with_a_limit() -> (
+    None
+):
+    monitor = InactivityMonitor()
+    reported: list[float | None] = []
+    for limit_s in (0.5, float("inf")):
+        with monitor.watch(1, limit_s, lambda: float("-inf"), reported.append) as timer:
+            timer.report_silence()
+            timer.report_silence()
+            started = timer.started_at
+        if limit_s == 0.5:
+            assert reported == [started, None]
+            reported.clear()
+    assert not reported
--- a/tests/gateway/test_silent_attempts.py
+++ b/tests/gateway/test_silent_attempts.py
@@ -16,17 +16,20 @@
     HEADERS,
     RESUMABLE,
     SAFE,
+    STREAM_HEAD,
     PausingTarget,
+    add_pausing_target,
     ask_steadily,
     configure_routes,
     is_complete,
 )
+from tests.gateway.test_fleet import wait_until_live
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from lycheepath.gateway.node import GatewayNode
-    from standins.site import Answer, Site
+    from standins.site import Answer, Seen, Site
 
 PAUSES = 4
 # Time between two pauses, in which targets work.
@@ -80,14 +83,7 @@
 async def add_targets(
     site: Site, zone: str, versions: Sequence[str]
 ) -> list[PausingTarget]:
-    targets = []
-    for version in versions:
-        target = PausingTarget()
-        await site.add_target(
-            "books", target.behave, zone=zone, slots=64, version=version
-        )
-        targets.append(target)
-    return targets
+    return [await add_pausing_target(site, zone, version) for version in versions]
 
 
 @pytest.mark.parametrize("count", [4, 1])
@@ -187,3 +183,60 @@
     assert is_complete(answer)
     reached = [target for target in site.targets if target.seen]
     assert len(reached) == 3
+
+
+@pytest.mark.parametrize("prefix", [RESUMABLE, SAFE])
+async def test_silent_target_of_another_region_is_relieved_by_another_one_there(
+    site: Site, prefix: str
+) -> None:
+    targets = await add_targets(site, "west-a", ["v1"] * 4)
+    configure_routes(site)
+    nodes = [
+        await site.start_gateway("host-1"),
+        await site.start_gateway("host-2", "west-a"),
+    ]
+    await wait_until_live(*nodes)
+    silent_s = 4.0
+    took_s: dict[str, float] = {}
+
+    async def ask(request_id: str) -> None:
+        started = trio.current_time()
+        answer = await site.ask(
+            nodes[0], b"POST", f"{prefix}1", b"x", request_id, HEADERS
+        )
+        assert is_complete(answer)
+        took_s[request_id] = trio.current_time() - started
+
+    async with trio.open_nursery() as asking:
+        for number in range(24):
+            if number == 8:
+                asking.start_soon(targets[0].pause, silent_s)
+            asking.start_soon(ask, f"r{number}")
+            await trio.sleep(0.02)
+    assert len(took_s) == 24
+    assert max(took_s.values()) < silent_s / 2
+
+
+async def test_stream_goes_on_in_the_only_region_where_its_target_broke(
+    site: Site,
+) -> None:
+    async def break_off(seen: Seen, stream: trio.SocketStream) -> None:
+        head = STREAM_HEAD.format(seen.headers["request-id"])
+        await stream.send_all(head.encode() + b"f\r\nid: 1\ndata: x\n\n\r\n")
+        await trio.sleep(0.05)
+        await stream.aclose()
+
+    broken = await site.add_target("books", break_off, "west-a")
+    await add_targets(site, "west-a", ["v1"] * 2)
+    configure_routes(site)
+    nodes = [
+        await site.start_gateway("host-1"),
+        await site.start_gateway("host-2", "west-a"),
+    ]
+    await wait_until_live(*nodes)
+    for number in range(6):
+        answer = await site.ask(
+            nodes[0], b"POST", f"{RESUMABLE}1", b"x", f"r{number}", HEADERS
+        )
+        assert is_complete(answer)
+    assert broken.seen
--- a/tests/gateway/test_silent_targets.py
+++ b/tests/gateway/test_silent_targets.py
@@ -14,7 +14,7 @@
     REQUEST_INTERVAL_S,
     SILENT_S,
     UNSAFE,
-    PausingTarget,
+    add_pausing_target,
     ask_steadily,
     configure_routes,
     is_complete,
@@ -31,9 +31,7 @@
 async def test_targets_that_are_silent_in_turn_lose_repeat_and_refuse_nothing(
     site: Site, nursery: trio.Nursery
 ) -> None:
-    targets = [PausingTarget() for _ in range(TARGETS)]
-    for target in targets:
-        await site.add_target("books", target.behave, slots=64)
+    targets = [await add_pausing_target(site) for _ in range(TARGETS)]
     configure_routes(site)
     node = await site.start_gateway("host-1")
     answers: dict[str, Answer] = {}
@@ -62,9 +60,7 @@
 async def test_targets_that_are_silent_together_are_not_taken_for_out_of_reach(
     site: Site, nursery: trio.Nursery
 ) -> None:
-    targets = [PausingTarget() for _ in range(TARGETS)]
-    for target in targets:
-        await site.add_target("books", target.behave, slots=64)
+    targets = [await add_pausing_target(site) for _ in range(TARGETS)]
     site.configure(
         make_route("books", "unsafe", timeout_ms=4000, target_latency_ms=3000)
     )
--- a/tests/gateway/test_unanswered_requests.py
+++ b/tests/gateway/test_unanswered_requests.py
@@ -11,7 +11,7 @@
 import trio
 from loguru import logger
 
-from lycheepath.gateway import relay, serving
+from lycheepath.gateway import relayed, serving
 from lycheepath.gateway.process import drain
 from standins.site import (
     HOST,
@@ -191,7 +191,7 @@
         await site.start_gateway("west", "west-a"),
     ]
     await wait_until_live(*nodes)
-    monkeypatch.setattr(relay, broken, fail)
+    monkeypatch.setattr(relayed, broken, fail)
     answer = await site.ask(nodes[0], b"POST", "/books/1", b"pay")
     assert answer.whole
     # A fault before the send says so; after it, whether the request ran isn't known.
