Send requests to targets that may only be silent for a moment

Callers were refused with "no target is open: 4 out of reach" while all targets of a service were silent for 1.6 s, though the targets would have answered in time.

Cause: a host doubts its links when requests wait, and asks targets for a sign of life; one that gave none for 1 s was out of reach, as if the link had failed, and all others were assumed to be.

Ruled out: a longer wait for the sign of life; a link that is half open through a middlebox has to be noticed within 2 s, where peers reach the targets.

Change: a target that accepts a connection and doesn't answer on it isn't left out for 2 s after the last sign of life, where nobody else reaches it: at a host without peers, and at the peer to which the request was relayed. Links on which no connection is established are treated as before.

--- a/src/lycheepath/core/placement/reachability.py
+++ b/src/lycheepath/core/placement/reachability.py
@@ -24,6 +24,7 @@
 from typing import TYPE_CHECKING
 
 from ..catalog.catalog import StateChange
+from .silence import SOUND_SILENCE_S
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -59,12 +60,14 @@
     The link to one target.
 
     ``failed_at`` is when it went out of reach, None while it is in reach, ``last_failed_at``
-    when it last failed by itself. ``assumed`` says that being out of reach was assumed from
+    when it last failed by itself. ``accepts`` says that a connection was established then,
+    and not answered. ``assumed`` says that being out of reach was assumed from
     other targets of the region.
     """
 
     contact_at: float = float("-inf")
     failed_at: float | None = None
+    accepts: bool = False
     last_failed_at: float = float("-inf")
     reason: str = ""
     assumed: bool = False
@@ -133,6 +136,26 @@
             target for target, link in self._links.items() if link.failed_at is not None
         )
 
+    def list_silent(self, now: float) -> frozenset[str]:
+        """
+        Return the targets out of reach that may only be silent for a moment.
+
+        They, or all others if that was assumed from others, accept connections and
+        haven't answered for ``SOUND_SILENCE_S`` at most.
+        """
+        if self._doubted_at is None or now - self._doubted_at > SOUND_SILENCE_S:
+            return frozenset()
+        failed = {
+            t: link for t, link in self._links.items() if link.failed_at is not None
+        }
+        own = [link for link in failed.values() if not link.assumed]
+        accept = bool(own) and all(link.accepts for link in own)
+        return frozenset(
+            target
+            for target, link in failed.items()
+            if (accept if link.assumed else link.accepts)
+        )
+
     def is_unreachable(self, target: str) -> bool:
         """Whether this host sends nothing to a target itself."""
         link = self._links.get(target)
@@ -154,8 +177,14 @@
         if not self._is_doubted():
             self._doubted_at = since
 
-    def record_failure(self, target: str, reason: str, now: float) -> None:
-        """Record that no connection to a target was established, or a probe failed."""
+    def record_failure(
+        self, target: str, reason: str, now: float, accepts: bool = False
+    ) -> None:
+        """
+        Record that no connection to a target was established, or a probe failed.
+
+        ``accepts`` says that a connection was established, and not answered.
+        """
         link = self._links.get(target)
         if link is None:
             return
@@ -164,6 +193,7 @@
             link.probed_at, link.probe_interval_s = now, MIN_PROBE_INTERVAL_S
             self._record_change("target-out-of-reach", target, reason)
         link.assumed = False
+        link.accepts = accepts
         link.last_failed_at = now
         self.record_doubt(now)
         if self.suspected_at is None and self._seems_cut():
--- a/src/lycheepath/gateway/links.py
+++ b/src/lycheepath/gateway/links.py
@@ -160,7 +160,7 @@
         self.reachability.record_probe(name, node.now())
         node.metrics.count("link_probes_total")
         address = parse_address(target.entry.address)
-        refused = False
+        refused = accepts = False
         reason = ""
         try:
             upstream = await node.pool.open(address, PROBE_CONNECT_S)
@@ -177,19 +177,22 @@
         except ConnectError as error:
             reason, refused = str(error), error.refused
         except trio.TooSlowError:
+            accepts = True
             reason = f"no answer within {PROBE_ANSWER_S:.3f} s"
         except BrokenAnswerError as error:
             reason, refused = str(error), error.connection_ended
         results.append(not reason)
         if reason:
-            self._record_failure(name, reason, refused)
+            self._record_failure(name, reason, refused, accepts)
             return
         now = node.now()
         self._discard_silent(now)
         self.reachability.record_probe_answer(name, now)
         node.invalidate_context()
 
-    def _record_failure(self, target: str, reason: str, refused: bool) -> None:
+    def _record_failure(
+        self, target: str, reason: str, refused: bool, accepts: bool = False
+    ) -> None:
         node = self._node
         now = node.now()
         if not refused and node.loop_delay.find_s(now) >= HELD_UP_S:
@@ -198,7 +201,7 @@
         self._synchronize(self.list_targets())
         was_suspected = self.reachability.is_suspected
         was_unreachable = self.reachability.is_unreachable(target)
-        self.reachability.record_failure(target, reason, now)
+        self.reachability.record_failure(target, reason, now, accepts)
         if self.reachability.is_suspected and not was_suspected:
             for each in self.list_targets():
                 self._discard_idle(each)
--- a/src/lycheepath/gateway/node.py
+++ b/src/lycheepath/gateway/node.py
@@ -336,7 +336,10 @@
         closed = frozenset(self._closed_until)
         unreachable = self.links.reachability.list_unreachable()
         peer_rtt_s = None
-        if unreachable and self._list_peers():
+        if not self._list_peers():
+            # Nobody else reaches those that may only be silent.
+            unreachable -= self.links.reachability.list_silent(now)
+        elif unreachable:
             peer_rtt_s = self.region_rtt_s.get(local_region, DEFAULT_PEER_RTT_S)
         context = PlacementContext(
             local_region,
--- a/src/lycheepath/gateway/relayed.py
+++ b/src/lycheepath/gateway/relayed.py
@@ -142,7 +142,14 @@
     if blocked is not None:
         await _answer_result(exchange.caller, AttemptResult.NOT_RUN, blocked.detail)
         return
-    context = replace(node.build_context(), remote_rtt_s={}, peer_rtt_s=None)
+    context = node.build_context()
+    silent = node.links.reachability.list_silent(node.now())
+    context = replace(
+        context,
+        remote_rtt_s={},
+        peer_rtt_s=None,
+        unreachable=context.unreachable - silent,
+    )
     placed = await node.place(exchange, context)
     if isinstance(placed, Absent):
         # Targets of other versions, and those that were tried, may still be open.
--- a/tests/core/placement/test_reachability.py
+++ b/tests/core/placement/test_reachability.py
@@ -7,6 +7,7 @@
     SHORT_SUSPICION_S,
     Reachability,
 )
+from lycheepath.core.placement.silence import SOUND_SILENCE_S
 
 TARGETS = ("a", "b", "c", "d")
 
@@ -159,3 +160,25 @@
         for target in ("i-1", "i-2", "i-3"):
             reachability.record_failure(target, "no connection", at)
     assert reachability.is_suspected
+
+
+def test_targets_that_accept_connections_may_be_silent_for_a_moment() -> None:
+    reach = Reachability("east")
+    reach.set_targets(("i-1", "i-2", "i-3"), 0.0)
+    reach.record_contact("i-1", 10.0)
+    reach.record_doubt(10.0)
+    for target in ("i-1", "i-2"):
+        reach.record_failure(target, "no answer", 11.3, accepts=True)
+    assert reach.list_unreachable() == {"i-1", "i-2", "i-3"}
+    assert reach.list_silent(11.4) == {"i-1", "i-2", "i-3"}
+    assert reach.list_silent(10.1 + SOUND_SILENCE_S) == frozenset()
+
+
+def test_targets_that_accept_no_connections_are_not_taken_for_silent() -> None:
+    reach = Reachability("east")
+    reach.set_targets(("i-1", "i-2", "i-3"), 0.0)
+    reach.record_contact("i-1", 10.0)
+    reach.record_failure("i-1", "no connection", 10.5)
+    reach.record_failure("i-2", "no answer", 10.6, accepts=True)
+    assert reach.list_unreachable() == {"i-1", "i-2", "i-3"}
+    assert reach.list_silent(10.7) == {"i-2"}
--- a/tests/gateway/test_silent_targets.py
+++ b/tests/gateway/test_silent_targets.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
+import pytest
 import trio
 
 from standins.pausing_target import (
@@ -20,11 +21,14 @@
     is_complete,
 )
 from standins.site import make_route
+from tests.gateway.test_fleet import wait_until_live
 
 if TYPE_CHECKING:
     from standins.site import Answer, Site
 
 TOGETHER_S = 0.9
+# Longer than a target is asked for a sign of life.
+LONG_SILENCE_S = 1.7
 TARGETS = 3
 
 
@@ -79,3 +83,30 @@
             asking.start_soon(ask, number)
             await trio.sleep(0.05)
     assert statuses == {200: 80}
+
+
+@pytest.mark.parametrize("hosts", [1, 3])
+async def test_requests_are_not_refused_while_all_targets_are_silent_for_a_moment(
+    site: Site, hosts: int
+) -> None:
+    targets = [await add_pausing_target(site) for _ in range(TARGETS)]
+    site.configure(
+        make_route("books", "unsafe", timeout_ms=4000, target_latency_ms=3000)
+    )
+    nodes = [await site.start_gateway(f"host-{n}") for n in range(hosts)]
+    await wait_until_live(*nodes)
+    statuses: Counter[int] = Counter()
+
+    async def ask(number: int) -> None:
+        node = nodes[number % hosts]
+        answer = await site.ask(node, b"POST", "/books/1", b"x", f"r{number}", HEADERS)
+        statuses[answer.status] += 1
+
+    async with trio.open_nursery() as asking:
+        for number in range(160):
+            if number % 50 == 10:
+                for target in targets:
+                    asking.start_soon(target.pause, LONG_SILENCE_S)
+            asking.start_soon(ask, number)
+            await trio.sleep(0.05)
+    assert statuses == {200: 160}
