Admit late streams at a draining host only if a silence leaves them time

Callers saw streams broken off at the end of a planned stop, though they were sent later than 3 s after it began, when a host takes only what it can complete.

Cause: late streams were admitted by 1.5 times their estimate; a target that is silent for a second or so, which is no failure, takes longer than that. The class: a bound on time for what may take longer without a fault.

Ruled out: the same for other requests. They have no answer yet when the host ends, and get a final one.

Change: a late stream needs its estimate and 2 s, or 1.5 times the estimate if that is longer. The earlier test of late requests is now two: of requests with one answer, with its bounds, and of streams, with the new ones.

--- a/src/lycheepath/core/placement/draining.py
+++ b/src/lycheepath/core/placement/draining.py
@@ -14,8 +14,10 @@
 
 from typing import TYPE_CHECKING
 
+from ..catalog.model import RouteKind
 from ..reasons import Absent, Reason
 from .refusals import MIN_RETRY_AFTER_S
+from .silence import SOUND_SILENCE_S
 
 if TYPE_CHECKING:
     from ..serving.requests import Prompt
@@ -41,11 +43,13 @@
 
     ``left_s`` is the time until the host ends, ``draining_s`` the time since it began
     to drain, ``longest_wait_s`` how long the target has let another request wait: the
-    estimate may be of a time when it was faster.
+    estimate may be of a time when it was faster. A late stream has to end in time though
+    its target falls silent for a moment: once it has begun, it can't be refused.
     """
     ends_s = max(estimate_end_s(request.prompt, placed), longest_wait_s)
     if draining_s > DRAIN_NOTICE_S:
-        ends_s *= SLOW_FACTOR
+        silent_s = SOUND_SILENCE_S if request.route.kind is RouteKind.STREAM else 0.0
+        ends_s = max(SLOW_FACTOR * ends_s, ends_s + silent_s)
     if ends_s <= left_s:
         return placed
     detail = f"the answer takes {ends_s:.1f} s, this host leaves in {left_s:.1f} s"
--- a/tests/core/placement/test_draining.py
+++ b/tests/core/placement/test_draining.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from lycheepath.core.catalog.model import RouteKind
 from lycheepath.core.placement.draining import (
     DRAIN_NOTICE_S,
     SLOW_FACTOR,
@@ -11,6 +12,7 @@
     estimate_end_s,
 )
 from lycheepath.core.placement.model import Placement
+from lycheepath.core.placement.silence import SOUND_SILENCE_S
 from lycheepath.core.reasons import Absent, Reason
 from tests.core.placement.test_choice import (
     choose,
@@ -49,5 +51,19 @@
     placed = replace(place(), first_event_s=0.5, event_interval_s=0.1)
     ends_s = estimate_end_s(REQUEST.prompt, placed)
     late_s = DRAIN_NOTICE_S + 0.1
-    assert not admit_while_draining(REQUEST, placed, 1.1 * ends_s, late_s)
-    assert admit_while_draining(REQUEST, placed, SLOW_FACTOR * ends_s, late_s) is placed
+    route = replace(REQUEST.route, kind=RouteKind.SAFE)
+    request = replace(REQUEST, route=route)
+    assert not admit_while_draining(request, placed, 1.1 * ends_s, late_s)
+    assert admit_while_draining(request, placed, SLOW_FACTOR * ends_s, late_s) is placed
+
+
+def test_late_stream_is_admitted_if_it_ends_though_its_target_is_silent_meanwhile() -> (
+    None
+):
+    late_s = DRAIN_NOTICE_S + 0.1
+    for first_event_s in (0.5, 9.0):
+        placed = replace(place(), first_event_s=first_event_s, event_interval_s=0.1)
+        ends_s = estimate_end_s(REQUEST.prompt, placed)
+        needed_s = max(SLOW_FACTOR * ends_s, ends_s + SOUND_SILENCE_S)
+        assert not admit_while_draining(REQUEST, placed, needed_s - 0.01, late_s)
+        assert admit_while_draining(REQUEST, placed, needed_s, late_s) is placed
--- a/tests/gateway/test_end_of_drain.py
+++ b/tests/gateway/test_end_of_drain.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -15,6 +16,12 @@
 
 from lycheepath.core.placement.draining import DRAIN_NOTICE_S
 from lycheepath.gateway.process import drain
+from standins.pausing_target import (
+    RESUMABLE,
+    add_pausing_target,
+    configure_routes,
+    is_complete,
+)
 from standins.rates import run_at_rate
 from standins.site import Answer, Site, answer_text, make_route
 from standins.stream_service import StreamService
@@ -137,3 +144,41 @@
         site.stop_gateway(node)
     assert (answers[0].status, answers[0].whole) == (200, False)
     assert answers[0].body.count(b"data:") >= 10
+
+
+@pytest.mark.parametrize("zone", ["east-a", "west-a"])
+async def test_late_stream_is_not_broken_off_by_a_silence_before_the_end(
+    site: Site, zone: str
+) -> None:
+    site.bounds = {"grace_s": 6.0}
+    target = await add_pausing_target(site, zone)
+    configure_routes(site)
+    nodes = [await site.start_gateway("east")]
+    if zone == "west-a":
+        nodes.append(await site.start_gateway("west", zone))
+    await wait_until_live(*nodes)
+    stopping = nodes[-1]
+    answers: dict[str, Answer] = {}
+
+    async def ask(number: int) -> None:
+        name = f"r{number}"
+        with suppress(OSError):
+            answers[name] = await site.ask(
+                nodes[0], b"POST", f"{RESUMABLE}1", b"x", name, HEADERS
+            )
+
+    async def stop() -> None:
+        await drain(stopping)
+        site.stop_gateway(stopping)
+
+    async def pause() -> None:
+        await trio.sleep(DRAIN_NOTICE_S + 1.4)
+        await target.pause(2.0)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(stop)
+        nursery.start_soon(pause)
+        await run_at_rate(RATE_PER_S, DRAIN_NOTICE_S + 1.5, ask)
+    broken_off = [a for a in answers.values() if a.status == 200 and not a.whole]
+    assert not broken_off
+    assert sum(map(is_complete, answers.values())) > DRAIN_NOTICE_S * RATE_PER_S / 2
