Check in the soak that streams which have begun aren't broken off

Cause: the check of lost answers leaves out whatever has a status, so a stream that was broken off after its first event counted nowhere, although sound targets were silent beside it (--silent).

Change: "broken-off", for streams that end before their last event and deadline without an unplanned fault at the hosts and targets involved; hosts of an earlier version are left out, and silent targets are no excuse.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -65,6 +65,7 @@
         find_unrequested,
         find_excess_attempts,
         find_lost_answers,
+        find_broken_off,
         find_lost_unsent,
         find_lost_from_kept,
         find_unanswered,
@@ -143,9 +144,7 @@
 
 def find_lost_answers(evidence: Evidence) -> Iterator[Violation]:
     """Yield requests that ran and got no answer, without an unplanned fault."""
-    ran = defaultdict(list)
-    for run in evidence.executions:
-        ran[run.id].append(run)
+    ran = _group_runs(evidence)
     for outcome in evidence.outcomes:
         runs = ran.get(outcome.id)
         if outcome.answer.status or outcome.disconnected or not runs:
@@ -158,6 +157,31 @@
         yield Violation("lost", f"{_describe(outcome)} ran and ended: {outcome.end}")
 
 
+def find_broken_off(evidence: Evidence) -> Iterator[Violation]:
+    """
+    Yield streams that ended after they had begun, without an unplanned fault.
+
+    Targets that are silent for a moment are no excuse. Streams that have used up their
+    time are.
+    """
+    ran = _group_runs(evidence)
+    for outcome in evidence.outcomes:
+        answer, runs = outcome.answer, ran.get(outcome.id, [])
+        if answer.status != 200 or answer.whole or outcome.disconnected or not runs:
+            continue
+        took_s = outcome.ended_at - outcome.sent_at
+        if took_s >= DEADLINE_S or any(run.fault for run in runs):
+            continue
+        involved = _list_involved(evidence, outcome, runs)
+        if involved & evidence.older_hosts or _is_disturbed(
+            evidence, outcome, involved
+        ):
+            continue
+        yield Violation(
+            "broken-off", f"{_describe(outcome)} began and ended after {took_s:.2f} s"
+        )
+
+
 def find_lost_unsent(evidence: Evidence) -> Iterator[Violation]:
     """Yield requests that a host read and closed without an answer or a target."""
     ran = {run.id for run in evidence.executions}
@@ -178,9 +202,7 @@
 
     A host that was held up for a moment is no excuse.
     """
-    ran = defaultdict(list)
-    for run in evidence.executions:
-        ran[run.id].append(run)
+    ran = _group_runs(evidence)
     lost = []
     for outcome in evidence.outcomes:
         runs = ran.get(outcome.id)
@@ -411,6 +433,14 @@
     return not outcome.answer.status and not given_up
 
 
+def _group_runs(evidence: Evidence) -> dict[str, list[Execution]]:
+    """Return the runs of each request, by its id."""
+    runs = defaultdict(list)
+    for run in evidence.executions:
+        runs[run.id].append(run)
+    return runs
+
+
 def _list_involved(
     evidence: Evidence, outcome: Outcome, runs: Sequence[Execution]
 ) -> set[str]:
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -9,7 +9,7 @@
 import pytest
 
 from soak.answers import RequestKind, Work, make_body, make_event, sign, write_path
-from soak.callers import DirectoryAnswer, Outcome
+from soak.callers import DEADLINE_S, DirectoryAnswer, Outcome
 from soak.checks import (
     CONFIG_DEADLINE_S,
     DIRECTORY_EXPIRY_S,
@@ -117,6 +117,23 @@
     assert find(make_evidence(None, changed)) == ["unasked"]
 
 
+def test_checks_find_streams_broken_off_without_an_unplanned_fault() -> None:
+    ended = AppliedFault("end-host", "h1", 9.0, 18.0)
+    broken = make_outcome(STREAM)
+    broken.answer.body = broken.answer.body[: len(make_event("r1", 1))]
+    broken.answer.whole, broken.end = False, "broken off"
+    run = make_run(work=STREAM)
+    assert find(make_evidence(broken, run, applied_faults=[ended])) == ["broken-off"]
+    assert find(make_evidence(broken, run, applied_faults=[KILLED])) == []
+    assert find(make_evidence(broken, make_run(work=STREAM, fault="cut"))) == []
+    at_older = replace(broken, host="h0")
+    older = frozenset({"h0"})
+    assert find(make_evidence(at_older, run, older_hosts=older)) == []
+    broken.ended_at = broken.sent_at + DEADLINE_S
+    assert find(make_evidence(broken, run)) == []
+    assert find(make_evidence(replace(broken, disconnected=True), run)) == []
+
+
 def test_checks_find_answers_lost_without_an_unplanned_fault() -> None:
     lost = make_outcome(status=0)
     lost.answer.whole, lost.end = False, "closed"
