Hold relayed requests to no other configuration's limits

Callers got 413 or 431 for proper requests that were relayed to a host with an older (or newer) configuration, whose limits are smaller.

Cause: the second host reads what other hosts relay by the limits of its own configuration, and the first one took an answer without a result for the target's.

Ruled out: kinds and time-outs of routes; the second host makes one attempt within the time that the first one states, and ends nothing by its route's time-out.

Change: limits between hosts are 64 KiB and 16 MiB at least. An answer that names neither a result nor a target is the host's own: a 4xx says that the request hasn't run, anything else that it may have.

--- a/src/lycheepath/gateway/listeners.py
+++ b/src/lycheepath/gateway/listeners.py
@@ -29,6 +29,9 @@
 BACKLOG = 1024
 # Room for the headers that hosts add to the requests they relay to each other.
 RELAY_HEAD_BYTES = 4096
+# Smallest limits for the heads and bodies of what hosts relay.
+MIN_HOST_HEAD_BYTES = 65_536
+MIN_HOST_BODY_BYTES = 16 << 20
 # Time within which answers to operators, the platform and other hosts have to be sent.
 ANSWER_TIMEOUT_S = 10.0
 # Other hosts close their idle connections well before this limit.
@@ -138,11 +141,16 @@
 
 
 def read_host_limits(node: GatewayNode) -> ReadLimits:
-    """Return the limits for other hosts: larger heads and a longer idle time."""
+    """
+    Return the limits for other hosts.
+
+    What they relay has been read by the limits of their configuration, which may be
+    another one.
+    """
     limits = read_caller_limits(node)
     return ReadLimits(
-        limits.head_bytes + RELAY_HEAD_BYTES,
-        limits.body_bytes,
-        limits.head_s,
+        max(limits.head_bytes, MIN_HOST_HEAD_BYTES) + RELAY_HEAD_BYTES,
+        max(limits.body_bytes, MIN_HOST_BODY_BYTES),
+        HOST_IDLE_TIMEOUT_S,
         HOST_IDLE_TIMEOUT_S,
     )
--- a/src/lycheepath/gateway/relay.py
+++ b/src/lycheepath/gateway/relay.py
@@ -54,6 +54,8 @@
 
 FAILED_RESULT = AttemptResult.FAILED.value.encode()
 MAX_RESULT_BYTES = 4096
+# Statuses of a host's own refusals of what it hasn't read completely.
+REFUSED_STATUSES = range(400, 500)
 # Timeout for connecting to a host of another region; six times the round-trip time.
 CONNECT_TIMEOUT_S = 1.0
 # Idle time of connections to other hosts; below the limit that those hosts set
@@ -103,9 +105,10 @@
                 on_interim=partial(_read_interim, attempt, timer),
             )
         fields = dict(headers)
-        if RESULT_HEADER in fields and fields[RESULT_HEADER] != FAILED_RESULT:
+        result = fields.get(RESULT_HEADER, FAILED_RESULT)
+        if result != FAILED_RESULT or TARGET_HEADER not in fields:
             attempt.target = fields.get(TARGET_HEADER, b"").decode("latin-1")
-            outcome, reusable = await _read_result(upstream, fields), True
+            outcome, reusable = await _read_result(upstream, status, fields), True
             if outcome.unreachable:
                 _avoid_host(node, host, outcome.reason)
             elif outcome.closed:
@@ -191,9 +194,21 @@
         attempt.version = target.entry.version
 
 
-async def _read_result(upstream: Upstream, fields: dict[bytes, bytes]) -> SendOutcome:
-    """Return the result that the other host reports for an unanswered request."""
+async def _read_result(
+    upstream: Upstream, status: int, fields: dict[bytes, bytes]
+) -> SendOutcome:
+    """
+    Return the result that the other host reports for an unanswered request.
+
+    One that it couldn't read, or is over its limits, is refused without a result.
+    """
     await upstream.read_all(MAX_RESULT_BYTES)
+    if RESULT_HEADER not in fields:
+        result = (
+            AttemptResult.NOT_RUN if status in REFUSED_STATUSES else AttemptResult.LOST
+        )
+        reason = f"the host answered {status} itself"
+        return SendOutcome(result, AttemptOutcome.UNDETERMINED, reason)
     reason = fields.get(REASON_HEADER, b"").decode("latin-1")
     result = AttemptResult(fields[RESULT_HEADER].decode())
     return SendOutcome(
--- a/src/lycheepath/gateway/relayed.py
+++ b/src/lycheepath/gateway/relayed.py
@@ -189,7 +189,6 @@
         answer_headers = [
             *failure.headers,
             (RESULT_HEADER, outcome.result.value.encode()),
-            (TARGET_HEADER, entry.id.encode()),
         ]
         await exchange.caller.answer(failure.status, answer_headers, failure.body)
         return
