Name silent attempts and missing places in explain's causes

Change: the cause of a request that was refused or broken off names why no other attempt was made, and every failed request the targets that were silent at its end.

Figures: unit tests.

--- a/src/lycheepath/core/explaining/causes.py
+++ b/src/lycheepath/core/explaining/causes.py
@@ -25,6 +25,7 @@
 UNANSWERED_EVENT = "request-unanswered"
 # Events that are logged before a request ends.
 STEP_EVENTS = ("placed", "send-failed", "relayed")
+SILENT_EVENT, RESUMED_EVENT = "attempt-silent", "attempt-resumed"
 # Logged by a host that omitted lines, together with the next line that it writes.
 OMITTED_EVENT = "log-lines-omitted"
 # Log lines are limited per second, and the event that reports omitted ones is
@@ -122,7 +123,23 @@
 
 
 def find_cause(lines: list[Line], grouped: GroupedLines) -> Cause:
-    """Return why a request failed."""
+    """Return why a request failed, and which of its attempts were silent then."""
+    cause = _find_end_cause(lines, grouped)
+    silent: dict[str, Line] = {}
+    for line in lines:
+        target = str(line.get("target") or "a host")
+        if line.get("event") == SILENT_EVENT:
+            silent[target] = line
+        elif line.get("event") == RESUMED_EVENT:
+            silent.pop(target, None)
+    texts = [
+        f"{target} was silent since {line.get('silent_s')} s before {line.get('at')}"
+        for target, line in silent.items()
+    ]
+    return Cause(cause.found, "; ".join((cause.text, *texts)))
+
+
+def _find_end_cause(lines: list[Line], grouped: GroupedLines) -> Cause:
     ends = [line for line in lines if line.get("event") in FAILED_END_EVENTS]
     if not ends:
         return _explain_missing_end(lines, grouped)
@@ -130,14 +147,21 @@
     first = ends[0]
     event = first["event"]
     if event == "refused":
-        return _explain_refusal(first, failures)
+        return _add_no_place(_explain_refusal(first, failures), first)
     if event == "failure-passed-on":
         return _explain_failures(f"passed on status {first.get('status')}", failures)
     if event == "broken-off":
-        return _explain_break(first, failures)
+        return _add_no_place(_explain_break(first, failures), first)
     return _explain_disconnect(first, lines)
 
 
+def _add_no_place(cause: Cause, end: Line) -> Cause:
+    """Add why no other attempt was made."""
+    if not end.get("no_place"):
+        return cause
+    return Cause(cause.found, f"{cause.text}; no other attempt: {end['no_place']}")
+
+
 def _explain_refusal(end: Line, failures: list[Line]) -> Cause:
     reason = str(end.get("reason") or "")
     status = end.get("status")
--- a/src/lycheepath/gateway/inactivity.py
+++ b/src/lycheepath/gateway/inactivity.py
@@ -1,9 +1,9 @@
 """
 Reports attempts whose target or host has stopped sending data.
 
-A silent target may be sound and go on, so nothing is ended here. A request that waits behind others is not treated as stalled: while the other side
-shows activity on other connections, an attempt may exceed its limit by
-``MAX_WAIT_FACTOR``.
+A silent target may be sound and go on, so nothing is ended here. A request that waits
+behind others is not treated as silent: while the other side shows activity on other
+connections, an attempt may exceed its limit by ``MAX_WAIT_FACTOR``.
 """
 
 from __future__ import annotations
--- a/tests/core/explaining/test_causes.py
+++ b/tests/core/explaining/test_causes.py
@@ -36,6 +36,18 @@
             "connection broke",
         ),
         ([PLACED, FAILED_SEND, make_line(2.0, "broken-off")], "connection broke"),
+        (
+            [PLACED, FAILED_SEND, make_line(2.0, "broken-off", no_place="none left")],
+            "connection broke; no other attempt: none left",
+        ),
+        (
+            [
+                PLACED,
+                make_line(1.9, "attempt-silent", target="i-1", silent_s=0.8),
+                make_line(2.0, "left", took_s=1.0),
+            ],
+            "i-1 was silent since 0.8 s before 1.9",
+        ),
         (
             [PLACED, make_line(2.0, "broken-off", reason="the time is over")],
             "time is over",
