Take an attempt's end into account while another place is looked for

Callers of kept connections saw them closed, and logs had "broken-off", after answers that came just while another place for a silent attempt was looked for.

Cause: the task that looks for another place found no attempt running afterwards and gave the request up, though its attempt had ended meanwhile: with an answer, or with a failure after which another one is allowed.

Change: ended attempts are taken first, nothing is started beside them, and the search ends as soon as an attempt goes on or ends.

--- a/src/lycheepath/gateway/attempts.py
+++ b/src/lycheepath/gateway/attempts.py
@@ -13,6 +13,7 @@
 
 from __future__ import annotations
 
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -24,7 +25,7 @@
 from ..core.serving.attempts import AttemptResult
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Iterator
     from contextlib import AbstractContextManager
 
     from ..core.placement.model import Placement
@@ -128,7 +129,11 @@
 
 
 class AttemptRace:
-    """State: the attempts of one request that run, and those that have ended."""
+    """
+    State: the attempts of one request.
+
+    ``running`` are in progress, ``ended`` have ended and weren't taken yet.
+    """
 
     def __init__(
         self,
@@ -140,12 +145,13 @@
         ],
     ) -> None:
         self.running: list[Attempt] = []
+        self.ended: list[Attempt] = []
         self._node = node
         self._exchange = exchange
         self._nursery = nursery
         self._send = send
-        self._ended: list[Attempt] = []
         self._changed = trio.Event()
+        self._placing: trio.CancelScope | None = None
 
     @property
     def needs_another(self) -> bool:
@@ -162,7 +168,7 @@
 
     def take_ended(self) -> list[Attempt]:
         """Return the attempts that have ended since the last call."""
-        ended, self._ended = self._ended, []
+        ended, self.ended = self.ended, []
         return ended
 
     async def wait(self, timeout_s: float) -> None:
@@ -186,11 +192,23 @@
             self._exchange.attempts.end(attempt.outcome.result)
             if attempt in self.running:
                 self.running.remove(attempt)
-            self._ended.append(attempt)
+            self.ended.append(attempt)
             self._report_change()
 
+    @contextmanager
+    def interrupt_at_change(self) -> Iterator[None]:
+        """Cancel what is done in the block once an attempt goes on or ends."""
+        with trio.CancelScope() as scope:
+            self._placing = scope
+            try:
+                yield
+            finally:
+                self._placing = None
+
     def _report_change(self) -> None:
         self._changed.set()
+        if self._placing is not None and (self.ended or not self.needs_another):
+            self._placing.cancel()
 
 
 def watch_silence(
--- a/src/lycheepath/gateway/serving.py
+++ b/src/lycheepath/gateway/serving.py
@@ -206,10 +206,13 @@
 ) -> Attempt | Absent | None:
     while True:
         if race.needs_another:
-            absent = await _start_another(node, exchange, race)
-            if not race.running:
+            absent = None
+            with race.interrupt_at_change():
+                absent = await _start_another(node, exchange, race)
+            if not (race.running or race.ended):
                 return absent
-        await race.wait(PLACE_AGAIN_S if race.needs_another else math.inf)
+        if not race.ended:
+            await race.wait(PLACE_AGAIN_S if race.needs_another else math.inf)
         for attempt in race.take_ended():
             if attempt.error is not None:
                 raise attempt.error
@@ -227,7 +230,7 @@
     """
     Place a request beside the attempts that are silent; return why it can't be.
 
-    Nothing is started if one of them goes on meanwhile.
+    Nothing is started if one of them goes on or ends meanwhile.
     """
     exchange.no_place = ""
     is_repeat = exchange.attempts.started > 0
@@ -248,7 +251,7 @@
         if race.running:
             return placed
         return node.permits.spread_returns(exchange.service, placed)
-    if not race.needs_another:
+    if race.ended or not race.needs_another:
         return None
     if is_repeat and not node.retries.take(
         exchange.service, node.count_hosts(), node.now()
--- a/tests/gateway/test_silent_attempts.py
+++ b/tests/gateway/test_silent_attempts.py
@@ -7,11 +7,13 @@
 from __future__ import annotations
 
 from collections import Counter
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import pytest
 import trio
 
+from lycheepath.core.reasons import Absent
+from lycheepath.gateway.node import GatewayNode
 from standins.pausing_target import (
     HEADERS,
     RESUMABLE,
@@ -23,12 +25,12 @@
     configure_routes,
     is_complete,
 )
+from standins.site import send_request, write_request
 from tests.gateway.test_fleet import wait_until_live
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from lycheepath.gateway.node import GatewayNode
     from standins.site import Answer, Seen, Site
 
 PAUSES = 4
@@ -240,3 +242,34 @@
         )
         assert is_complete(answer)
     assert broken.seen
+
+
+async def test_silent_attempt_that_answers_while_a_place_is_looked_for_is_complete(
+    site: Site, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    target = (await add_targets(site, "east-a", ["v1"]))[0]
+    configure_routes(site)
+    node = await site.start_gateway("host-1")
+    place = GatewayNode.place
+
+    async def place_slowly(self: GatewayNode, *args: Any) -> Any:
+        placed = await place(self, *args)
+        if isinstance(placed, Absent):
+            await trio.sleep(0.5)
+        return placed
+
+    monkeypatch.setattr(GatewayNode, "place", place_slowly)
+    address = node.settings.callers
+    async with await trio.open_tcp_stream(address.ip, address.port) as stream:
+        for number in range(3):
+            for prefix in (RESUMABLE, SAFE):
+                request_id = f"{prefix}{number}"
+                request = write_request(
+                    b"POST", f"{prefix}1", b"x", request_id, HEADERS
+                )
+                async with trio.open_nursery() as pausing:
+                    pausing.start_soon(target.pause, 0.7)
+                    await trio.sleep(0.01)
+                    answer = await send_request(stream, request)
+                assert is_complete(answer), (request_id, answer.end)
+                await trio.sleep(0.6)
