Pass a target's failure on if the silent attempt beside it stays silent

Cause: a silent attempt is waited for until the deadline, whatever else is known.

Ruled out: passing the failure on at once; a sound target may go on after a second or so, and its answer is better.

Found by reading.

--- a/src/lycheepath/gateway/attempts.py
+++ b/src/lycheepath/gateway/attempts.py
@@ -158,6 +158,12 @@
         """Whether no attempt runs that isn't silent."""
         return all(attempt.silent_since is not None for attempt in self.running)
 
+    def find_silent_s(self) -> float:
+        """Return for how long all running attempts have been silent."""
+        now = self._node.now()
+        silent_s = (now - (each.silent_since or now) for each in self.running)
+        return min(silent_s, default=0.0)
+
     def start(self, placed: Placement) -> None:
         """Start an attempt beside those that run."""
         attempt = make_attempt(self._node, self._exchange, placed)
--- a/src/lycheepath/gateway/serving.py
+++ b/src/lycheepath/gateway/serving.py
@@ -18,7 +18,7 @@
 from ..adapters.http1.downstream import CallerGoneError
 from ..core.catalog.model import RouteKind
 from ..core.catalog.routes import draw_service
-from ..core.placement.silence import find_heard_s_ago
+from ..core.placement.silence import SOUND_SILENCE_S, find_heard_s_ago
 from ..core.reasons import Absent, Reason
 from ..core.serving.attempts import AttemptResult, may_start_another
 from ..platform.headers import find_request_id, read_request
@@ -209,7 +209,7 @@
             absent = None
             with race.interrupt_at_change():
                 absent = await _start_another(node, exchange, race)
-            if not (race.running or race.ended):
+            if not (race.running or race.ended) or _has_better_end(exchange, race):
                 return absent
         if not race.ended:
             await race.wait(PLACE_AGAIN_S if race.needs_another else math.inf)
@@ -224,6 +224,17 @@
                 exchange.previous_attempts = _add_attempt(node, attempt)
 
 
+def _has_better_end(exchange: Exchange, race: AttemptRace) -> bool:
+    """
+    Whether a target's failure is a better end than to wait for silent attempts.
+
+    Sound targets aren't silent for longer than these have been.
+    """
+    if exchange.failed_answer is None or exchange.answer_started or race.ended:
+        return False
+    return race.find_silent_s() > SOUND_SILENCE_S
+
+
 async def _start_another(
     node: GatewayNode, exchange: Exchange, race: AttemptRace
 ) -> Absent | None:
--- a/tests/gateway/test_silent_attempts.py
+++ b/tests/gateway/test_silent_attempts.py
@@ -12,6 +12,7 @@
 import pytest
 import trio
 
+from lycheepath.core.placement.silence import SOUND_SILENCE_S
 from lycheepath.core.reasons import Absent
 from lycheepath.gateway.node import GatewayNode
 from standins.pausing_target import (
@@ -25,7 +26,7 @@
     configure_routes,
     is_complete,
 )
-from standins.site import send_request, write_request
+from standins.site import answer_text, send_request, write_request
 from tests.gateway.test_fleet import wait_until_live
 
 if TYPE_CHECKING:
@@ -273,3 +274,22 @@
                     answer = await send_request(stream, request)
                 assert is_complete(answer), (request_id, answer.end)
                 await trio.sleep(0.6)
+
+
+@pytest.mark.parametrize(("silent_s", "status"), [(1.3, 200), (4.0, 500)])
+async def test_failure_is_passed_on_if_the_silent_attempt_beside_it_stays_silent(
+    site: Site, silent_s: float, status: int
+) -> None:
+    target = (await add_targets(site, "east-a", ["v1"]))[0]
+    await site.add_target("books", answer_text(b"failed", 500), slots=64)
+    configure_routes(site)
+    node = await site.start_gateway("host-1")
+    started = trio.current_time()
+    async with trio.open_nursery() as pausing:
+        pausing.start_soon(target.pause, silent_s)
+        await trio.sleep(0.01)
+        answer = await site.ask(node, b"POST", f"{SAFE}1", b"x", "r1", HEADERS)
+        pausing.cancel_scope.cancel()
+    assert (answer.status, answer.whole) == (status, True)
+    assert trio.current_time() - started < min(silent_s, SOUND_SILENCE_S) + 1.0
+    assert [len(each.seen) for each in site.targets] == [1, 1]
