Read the ends of attempts before a request is given up or placed again

What callers saw: a kept connection closed after a whole answer, and its next request unanswered; or the request was placed once more after its answer. Cause: an attempt that was silent went on and ended while another place was looked for; with no attempt running, the request counted as one that has none, though that attempt's answer was complete and only its end was unread. The race is over only when no attempt runs and none has an unread end.

--- a/src/lycheepath/gateway/attempts.py
+++ b/src/lycheepath/gateway/attempts.py
@@ -155,8 +155,15 @@
 
     @property
     def needs_another(self) -> bool:
-        """Whether no attempt runs that isn't silent."""
-        return all(attempt.silent_since is not None for attempt in self.running)
+        """Whether all attempts that run are silent, and no end of one is unread."""
+        return not self.ended and all(
+            attempt.silent_since is not None for attempt in self.running
+        )
+
+    @property
+    def is_over(self) -> bool:
+        """Whether no attempt runs, and no end of one is unread."""
+        return not (self.running or self.ended)
 
     def find_silent_s(self) -> float:
         """Return for how long all running attempts have been silent."""
@@ -213,7 +220,7 @@
 
     def _report_change(self) -> None:
         self._changed.set()
-        if self._placing is not None and (self.ended or not self.needs_another):
+        if self._placing is not None and not self.needs_another:
             self._placing.cancel()
 
 
--- a/src/lycheepath/gateway/serving.py
+++ b/src/lycheepath/gateway/serving.py
@@ -209,7 +209,7 @@
             absent = None
             with race.interrupt_at_change():
                 absent = await _start_another(node, exchange, race)
-            if not (race.running or race.ended) or _has_better_end(exchange, race):
+            if race.is_over or _has_better_end(exchange, race):
                 return absent
         if not race.ended:
             await race.wait(PLACE_AGAIN_S if race.needs_another else math.inf)
@@ -262,7 +262,7 @@
         if race.running:
             return placed
         return node.permits.spread_returns(exchange.service, placed)
-    if race.ended or not race.needs_another:
+    if not race.needs_another:
         return None
     if is_repeat and not node.retries.take(
         exchange.service, node.count_hosts(), node.now()
