Pass a target's failure on at the deadline instead of a refusal of this host

Cause: a silent attempt stays open to the deadline, and the end at the deadline knew no failure that is at hand. The new test failed before with (504, 'the time is over').

--- a/src/lycheepath/gateway/serving.py
+++ b/src/lycheepath/gateway/serving.py
@@ -346,10 +346,7 @@
     if exchange.answer_started:
         _abort_answer(node, exchange)
         return
-    failure = exchange.failed_answer
-    if failure is not None and failure.status not in NOT_RUN_STATUSES:
-        _log_outcome(node, exchange, "failure-passed-on", failure.status)
-        await caller.answer(failure.status, failure.headers, failure.body)
+    if await _pass_failure_on(node, exchange):
         return
     reason = exchange.reason or ("" if absent is None else absent.detail)
     request_id, route = exchange.request_head.id, exchange.route.name
@@ -363,6 +360,16 @@
     await _refuse(node, caller, request_id, NOT_RUN_STATUS, wait_s, reason, route)
 
 
+async def _pass_failure_on(node: GatewayNode, exchange: Exchange) -> bool:
+    """Answer a request with a target's failure; return False if there is none."""
+    failure = exchange.failed_answer
+    if failure is None or failure.status in NOT_RUN_STATUSES:
+        return False
+    _log_outcome(node, exchange, "failure-passed-on", failure.status)
+    await exchange.caller.answer(failure.status, failure.headers, failure.body)
+    return True
+
+
 async def _answer_at_end(node: GatewayNode, exchange: Exchange) -> None:
     """Answer a request that is still served when this host ends."""
     exchange.reason = END_REASON
@@ -372,21 +379,22 @@
 
 
 async def _answer_timeout(node: GatewayNode, exchange: Exchange) -> None:
-    """Answer a request whose deadline has passed."""
+    """Answer a request whose deadline has passed, with a target's failure if there is one."""
     exchange.reason = TIMEOUT_REASON
     if exchange.answer_started:
         _abort_answer(node, exchange)
         return
     with trio.move_on_after(LATE_REFUSAL_TIMEOUT_S) as scope:
-        await _refuse(
-            node,
-            exchange.caller,
-            exchange.request_head.id,
-            TIMEOUT_STATUS,
-            None,
-            exchange.reason,
-            exchange.route.name,
-        )
+        if not await _pass_failure_on(node, exchange):
+            await _refuse(
+                node,
+                exchange.caller,
+                exchange.request_head.id,
+                TIMEOUT_STATUS,
+                None,
+                exchange.reason,
+                exchange.route.name,
+            )
     if scope.cancelled_caught:
         _abort_answer(node, exchange)
 
--- a/tests/gateway/test_silent_attempts.py
+++ b/tests/gateway/test_silent_attempts.py
@@ -293,3 +293,18 @@
     assert (answer.status, answer.whole) == (status, True)
     assert trio.current_time() - started < min(silent_s, SOUND_SILENCE_S) + 1.0
     assert [len(each.seen) for each in site.targets] == [1, 1]
+
+
+async def test_failure_is_passed_on_though_another_target_was_silent_to_the_deadline(
+    site: Site,
+) -> None:
+    silent = await add_pausing_target(site)
+    await site.add_target("books", answer_text(b"failed", 500))
+    configure_routes(site)
+    node = await site.start_gateway("host-1")
+    async with trio.open_nursery() as pausing:
+        pausing.start_soon(silent.pause, 20.0)
+        answer = await site.ask(node, b"POST", f"{SAFE}1", b"x", "r1")
+        pausing.cancel_scope.cancel()
+    silent.awake.set()
+    assert (answer.status, answer.body) == (500, b"failed")
