Count the silence of a target over the attempts that were replaced

What was seen: a target that hangs for 8 s, of four, 40 safe requests a second: sends it 5 requests in the first second and then none; 4, 2, 0, 4, 2, 1, 0, 3, 3 in each second, each one a retry. Cause: an attempt's silence was counted from its own start, and it is replaced after some 0.2 s, so that no target that accepts connections ever counted as failed after 2 s.

--- a/src/lycheepath/core/placement/silence.py
+++ b/src/lycheepath/core/placement/silence.py
@@ -40,11 +40,13 @@
     """
     Return how a silent attempt ended that another one has replaced.
 
-    An ``ignored`` one fell silent while its target answered others.
+    An ``ignored`` one fell silent while its target answered others. Earlier silent
+    attempts, which were replaced too, count for the time of the silence.
     """
     if ignored:
         return AttemptOutcome.TIMED_OUT
-    silent_s = now - max(silent_since, target.last_contact_at)
+    since = min(silent_since, target.health.silent_since)
+    silent_s = now - max(since, target.last_contact_at)
     if silent_s > SOUND_SILENCE_S:
         return AttemptOutcome.TIMED_OUT
     return AttemptOutcome.UNDETERMINED
--- a/src/lycheepath/core/routing/health.py
+++ b/src/lycheepath/core/routing/health.py
@@ -43,6 +43,7 @@
     refusals: int = 0
     paused_until: float = 0.0
     refused_at: float = float("-inf")
+    silent_since: float = float("inf")
     silent_until: float = float("-inf")
 
     def record_success(self) -> None:
@@ -75,12 +76,19 @@
         self.paused_until = 0.0
         self.record_activity()
 
-    def record_silence(self, now: float) -> None:
-        """Record that the target has sent nothing for too long; it may still go on."""
+    def record_silence(self, since: float, now: float) -> None:
+        """
+        Record that the target has sent nothing since a time; it may still go on.
+
+        A silence that follows another one soon, without an answer between, goes on with it.
+        """
+        if since > self.silent_until + SILENCE_PAUSE_S:
+            self.silent_since = since
         self.silent_until = now + SILENCE_PAUSE_S
 
     def record_activity(self) -> None:
         """Record that the target goes on after a silence."""
+        self.silent_since = float("inf")
         self.silent_until = float("-inf")
 
     def is_paused(self, now: float) -> bool:
--- a/src/lycheepath/gateway/attempts.py
+++ b/src/lycheepath/gateway/attempts.py
@@ -265,7 +265,7 @@
         if not attempt.placed.is_remote:
             attempt.ignored = is_active_elsewhere(target, since, now)
             if not attempt.ignored:
-                target.health.record_silence(now)
+                target.health.record_silence(since, now)
         node.metrics.count("attempts_silent_total")
         record_event(
             "attempt-silent",
--- a/tests/core/placement/test_choice.py
+++ b/tests/core/placement/test_choice.py
@@ -249,7 +249,7 @@
     target = registry.targets["i-1"]
     registry.record_start(1, target, 0, 100, 0.0)
     registry.record_events(1, 1, 0.1)
-    target.health.record_silence(1.0)
+    target.health.record_silence(1.0, 1.0)
     names = [str(number) for number in range(20)]
     chosen = {
         chosen_id(choose(registry, make_request(make_prompt(name)), now=1.1))
@@ -266,7 +266,7 @@
 
 def test_silent_target_is_used_if_there_is_no_other() -> None:
     registry = make_registry(make_entry(1))
-    registry.targets["i-1"].health.record_silence(1.0)
+    registry.targets["i-1"].health.record_silence(1.0, 1.0)
     request = make_request(make_prompt())
     assert chosen_id(choose(registry, request, now=1.1)) == "i-1"
 
--- a/tests/core/placement/test_silence.py
+++ b/tests/core/placement/test_silence.py
@@ -24,6 +24,28 @@
     assert ended is AttemptOutcome.TIMED_OUT
 
 
+def test_target_that_is_silent_for_one_short_attempt_after_the_other_has_failed() -> (
+    None
+):
+    target = make_registry(make_entry(1)).targets["i-1"]
+    target.last_contact_at = 10.0
+    for since in (10.0, 11.5):
+        target.health.record_silence(since, since + 0.2)
+    assert judge_silence(target, 11.5, False, 11.7) is AttemptOutcome.UNDETERMINED
+    target.health.record_silence(13.0, 13.2)
+    assert judge_silence(target, 13.0, False, 13.2) is AttemptOutcome.TIMED_OUT
+
+
+def test_silences_of_a_target_that_answered_between_them_are_told_apart() -> None:
+    target = make_registry(make_entry(1)).targets["i-1"]
+    target.last_contact_at = 10.0
+    target.health.record_silence(10.0, 10.2)
+    target.health.record_activity()
+    target.last_contact_at = 11.0
+    target.health.record_silence(13.0, 13.2)
+    assert judge_silence(target, 13.0, False, 13.2) is AttemptOutcome.UNDETERMINED
+
+
 def test_target_that_answers_others_has_failed_the_one_that_it_ignored() -> None:
     target = make_registry(make_entry(1)).targets["i-1"]
     target.last_contact_at = 10.7
--- a/tests/gateway/test_silent_attempts.py
+++ b/tests/gateway/test_silent_attempts.py
@@ -308,3 +308,24 @@
         pausing.cancel_scope.cancel()
     silent.awake.set()
     assert (answer.status, answer.body) == (500, b"failed")
+
+
+async def test_target_that_stays_silent_gets_no_requests_while_others_answer(
+    site: Site,
+) -> None:
+    targets = await add_targets(site, "east-a", ["v1"] * 4)
+    configure_routes(site)
+    node = await site.start_gateway("host-1")
+    ended = trio.Event()
+    async with trio.open_nursery() as asking:
+        asking.start_soon(ask_steadily, site, [node], (SAFE,), ended)
+        await trio.sleep(0.5)
+        asking.start_soon(targets[0].pause, 20.0)
+        await trio.sleep(5.0)
+        seen = len(site.targets[0].seen)
+        await trio.sleep(3.0)
+        ended.set()
+        await trio.sleep(0.5)
+        asking.cancel_scope.cancel()
+    targets[0].awake.set()
+    assert len(site.targets[0].seen) == seen
