Play answers without a length in the race, and runs beside another's events

Cause: two mutations of src passed the race as it was. Without the cancelling of replaced attempts (`rival.scope.cancel()` in gateway/attempts) a stream's silent run goes on beside the one that replaced it; without `_check_end` in gateway/forwarding an answer that ends with its connection within an event counts as whole.

Change: a run must be over 0.5 s after another one's new event (TWICE), and two answers in five have no length and end with their connection. Those that break off are reset, or closed where the stream shows it: a close at another place can't be told from an end.

--- a/standins/scripted_target.py
+++ b/standins/scripted_target.py
@@ -35,6 +35,9 @@
 COMMENT = b": comment\n\n"
 # Probability of a comment before an event.
 COMMENT_SHARE = 0.1
+# Probability that an answer has no length and ends with its connection.
+UNFRAMED_SHARE = 0.4
+UNFRAMED_HEAD = STREAM_HEAD.replace("Transfer-Encoding: chunked", "Connection: close")
 # An answer's text is long enough that two answers can be mixed.
 TEXT_REPEATS = 40
 CHUNK_END = b"0\r\n\r\n"
@@ -52,6 +55,7 @@
     REFUSED = "refused"
 
 
+BREAKS = (Ending.CLOSED, Ending.RESET)
 ENDING_WEIGHTS = {
     Ending.WHOLE: 66,
     Ending.CLOSED: 10,
@@ -63,12 +67,19 @@
 
 @dataclass(frozen=True)
 class Script:
-    """The pieces of an answer, the pause before each, and where and how it ends."""
+    """
+    The pieces of an answer, the pause before each, and where and how it ends.
+
+    A stream goes on after the event numbered ``after``. The connection ends with an answer
+    that isn't ``framed``.
+    """
 
     ending: Ending
     pieces: tuple[bytes, ...]
     pauses_s: tuple[float, ...]
     body: bytes
+    after: int
+    framed: bool
 
 
 @dataclass
@@ -89,6 +100,12 @@
     ended_at: float | None = None
     closed_at: float | None = None
 
+    @property
+    def events(self) -> list[tuple[float, int]]:
+        """When each event was sent, and its number."""
+        after = self.script.after
+        return [(at, after + n + 1) for n, at in enumerate(self.event_times)]
+
     @property
     def may_have_run(self) -> bool:
         """Whether the target began to work on the request."""
@@ -133,7 +150,7 @@
             nursery.cancel_scope.cancel()
         if run.closed_at is not None:
             stream.socket.close()
-        elif script.ending in (Ending.CLOSED, Ending.RESET):
+        elif script.ending in BREAKS or not script.framed:
             if script.ending is Ending.RESET:
                 stream.socket.setsockopt(
                     socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_ONCE
@@ -166,7 +183,7 @@
                 run.ended_at = trio.current_time()
             if piece:
                 await stream.send_all(piece)
-            if piece.endswith(b"\n\n\r\n"):
+            if piece.endswith((b"\n\n\r\n", b"\n\n")):
                 run.event_times.append(trio.current_time())
     except (trio.BrokenResourceError, trio.ClosedResourceError):
         run.closed_at = trio.current_time()
@@ -178,51 +195,65 @@
     random = Random(f"{seed}/{request_id}/{number}")
     ending = random.choices(list(ENDING_WEIGHTS), list(ENDING_WEIGHTS.values()))[0]
     run = f"run {number}"
+    after = int(seen.headers.get("last-event-id", "0"))
+    framed = random.random() >= UNFRAMED_SHARE
     if ending is Ending.REFUSED:
         body = b""
-        pieces = _write_text(request_id, "503 X\r\nNot-Executed: 1", body)
+        pieces = _write_text(request_id, "503 X\r\nNot-Executed: 1", body, framed)
     elif ending is Ending.FAILED:
         body = f"{request_id} failed in {run}".encode()
-        pieces = _write_text(request_id, "500 X\r\nResponse-Signature: s", body)
+        status = "500 X\r\nResponse-Signature: s"
+        pieces = _write_text(request_id, status, body, framed)
     elif seen.target.startswith((RESUMABLE, ONCE)):
         named = run if seen.target.startswith(ONCE) else ""
-        after = int(seen.headers.get("last-event-id", "0"))
-        pieces = _write_stream_pieces(random, request_id, after, named)
         body = write_stream(request_id, named)
+        pieces = _write_stream_pieces(random, request_id, after, named, framed)
     else:
         body = f"{request_id} answered in {run}\n".encode() * TEXT_REPEATS
-        pieces = _write_text(request_id, "200 X\r\nResponse-Signature: s", body)
-    if ending in (Ending.CLOSED, Ending.RESET):
+        status = "200 X\r\nResponse-Signature: s"
+        pieces = _write_text(request_id, status, body, framed)
+    if ending in BREAKS:
         # The connection ends in place of a piece.
         pieces = [*pieces[: random.randrange(len(pieces))], b""]
+        if not framed and not _shows_its_break(seen, pieces):
+            # A closed connection would end the answer properly.
+            ending = Ending.RESET
     share = min(MAX_PAUSE_SHARE, PAUSES / len(pieces))
     pauses_s = tuple(
         random.uniform(*PAUSE_S) if random.random() < share else 0.0 for _ in pieces
     )
-    return Script(ending, tuple(pieces), pauses_s, body)
+    return Script(ending, tuple(pieces), pauses_s, body, after, framed)
+
+
+def _shows_its_break(seen: Seen, pieces: list[bytes]) -> bool:
+    """Whether a stream without framing ends before its events, or within one."""
+    is_stream = seen.target.startswith((RESUMABLE, ONCE))
+    return is_stream and (len(pieces) <= 2 or not pieces[-2].endswith(b"\n"))
 
 
-def _write_text(request_id: str, status: str, body: bytes) -> list[bytes]:
+def _write_text(request_id: str, status: str, body: bytes, framed: bool) -> list[bytes]:
     head = f"HTTP/1.1 {status}\r\nRequest-Id: {request_id}\r\n"
-    head += f"Content-Length: {len(body)}\r\n\r\n"
+    head += f"Content-Length: {len(body)}" if framed else "Connection: close"
     middle = len(body) // 2
-    parts = [head.encode(), body[:middle], body[middle:]]
-    return [part for part in parts if part]
+    parts = [f"{head}\r\n\r\n".encode(), body[:middle], body[middle:]]
+    return [*(part for part in parts if part), *([] if framed else [b""])]
 
 
 def _write_stream_pieces(
-    random: Random, request_id: str, after: int, run: str
+    random: Random, request_id: str, after: int, run: str, framed: bool
 ) -> list[bytes]:
-    """Return a stream after an event as chunks, each event in two parts."""
-    pieces = [STREAM_HEAD.format(request_id).encode()]
+    """Return a stream after an event, each event and comment in two parts."""
+    write = _write_chunk if framed else bytes
+    head = STREAM_HEAD if framed else UNFRAMED_HEAD
+    pieces = [head.format(request_id).encode()]
     for number in range(after + 1, EVENTS + 1):
         if random.random() < COMMENT_SHARE:
-            pieces.append(_write_chunk(COMMENT)[:-1])
-            pieces.append(b"\n")
-        chunk = _write_chunk(write_event(request_id, number, run))
-        cut = random.randrange(1, len(chunk) - 5)
-        pieces += [chunk[:cut], chunk[cut:]]
-    return [*pieces, CHUNK_END]
+            comment = write(COMMENT)
+            pieces += [comment[:-1], comment[-1:]]
+        event = write(write_event(request_id, number, run))
+        cut = random.randrange(1, len(event) - 5)
+        pieces += [event[:cut], event[cut:]]
+    return [*pieces, CHUNK_END if framed else b""]
 
 
 def _write_chunk(data: bytes) -> bytes:
--- a/tests/gateway/test_attempt_race.py
+++ b/tests/gateway/test_attempt_race.py
@@ -58,7 +58,7 @@
 LATE_S = 0.3
 # Time by which clocks of two tasks of this process may differ.
 SLACK_S = 0.05
-# Time within which targets see that a request is over.
+# Time within which targets see that a request is over, or goes on elsewhere.
 CLOSED_WITHIN_S = 0.5
 NOT_RUN_STATUSES = (429, 503)
 TIMEOUT_STATUS = 504
@@ -236,12 +236,40 @@
             if not has_ended_itself(run, call) and not was_replaced(run, runs)
         ]
     for run in runs:
-        ends = [at for at in (run.ended_at, run.closed_at) if at is not None]
-        if not ends or min(ends) > call.over_at + CLOSED_WITHIN_S:
+        if is_at_work(run, call.over_at + CLOSED_WITHIN_S):
             faults.append(f"{run.target} worked on after its end")
+    replaced_at = find_replaced_at(runs)
+    faults += [
+        f"{run.target} worked on beside another one's events"
+        for run, at in zip(runs, replaced_at, strict=True)
+        if at is not None and is_at_work(run, at + CLOSED_WITHIN_S)
+    ]
     return faults
 
 
+def find_replaced_at(runs: Sequence[Run]) -> list[float | None]:
+    """Return since when each run is needless, since another one had a new event."""
+    replaced_at: list[float | None] = [None] * len(runs)
+    events = sorted(
+        (at, number, by) for by, run in enumerate(runs) for at, number in run.events
+    )
+    last = 0
+    for at, number, by in events:
+        # A run that is closed at this moment isn't the one that goes on.
+        if number > last and is_at_work(runs[by], at + SLACK_S):
+            for other, run in enumerate(runs):
+                if other != by and replaced_at[other] is None and run.arrived_at < at:
+                    replaced_at[other] = at
+        last = max(last, number)
+    return replaced_at
+
+
+def is_at_work(run: Run, at: float) -> bool:
+    """Whether a run goes on at a time."""
+    ends = [end for end in (run.ended_at, run.closed_at) if end is not None]
+    return not ends or min(ends) > at
+
+
 def has_ended_itself(run: Run, call: Call) -> bool:
     """Whether a target had ended its answer, or broken it off, when a request was over."""
     return run.ended_at is not None and run.ended_at <= call.over_at
