--- a/standins/scripted_target.py
+++ b/standins/scripted_target.py
@@ -93,7 +93,6 @@
     """
 
     target: str
-    path: str
     arrived_at: float
     script: Script
     event_times: list[float] = field(default_factory=list)
@@ -142,7 +141,7 @@
         request_id = seen.headers["request-id"]
         runs = self.runs.setdefault(request_id, [])
         script = draw_script(self._seed, seen, len(runs))
-        run = Run(target, seen.target, trio.current_time(), script)
+        run = Run(target, trio.current_time(), script)
         runs.append(run)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_watch_end, run, stream, nursery.cancel_scope)
