--- a/standins/pausing_target.py
+++ b/standins/pausing_target.py
@@ -45,9 +45,14 @@
 
 
 class PausingTarget:
-    """A target that sends nothing while it is paused; ``ran`` counts runs by id."""
+    """
+    A target that sends nothing while it is paused; ``ran`` counts runs by id.
 
-    def __init__(self) -> None:
+    It works for ``event_s`` before each event of a stream, and before a whole answer.
+    """
+
+    def __init__(self, event_s: float = EVENT_S) -> None:
+        self.event_s = event_s
         self.ran: Counter[str] = Counter()
         self.awake = trio.Event()
         self.awake.set()
@@ -69,13 +74,13 @@
         await self.awake.wait()
         self.ran[request_id] += 1
         if not seen.target.startswith((RESUMABLE, ONCE)):
-            await trio.sleep(EVENT_S)
+            await trio.sleep(self.event_s)
             await self.awake.wait()
             await answer_text(WHOLE_TEXT)(seen, stream)
             return
         await stream.send_all(STREAM_HEAD.format(request_id).encode())
         for number in range(int(seen.headers.get("last-event-id", "0")), EVENTS):
-            await trio.sleep(EVENT_S)
+            await trio.sleep(self.event_s)
             await self.awake.wait()
             event = f"id: {number + 1}\ndata: x\n\n".encode()
             await stream.send_all(b"%x\r\n%b\r\n" % (len(event), event))
@@ -83,10 +88,13 @@
 
 
 async def add_pausing_target(
-    site: Site, zone: str = "east-a", version: str = "v1"
+    site: Site,
+    zone: str = "east-a",
+    version: str = "v1",
+    event_s: float = EVENT_S,
 ) -> PausingTarget:
     """Start a target of the service ``books`` that can be paused."""
-    target = PausingTarget()
+    target = PausingTarget(event_s)
     added = await site.add_target(
         "books", target.behave, zone=zone, slots=64, version=version
     )
