Wait for the report of a silent target before a stream goes on there

Callers: while two versions are in use, a stream that is taken up is refused 503 when its targets, or the host that asks them, stand still for over 0.3 s.

Cause: before a stream goes on, its target is asked on the connection which instance it is, and the connection was closed after 0.3 s without a report. The time-out also ran out while this process stood still, though the report had come. The log called it "the target has restarted".

Change: the report is awaited like an answer: after 0.3 s the attempt counts as silent, another one is started beside it, and the first that answers goes on.

Figures: take-ups at two targets of the version, silent for 1.5 s: refused before, 6 of 6 answered after (test).

--- a/src/lycheepath/gateway/instances.py
+++ b/src/lycheepath/gateway/instances.py
@@ -10,8 +10,6 @@
 
 from typing import TYPE_CHECKING
 
-import trio
-
 from ..adapters.events import record_event
 from ..adapters.http1.upstream import BrokenAnswerError
 from ..platform.targets import REPORT_PATH, TargetAnswerError, read_start
@@ -19,34 +17,41 @@
 if TYPE_CHECKING:
     from ..adapters.http1.upstream import Upstream
     from ..core.placement.registry import TargetState
+    from .attempts import Watch
     from .exchange import Exchange
     from .node import GatewayNode
 
 MAX_REPORT_BYTES = 65_536
-# Timeout for the report, which needs no slot at the target.
-REPORT_TIMEOUT_S = 0.3
+# Time without a report, which needs no slot at the target, after which the target counts
+# as silent.
+REPORT_SILENCE_S = 0.3
 
 
 async def is_expected_instance(
-    node: GatewayNode, exchange: Exchange, target: TargetState, upstream: Upstream
+    node: GatewayNode,
+    exchange: Exchange,
+    target: TargetState,
+    upstream: Upstream,
+    watch: Watch,
 ) -> bool:
     """
     Whether a request may be sent on a connection to a target.
 
     Asks the target only for streams that have begun, while several versions are in
-    use, and once for each connection.
+    use, and once for each connection. ``watch`` reports a target that is silent; its
+    report is awaited nevertheless, until the attempt ends.
     """
     if upstream.instance_checked or not node.versions.needs_version(exchange):
         return True
     node.metrics.count("instance_checks_total")
     headers = [(b"host", str(upstream.address).encode())]
     try:
-        with trio.fail_after(REPORT_TIMEOUT_S):
+        with watch(REPORT_SILENCE_S):
             path = REPORT_PATH.encode()
             status, _ = await upstream.request(b"GET", path, headers, b"")
             body = await upstream.read_all(MAX_REPORT_BYTES)
         born_ms = read_start(body) if status == 200 else None
-    except (BrokenAnswerError, TargetAnswerError, trio.TooSlowError) as error:
+    except (BrokenAnswerError, TargetAnswerError) as error:
         record_event("instance-unknown", subject=target.entry.id, reason=repr(error))
         return False
     if not upstream.prepare_next():
--- a/src/lycheepath/gateway/sending.py
+++ b/src/lycheepath/gateway/sending.py
@@ -132,7 +132,7 @@
     )
     reusable = False
     try:
-        obstacle = await _find_obstacle(node, exchange, placed.target, upstream)
+        obstacle = await _find_obstacle(node, exchange, placed.target, upstream, watch)
         if obstacle:
             return SendOutcome(AttemptResult.NOT_RUN, AttemptOutcome.NOT_RUN, obstacle)
         answer_head = await _send_request(node, attempt, upstream, watch)
@@ -169,14 +169,18 @@
 
 
 async def _find_obstacle(
-    node: GatewayNode, exchange: Exchange, target: TargetState, upstream: Upstream
+    node: GatewayNode,
+    exchange: Exchange,
+    target: TargetState,
+    upstream: Upstream,
+    watch: Watch,
 ) -> str:
     """
     Return why the target that was chosen can't be sent the request, or "".
 
     Raises CallerGoneError if nobody waits for the answer any more.
     """
-    if not await is_expected_instance(node, exchange, target, upstream):
+    if not await is_expected_instance(node, exchange, target, upstream, watch):
         return "the target has restarted"
     if exchange.caller.has_left:
         raise CallerGoneError("the caller left before the request was sent")
--- a/tests/gateway/test_silent_attempts.py
+++ b/tests/gateway/test_silent_attempts.py
@@ -329,3 +329,37 @@
         asking.cancel_scope.cancel()
     targets[0].awake.set()
     assert len(site.targets[0].seen) == seen
+
+
+@pytest.mark.parametrize("silent_s", [0.6, 1.5])
+async def test_stream_is_taken_up_at_targets_that_were_silent_before_their_report(
+    site: Site, silent_s: float
+) -> None:
+    targets = await add_targets(site, "east-a", ["v1", "v1", "v2"])
+    configure_routes(site)
+    node = await site.start_gateway("host-1")
+    begun: list[str] = []
+    for number in range(6):
+        request_id = f"r{number}"
+        answer = await site.ask(
+            node, b"POST", f"{RESUMABLE}1", b"x", request_id, HEADERS
+        )
+        assert is_complete(answer)
+        begun.append(request_id)
+    taken_up: list[Answer] = []
+
+    async def take_up(resumes: str) -> None:
+        headers = HEADERS | {"last-event-id": "2", "resumes": resumes}
+        taken_up.append(
+            await site.ask(
+                node, b"POST", f"{RESUMABLE}1", b"x", f"{resumes}-up", headers
+            )
+        )
+
+    async with trio.open_nursery() as asking:
+        for target in targets:
+            asking.start_soon(target.pause, silent_s)
+        for request_id in begun:
+            asking.start_soon(take_up, request_id)
+    assert [answer.status for answer in taken_up] == [200] * len(begun)
+    assert all(answer.whole for answer in taken_up)
