Don't refuse take-ups for the time that a silent host was asked

Callers: a host stands still, its callers leave their streams after 0.3 s and take them up at another host, and are refused 503 with "first event expected after 0.087 s x 0.81", although all targets are idle and 4 s are left.

Cause: while one version is in use, the host asks the silent one for 0.4 s what began the stream, and then reads the store. That time counted towards the aim (0.4 s), and placing refuses what is past it. Ruled out: load (nothing was queued), unknown origins (the take-up lines name the version, source "store-past"). Admitting all late requests at idle targets was tried and dropped (a trial): test_request_that_was_sent_before_is_not_refused_for_its_objective forbids it.

Change: placing doesn't count the time of the lookup, at this host and at the one that it relays to; deadlines do.

The new test in one process is refused before and answered after.

Conclusion: routes with an aim over about 0.5 s weren't concerned.

--- a/src/lycheepath/gateway/exchange.py
+++ b/src/lycheepath/gateway/exchange.py
@@ -33,7 +33,8 @@
 
     ``deadline`` is the earlier of the caller's and the route's deadline, on the
     loop's clock. ``waited_s`` is the time that the request spent at another host
-    before this one received it; ``committed`` says that the other host has sent it to
+    before this one received it, ``lookup_s`` the time that hosts took to tell what began
+    the stream that it takes up; ``committed`` says that the other host has sent it to
     a target before. ``failed_answer`` is the last failure answer of a target. ``cutter``
     is that of the attempt whose events were passed on last. ``first_event_s`` is
     the time from the request to the first event of its answer, ``longest_gap_s`` the
@@ -60,6 +61,7 @@
     failed_answer: FailedAnswer | None = None
     reason: str = ""
     waited_s: float = 0.0
+    lookup_s: float = 0.0
     committed: bool = False
     first_event_s: float | None = None
     last_event_at: float = 0.0
@@ -108,6 +110,14 @@
         """When the first host received the head of the request."""
         return self.request.received_at - self.waited_s
 
+    def find_placing_wait_s(self, now: float) -> float:
+        """
+        Return the time that placing counts towards the request's objective.
+
+        A lookup isn't counted: refused for it, the caller would only wait again.
+        """
+        return now - self.received_at - self.lookup_s
+
     def record_events(self, now: float) -> None:
         """Record the time at which events of the answer arrived."""
         if self.first_event_s is None:
--- a/src/lycheepath/gateway/node.py
+++ b/src/lycheepath/gateway/node.py
@@ -297,7 +297,7 @@
             exchange.route,
             exchange.service,
             exchange.request_head.prompt,
-            now - exchange.received_at,
+            exchange.find_placing_wait_s(now),
             exchange.deadline - now,
             exchange.committed or exchange.attempts.started > 0,
             self.versions.find_bound_version(exchange),
--- a/src/lycheepath/gateway/relay_headers.py
+++ b/src/lycheepath/gateway/relay_headers.py
@@ -94,7 +94,7 @@
     """Return the headers of a request that is relayed, with its framing."""
     exchange, region = attempt.exchange, attempt.placed.target.region
     now = node.now()
-    waited_s = now - exchange.received_at
+    waited_s = exchange.find_placing_wait_s(now)
     headers = [h for h in exchange.request_head.headers if h[0] not in RELAY_HEADERS]
     headers += [
         (SERVICE_HEADER, exchange.service.encode()),
--- a/src/lycheepath/gateway/stream_versions.py
+++ b/src/lycheepath/gateway/stream_versions.py
@@ -102,7 +102,9 @@
         if not head.takes_up:
             return None
         node = self._node
+        asked_at = node.now()
         origin, source = await self._find_origin(exchange)
+        exchange.lookup_s = node.now() - asked_at
         node.metrics.count("take_ups_total", source=source)
         record_event(
             "take-up",
--- a/tests/gateway/test_silent_hosts.py
+++ b/tests/gateway/test_silent_hosts.py
@@ -29,11 +29,16 @@
 )
 from standins.processes import ROOT
 from standins.site import Answer, Site, read_answer, write_request
+from tests.gateway.test_fleet import wait_until_live
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Sequence
     from pathlib import Path
 
+    import pytest
+
+    from lycheepath.core.serving.origins import Origin
+    from lycheepath.gateway.exchange import Exchange
     from standins.host_processes import HostProcess
 
 CHECKOUT = ROOT
@@ -44,6 +49,10 @@
 REQUEST_INTERVAL_S = 0.025
 EVENT_S = 0.08
 CALLER_LIMIT_S = 7.0
+# Least share of take-ups that go on.
+LEAST_TAKEN_UP = 0.9
+# Time that a host waits for silent ones, longer than the routes' aim of 0.4 s.
+LOOKUP_S = 0.5
 # A caller leaves a stream that is silent for as long.
 STREAM_SILENCE_S = 0.3
 # Events after which a caller leaves a stream, which it takes up elsewhere.
@@ -266,4 +275,28 @@
     for load in loads.values():
         taken_up = [a for a in load.answers.values() if a.status == 200]
         assert len(taken_up) > 50
+        assert len(taken_up) >= LEAST_TAKEN_UP * len(load.answers)
         assert all(WHOLE_STREAM.endswith(answer.body) for answer in taken_up)
+
+
+async def test_take_up_is_served_after_a_silent_host_was_asked_for_its_origin(
+    site: Site, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    for _ in range(2):
+        await add_pausing_target(site)
+    configure_routes(site)
+    nodes = [await site.start_gateway(f"host-{n}") for n in range(2)]
+    await wait_until_live(*nodes)
+    path = f"{RESUMABLE}1"
+    begun = await site.ask(nodes[0], b"POST", path, b"x", "r1", HEADERS)
+    assert begun.whole
+    find_origin = nodes[1].versions._find_origin
+
+    async def find_late(exchange: Exchange) -> tuple[Origin | None, str]:
+        await trio.sleep(LOOKUP_S)
+        return await find_origin(exchange)
+
+    monkeypatch.setattr(nodes[1].versions, "_find_origin", find_late)
+    headers = HEADERS | {"last-event-id": "2", "resumes": "r1"}
+    answer = await site.ask(nodes[1], b"POST", path, b"x", "r2", headers)
+    assert (answer.status, answer.whole) == (200, True)
