Let another attempt answer after a fault of this host in one attempt

What callers saw: 502 'a fault in the gateway' although another attempt was open that would have answered. Cause: the error of any attempt, also of one that was replaced, ended the request with all its attempts. Now it is logged and the attempt counts as lost if another one runs or has answered. The new test failed before (502) and passes.

--- a/src/lycheepath/gateway/attempts.py
+++ b/src/lycheepath/gateway/attempts.py
@@ -20,9 +20,11 @@
 import trio
 
 from ..adapters.events import record_event
+from ..adapters.http1.downstream import CallerGoneError
 from ..core.placement.outcomes import AttemptOutcome
 from ..core.placement.silence import find_heard_s_ago, is_active_elsewhere
 from ..core.serving.attempts import AttemptResult
+from .telemetry import FAULT_REASON, record_request_fault
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterator
@@ -58,10 +60,12 @@
     unreachable: bool = False
 
 
-# The outcome of an attempt that was cancelled, or failed by a fault of this host.
+# The outcome of an attempt that was cancelled.
 CANCELLED = SendOutcome(
     AttemptResult.LOST, AttemptOutcome.UNDETERMINED, "the attempt was cancelled"
 )
+# The outcome of an attempt that a fault of this host has ended.
+FAULTY = SendOutcome(AttemptResult.LOST, AttemptOutcome.UNDETERMINED, FAULT_REASON)
 
 
 @dataclass(slots=True, eq=False)
@@ -198,9 +202,15 @@
                 )
         except AttemptReplacedError:
             attempt.replaced = True
-        except Exception as error:
-            # The task that serves the request raises it.
+        except CallerGoneError as error:
             attempt.error = error
+        except Exception as error:
+            if attempt.replaced or attempt.has_rivals:
+                record_request_fault(self._node, self._exchange.request_head.id)
+                attempt.outcome = FAULTY
+            else:
+                # The task that serves the request raises it.
+                attempt.error = error
         finally:
             self._exchange.attempts.end(attempt.outcome.result)
             if attempt in self.running:
--- a/tests/gateway/test_silent_attempts.py
+++ b/tests/gateway/test_silent_attempts.py
@@ -14,6 +14,7 @@
 
 from lycheepath.core.placement.silence import SOUND_SILENCE_S
 from lycheepath.core.reasons import Absent
+from lycheepath.gateway import sending
 from lycheepath.gateway.node import GatewayNode
 from standins.pausing_target import (
     HEADERS,
@@ -363,3 +364,28 @@
             asking.start_soon(take_up, request_id)
     assert [answer.status for answer in taken_up] == [200] * len(begun)
     assert all(answer.whole for answer in taken_up)
+
+
+async def test_fault_in_a_silent_attempt_ends_no_other_attempt(
+    site: Site, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    targets = await add_targets(site, "east-a", ["v1"] * 2)
+    configure_routes(site)
+    node = await site.start_gateway("host-1")
+    forward = sending.forward_answer
+    faults = 0
+
+    async def fail_first(*args: Any) -> Any:
+        nonlocal faults
+        if not faults:
+            faults += 1
+            raise ValueError("a fault of this test")
+        return await forward(*args)
+
+    monkeypatch.setattr(sending, "forward_answer", fail_first)
+    async with trio.open_nursery() as pausing:
+        for target, silent_s in zip(targets, (1.0, 1.5), strict=True):
+            pausing.start_soon(target.pause, silent_s)
+        answer = await site.ask(node, b"POST", f"{SAFE}1", b"x", "r1", HEADERS)
+    assert faults == 1
+    assert is_complete(answer)
