Try other targets behind a peer whose target is silent

What callers saw: a host that is cut off from its targets relays to its only peer; the target there is silent for 3 s, and 12 of 12 requests waited 3.1 s though another target behind the same peer was free. Cause: for targets of the own region neither the target was excluded nor the peer tried again. Now the peer is told which target was tried, as for other regions. The new test failed before (TooSlowError) and passes.

--- a/src/lycheepath/gateway/placing.py
+++ b/src/lycheepath/gateway/placing.py
@@ -173,10 +173,13 @@
     previous = attempt.exchange.previous_attempts
     target, outcome = attempt.placed.target, attempt.outcome
     is_remote = attempt.placed.is_remote
-    if is_remote and (outcome.unreachable or target.region == node.settings.region):
+    is_peer = is_remote and target.region == node.settings.region
+    if is_remote and (outcome.unreachable or (is_peer and not attempt.target)):
         # Another host of that region may reach its targets.
         return previous
-    if is_remote and not _may_return(node, attempt):
+    if is_peer:
+        attempt.exchange.tried_hosts.discard(attempt.host)
+    elif is_remote and not _may_return(node, attempt):
         return replace(previous, regions=previous.regions | {target.region})
     if is_remote and not attempt.target:
         return previous
--- a/tests/gateway/test_silent_attempts.py
+++ b/tests/gateway/test_silent_attempts.py
@@ -12,9 +12,10 @@
 import pytest
 import trio
 
+from lycheepath.core.placement.reachability import Reachability
 from lycheepath.core.placement.silence import SOUND_SILENCE_S
 from lycheepath.core.reasons import Absent
-from lycheepath.gateway import sending
+from lycheepath.gateway.forwarding import forward_answer
 from lycheepath.gateway.node import GatewayNode
 from standins.pausing_target import (
     HEADERS,
@@ -372,7 +373,6 @@
     targets = await add_targets(site, "east-a", ["v1"] * 2)
     configure_routes(site)
     node = await site.start_gateway("host-1")
-    forward = sending.forward_answer
     faults = 0
 
     async def fail_first(*args: Any) -> Any:
@@ -380,12 +380,46 @@
         if not faults:
             faults += 1
             raise ValueError("a fault of this test")
-        return await forward(*args)
+        return await forward_answer(*args)
 
-    monkeypatch.setattr(sending, "forward_answer", fail_first)
+    monkeypatch.setattr("lycheepath.gateway.sending.forward_answer", fail_first)
     async with trio.open_nursery() as pausing:
         for target, silent_s in zip(targets, (1.0, 1.5), strict=True):
             pausing.start_soon(target.pause, silent_s)
         answer = await site.ask(node, b"POST", f"{SAFE}1", b"x", "r1", HEADERS)
     assert faults == 1
     assert is_complete(answer)
+
+
+async def test_silent_target_behind_the_only_peer_is_relieved_by_another_one_there(
+    site: Site, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    targets = await add_targets(site, "east-a", ["v1"] * 2)
+    configure_routes(site)
+    nodes = [await site.start_gateway("host-1"), await site.start_gateway("host-2")]
+    await wait_until_live(*nodes)
+    cut_off = nodes[0].links.reachability
+    names = frozenset(nodes[0].registry.targets)
+    list_unreachable = Reachability.list_unreachable
+    monkeypatch.setattr(
+        Reachability,
+        "list_unreachable",
+        lambda links: names if links is cut_off else list_unreachable(links),
+    )
+    nodes[0].invalidate_context()
+    answers: list[Answer] = []
+
+    async def ask(request_id: str) -> None:
+        answers.append(
+            await site.ask(nodes[0], b"POST", f"{SAFE}1", b"x", request_id, HEADERS)
+        )
+
+    async with trio.open_nursery() as pausing:
+        pausing.start_soon(targets[0].pause, 4.0)
+        with trio.fail_after(2.5):
+            async with trio.open_nursery() as asking:
+                for number in range(12):
+                    asking.start_soon(ask, f"r{number}")
+        pausing.cancel_scope.cancel()
+    targets[0].awake.set()
+    assert all(is_complete(answer) for answer in answers)
