--- a/standins/brittle_target.py
+++ b/standins/brittle_target.py
@@ -26,7 +26,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from lycheepath.gateway.node import GatewayNode
+    from .gateway_processes import Host
 
 BRITTLE_HEADER = "Server-Brittle"
 # Time until falls count; the targets let many wait before that.
@@ -96,7 +96,7 @@
 
     async def load(
         self,
-        nodes: Sequence[GatewayNode],
+        nodes: Sequence[Host],
         factor: float,
         seconds: float,
         path: str = "/books/1",
--- a/standins/site.py
+++ b/standins/site.py
@@ -35,6 +35,8 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterable
 
+    from .gateway_processes import Host
+
 HOST = "books.example"
 REGIONS = {"east-a": "east", "west-a": "west", "south-a": "south"}
 PORTS = {"front": 20_001, "ready": 20_002, "control": 20_003, "directory": 20_004}
@@ -336,7 +338,7 @@
 
     async def ask(
         self,
-        node: GatewayNode,
+        node: Host,
         method: bytes,
         path: str,
         body: bytes = b"",
--- a/standins/stream_service.py
+++ b/standins/stream_service.py
@@ -31,7 +31,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
-    from lycheepath.gateway.node import GatewayNode
+    from .gateway_processes import Host
 
 HEAD = (
     "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: s.1\r\n"
@@ -268,7 +268,7 @@
 
 async def ask_for_streams(
     site: Site,
-    nodes: Sequence[GatewayNode],
+    nodes: Sequence[Host],
     parts: Callable[[int], tuple[str, ...]],
     per_second: float,
     seconds: float,
