Count an attempt at its target before another request is placed

A host that had just started held twelve requests and sent them all in one moment.

Cause: attempts run in tasks of their own since silent ones stay open, and an attempt was counted at its target when its task began. Requests that were placed in the same turn of the event loop saw none of each other: 'in_flight' was 0 in all twelve placed lines.

Ruled out: the cold time of the target (known to the host), the silence of targets (none).

Change: an attempt is counted when it is placed. Beside it, from the review of the silent attempts: one that is silent when its request ends is judged like one that was replaced, and comments of a silent attempt aren't forwarded, so that it can be cancelled without leaving a part of a chunk.

--- a/src/lycheepath/gateway/attempts.py
+++ b/src/lycheepath/gateway/attempts.py
@@ -6,7 +6,7 @@
 another place the request waits for the attempts that it has::
 
     race = AttemptRace(node, exchange, nursery, send)
-    race.start(placed)
+    race.start(make_attempt(node, exchange, placed))
     await race.wait(timeout_s)
     for attempt in race.take_ended(): ...
 """
@@ -175,9 +175,8 @@
         silent_s = (now - (each.silent_since or now) for each in self.running)
         return min(silent_s, default=0.0)
 
-    def start(self, placed: Placement) -> None:
+    def start(self, attempt: Attempt) -> None:
         """Start an attempt beside those that run."""
-        attempt = make_attempt(self._node, self._exchange, placed)
         self.running.append(attempt)
         attempt.rivals = self.running
         self._exchange.attempts.start()
--- a/src/lycheepath/gateway/forwarding.py
+++ b/src/lycheepath/gateway/forwarding.py
@@ -157,7 +157,7 @@
             timeout_s = timer.suspend()
             if cutter.event_count == events_before:
                 # Comments aren't progress of the answer.
-                if not attempt.has_rivals:
+                if not attempt.has_rivals and attempt.silent_since is None:
                     await _forward_events(node, attempt, answer_head, events)
                 timer.resume(timeout_s)
                 continue
--- a/src/lycheepath/gateway/placing.py
+++ b/src/lycheepath/gateway/placing.py
@@ -17,9 +17,9 @@
 from ..core.placement.silence import SOUND_SILENCE_S, find_heard_s_ago
 from ..core.reasons import Absent
 from ..core.serving.attempts import AttemptResult, may_start_another
-from .attempts import Attempt, AttemptRace
+from .attempts import Attempt, AttemptRace, make_attempt
 from .relay import has_other_host, send_to_region
-from .sending import send_to_target
+from .sending import record_placed, send_to_target
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -143,7 +143,10 @@
         exchange.no_place = NO_RETRY
         return None
     _log_placed(node, exchange, placed)
-    race.start(placed)
+    attempt = make_attempt(node, exchange, placed)
+    if not placed.is_remote:
+        record_placed(node, attempt)
+    race.start(attempt)
     return None
 
 
--- a/src/lycheepath/gateway/relayed.py
+++ b/src/lycheepath/gateway/relayed.py
@@ -34,7 +34,7 @@
     VERSION_HEADER,
     read_metadata,
 )
-from .sending import log_target_changes, send_to_target
+from .sending import log_target_changes, record_placed, send_to_target
 from .telemetry import (
     END_REASON,
     FAULT_REASON,
@@ -170,6 +170,7 @@
         (VERSION_HEADER, entry.version.encode("latin-1", "replace")),
     )
     exchange.attempts.start()
+    record_placed(node, attempt)
     outcome = await send_to_target(node, attempt, partial(_report_silence, attempt))
     record_event(
         "relayed",
--- a/src/lycheepath/gateway/sending.py
+++ b/src/lycheepath/gateway/sending.py
@@ -54,22 +54,18 @@
 LINK_ENDINGS = frozenset({AttemptOutcome.FAILED, AttemptOutcome.TIMED_OUT})
 
 
-async def send_to_target(
-    node: GatewayNode, attempt: Attempt, on_silence: Callable[[], None]
-) -> SendOutcome:
+def record_placed(node: GatewayNode, attempt: Attempt) -> None:
     """
-    Send a request to a target of this region and forward its answer.
+    Count an attempt at its target before another request is placed.
 
-    ``on_silence`` is called when the target is silent for too long, and when it goes on.
+    ``send_to_target`` has to follow.
     """
-    exchange, placed = attempt.exchange, attempt.placed
-    prompt = exchange.request_head.prompt
-    target = placed.target
+    placed = attempt.placed
+    prompt = attempt.exchange.request_head.prompt
     tokens = max(0, prompt.tokens - placed.cached_tokens) if prompt else 0
-    key = attempt.number
     node.registry.record_start(
-        key,
-        target,
+        attempt.number,
+        placed.target,
         placed.priority or 0,
         tokens,
         node.now(),
@@ -78,20 +74,32 @@
         placed.expected,
     )
     if prompt:
-        node.registry.record_prompt_parts(target, prompt.parts)
+        node.registry.record_prompt_parts(placed.target, prompt.parts)
+
+
+async def send_to_target(
+    node: GatewayNode, attempt: Attempt, on_silence: Callable[[], None]
+) -> SendOutcome:
+    """
+    Send a request to a target of this region and forward its answer.
+
+    ``on_silence`` is called when the target is silent for too long, and when it goes on.
+    """
+    target = attempt.placed.target
     outcome = CANCELLED
     try:
+        prompt = attempt.exchange.request_head.prompt
         await node.coordination.report_started(target, prompt)
         outcome = await _run_exchange(node, attempt, on_silence)
     finally:
         ending = outcome.ending
-        if attempt.replaced and attempt.silent_since is not None:
+        if outcome is CANCELLED and attempt.silent_since is not None:
             ending = judge_silence(
                 target, attempt.silent_since, attempt.ignored, node.now()
             )
         if node.links.reachability.is_suspected and ending in LINK_ENDINGS:
             ending = AttemptOutcome.UNDETERMINED
-        node.registry.record_end(key, ending, node.now())
+        node.registry.record_end(attempt.number, ending, node.now())
         node.coordination.schedule_report(target)
         if outcome.ending is AttemptOutcome.REFUSED:
             node.invalidate_context()
