--- a/src/lycheepath/gateway/attempts.py
+++ b/src/lycheepath/gateway/attempts.py
@@ -73,14 +73,15 @@
     """
     State of one attempt at a target, or through another host.
 
-    ``number`` is unique among the attempts of this host. ``target`` and ``version`` are
-    those of the target that answers, empty until the other ``host`` names it. ``cutter`` becomes the exchange's if the attempt goes
-    on. ``reported_load`` is the load that the target reported, ``ended_with_connection``
-    says that its answer had no framing and ended with its connection. ``extra_headers`` are
-    added to the answer for the host that relayed the request. ``silent_since`` is when
-    the last data came, while the attempt is silent; an ``ignored`` one fell silent while its
-    target answered others. ``rivals`` are all running attempts of
-    the request, and ``replaced`` says that one of them has answered it.
+    ``number`` is unique among the attempts of this host. ``target`` and ``version``
+    are those of the target that answers, empty until the other ``host`` names it.
+    ``cutter`` becomes the exchange's if the attempt goes on. ``reported_load`` is the
+    load that the target reported, ``ended_with_connection`` says that its answer had
+    no framing and ended with its connection. ``extra_headers`` are added to the
+    answer for the host that relayed the request. ``silent_since`` is when the last
+    data came, while the attempt is silent; an ``ignored`` one fell silent while its
+    target answered others. ``rivals`` are all running attempts of the request, and
+    ``replaced`` says that one of them has answered it.
     """
 
     exchange: Exchange
--- a/src/lycheepath/gateway/exchange.py
+++ b/src/lycheepath/gateway/exchange.py
@@ -33,18 +33,19 @@
 
     ``deadline`` is the earlier of the caller's and the route's deadline, on the
     loop's clock. ``waited_s`` is the time that the request spent at another host
-    before this one received it, ``lookup_s`` the time that hosts took to tell what began
-    the stream that it takes up; ``committed`` says that the other host has sent it to
-    a target before. ``failed_answer`` is the last failure answer of a target. ``cutter``
-    is that of the attempt whose events were passed on last. ``first_event_s`` is
-    the time from the request to the first event of its answer, ``longest_gap_s`` the
-    longest pause between two events. ``outcome_logged`` says that the outcome of the
-    request has been logged. ``on_trial`` says that it tries a blocked part
-    of its prompt. ``version`` is the software version that began its stream (None: no
-    event was passed on yet, empty: unknown). ``relayed`` says that another host received
-    it, ``reports_silence`` that this host is told when its target is silent. ``started_head`` is the head of the stream that was started.
-    ``tried_hosts`` are the hosts that it was relayed to. ``no_place`` says why there was
-    no other target when the request was given up.
+    before this one received it, ``lookup_s`` the time that hosts took to tell what
+    began the stream that it takes up; ``committed`` says that the other host has sent
+    it to a target before. ``failed_answer`` is the last failure answer of a target.
+    ``cutter`` is that of the attempt whose events were passed on last.
+    ``first_event_s`` is the time from the request to the first event of its answer,
+    ``longest_gap_s`` the longest pause between two events. ``outcome_logged`` says
+    that the outcome of the request has been logged. ``on_trial`` says that it tries a
+    blocked part of its prompt. ``version`` is the software version that began its
+    stream (None: no event was passed on yet, empty: unknown). ``relayed`` says that
+    another host received it, ``reports_silence`` that this host is told when its
+    target is silent. ``started_head`` is the head of the stream that was started.
+    ``tried_hosts`` are the hosts that it was relayed to. ``no_place`` says why there
+    was no other target when the request was given up.
     """
 
     caller: CallerConnection
