Start gateways as processes in one place

Cause: two stand-ins of this change, written side by side, start the same processes: one for the test of silent hosts, one for the benchmarks.

Change: run_hosts, with what either had: a context manager, a check that processes run while they are waited for, other checkouts. The test's assertions are unchanged.

Figures: test_silent_hosts passes, both benchmarks run.

--- a/bench/brittle_targets.py
+++ b/bench/brittle_targets.py
@@ -20,10 +20,15 @@
 import trio
 
 from standins.brittle_target import BrittleFleet
-from standins.gateway_processes import read_hosts, run_gateways
+from standins.host_processes import read_hosts, run_hosts
 from standins.site import Site, make_route
 
-from .separate_callers import Measured, announce_ready, measure_callers
+from .separate_callers import (
+    MEET_S,
+    Measured,
+    announce_ready,
+    measure_callers,
+)
 
 
 async def _measure(options: Namespace) -> dict[str, Any]:
@@ -33,11 +38,11 @@
         site = await Site.open(nursery)
         fleet = _make_fleet(site, options)
         site.configure(make_route("books", "unsafe", target_latency_ms=1000))
-        gateways = run_gateways(site.store.address, options.hosts, directory)
-        async with gateways as processes:
+        zones = ["east-a"] * options.hosts
+        async with run_hosts(site, directory, zones, meet_s=MEET_S) as hosts:
             await nursery.start(fleet.run)
             measured = await measure_callers(
-                "bench.brittle_targets", options, processes, directory
+                "bench.brittle_targets", options, hosts, directory
             )
             fleet.ended_at = measured.started_at + options.seconds
         nursery.cancel_scope.cancel()
--- a/bench/crashing_parts.py
+++ b/bench/crashing_parts.py
@@ -21,11 +21,11 @@
 import orjson
 import trio
 
-from standins.gateway_processes import read_hosts, run_gateways
+from standins.host_processes import read_hosts, run_hosts
 from standins.site import Site, make_route
 from standins.stream_service import StreamOutcome, StreamService, ask_for_streams
 
-from .separate_callers import announce_ready, measure_callers
+from .separate_callers import MEET_S, announce_ready, measure_callers
 
 FATAL_PART, SHARED_PART = "bad", "shared"
 # Time after the fifth end from which fatal requests count as late.
@@ -44,10 +44,10 @@
         for _ in range(options.targets):
             await service.add_target()
         site.configure(make_route("books", "streaming", resumable=True, sticky=True))
-        gateways = run_gateways(site.store.address, options.hosts, directory)
-        async with gateways as processes:
+        zones = ["east-a"] * options.hosts
+        async with run_hosts(site, directory, zones, meet_s=MEET_S) as hosts:
             measured = await measure_callers(
-                "bench.crashing_parts", options, processes, directory
+                "bench.crashing_parts", options, hosts, directory
             )
         nursery.cancel_scope.cancel()
     return {
--- a/bench/separate_callers.py
+++ b/bench/separate_callers.py
@@ -23,8 +23,10 @@
     from collections.abc import Sequence
     from pathlib import Path
 
-    from standins.processes import Process
+    from standins.host_processes import HostProcess
 
+# Time in which hosts that are ready hear of each other before the load.
+MEET_S = 3.0
 # Time for the last answers after the end of the load.
 ANSWERS_S = 10.0
 NOT_PASSED = "call", "logs"
@@ -52,7 +54,7 @@
 
 
 async def measure_callers(
-    module: str, options: Namespace, hosts: Sequence[Process], directory: Path
+    module: str, options: Namespace, hosts: Sequence[HostProcess], directory: Path
 ) -> Measured:
     """
     Run the callers, and read the processor time of all processes over the load.
@@ -65,7 +67,8 @@
             arguments += [f"--{name.replace('_', '-')}", str(value)]
     callers = await start_process("callers", arguments, directory)
     started_at, load_before = trio.current_time(), os.getloadavg()[0]
-    pids = {process.name: process.pid for process in (*hosts, callers)}
+    processes = [*(host.process for host in hosts), callers]
+    pids = {process.name: process.pid for process in processes}
     pids["targets"] = os.getpid()
     before = {name: read_usage(pid) for name, pid in pids.items()}
     try:
--- a/standins/brittle_target.py
+++ b/standins/brittle_target.py
@@ -26,7 +26,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from .gateway_processes import Host
+    from .host_processes import Host
 
 BRITTLE_HEADER = "Server-Brittle"
 # Time until falls count; the targets let many wait before that.
--- a/standins/site.py
+++ b/standins/site.py
@@ -35,7 +35,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterable
 
-    from .gateway_processes import Host
+    from .host_processes import Host
 
 HOST = "books.example"
 REGIONS = {"east-a": "east", "west-a": "west", "south-a": "south"}
--- a/standins/stream_service.py
+++ b/standins/stream_service.py
@@ -31,7 +31,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
-    from .gateway_processes import Host
+    from .host_processes import Host
 
 HEAD = (
     "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: s.1\r\n"
--- a/tests/gateway/test_silent_hosts.py
+++ b/tests/gateway/test_silent_hosts.py
@@ -13,7 +13,7 @@
 
 import trio
 
-from standins.host_processes import end_hosts, start_hosts
+from standins.host_processes import run_hosts
 from standins.pausing_target import (
     EVENTS,
     HEADERS,
@@ -168,12 +168,9 @@
                 for version in self.versions
             ]
             configure_routes(site)
-            hosts = await start_hosts(site, directory, self.zones, CHECKOUT)
-            load = Load(site, targets, hosts)
-            try:
+            async with run_hosts(site, directory, self.zones, CHECKOUT) as hosts:
+                load = Load(site, targets, hosts)
                 await play(load, [hosts[position] for position in self.silent])
-            finally:
-                await end_hosts(hosts)
             nursery.cancel_scope.cancel()
         return load
 
