Remove may_send_again

Cause: attempts that race ask may_start_another; only tests still called its twin.

Change: the tests make the same assertions of the function that decides.

--- a/src/lycheepath/core/serving/attempts.py
+++ b/src/lycheepath/core/serving/attempts.py
@@ -83,12 +83,3 @@
     if attempts.started >= MAX_SENDS:
         return False
     return attempts.may_have_run == 0 or may_run_again(route, attempts)
-
-
-def may_send_again(
-    route: Route, attempts: AttemptCounts, result: AttemptResult
-) -> bool:
-    """Return whether the route allows another attempt after ``result``."""
-    if result is AttemptResult.ANSWERED:
-        return False
-    return may_start_another(route, attempts)
--- a/tests/core/serving/test_attempts.py
+++ b/tests/core/serving/test_attempts.py
@@ -9,7 +9,6 @@
     MAX_SENDS,
     AttemptCounts,
     AttemptResult,
-    may_send_again,
     may_start_another,
 )
 from tests.core.catalog.test_routes import make_route
@@ -23,14 +22,14 @@
     route = replace(make_route("/"), kind=kind, max_attempts=5)
     attempts = AttemptCounts()
     attempts.record(result)
-    assert not may_send_again(route, attempts, result)
+    assert not may_start_another(route, attempts)
 
 
 def test_request_that_may_run_once_is_sent_again_if_it_has_not_run() -> None:
     route = replace(make_route("/"), kind=RouteKind.UNSAFE, max_attempts=1)
     attempts = AttemptCounts()
     attempts.record(AttemptResult.NOT_RUN)
-    assert may_send_again(route, attempts, AttemptResult.NOT_RUN)
+    assert may_start_another(route, attempts)
 
 
 def test_request_that_may_have_run_is_not_sent_again_after_a_later_refusal() -> None:
@@ -38,23 +37,23 @@
     attempts = AttemptCounts()
     attempts.record(AttemptResult.LOST)
     attempts.record(AttemptResult.NOT_RUN)
-    assert not may_send_again(route, attempts, AttemptResult.NOT_RUN)
+    assert not may_start_another(route, attempts)
 
 
 def test_safe_request_runs_at_no_more_targets_than_its_route_allows() -> None:
     route = replace(make_route("/"), max_attempts=2)
     attempts = AttemptCounts()
     attempts.record(AttemptResult.LOST)
-    assert may_send_again(route, attempts, AttemptResult.LOST)
+    assert may_start_another(route, attempts)
     attempts.record(AttemptResult.LOST)
-    assert not may_send_again(route, attempts, AttemptResult.LOST)
+    assert not may_start_another(route, attempts)
 
 
 def test_attempts_are_bounded_even_if_none_runs() -> None:
     attempts = AttemptCounts()
     for _ in range(MAX_SENDS):
         attempts.record(AttemptResult.NOT_RUN)
-    assert not may_send_again(make_route("/"), attempts, AttemptResult.NOT_RUN)
+    assert not may_start_another(make_route("/"), attempts)
 
 
 def test_attempts_in_flight_count_as_runs() -> None:
