List peers for the placing context only while a target is out of reach

Cause: since targets that may be silent are told apart, peers were listed at each rebuild of the context, ten times a second, also when nothing is out of reach. Decisions are the same.

--- a/src/lycheepath/gateway/node.py
+++ b/src/lycheepath/gateway/node.py
@@ -336,7 +336,7 @@
         closed = frozenset(self._closed_until)
         unreachable = self.links.reachability.list_unreachable()
         peer_rtt_s = None
-        if not self._list_peers():
+        if unreachable and not self._list_peers():
             # Nobody else reaches those that may only be silent.
             unreachable -= self.links.reachability.list_silent(now)
         elif unreachable:
