Exclude tried places in one function, and read the answering target once

Cause: whether a region may be tried again was asked by a predicate that also let a host be tried again, beside a branch for peers that did the same; the header that names the answering target was read three times.

Change: _exclude decides and applies it in one place, for silent and for failed attempts. The cases and their results are the same.

--- a/src/lycheepath/gateway/placing.py
+++ b/src/lycheepath/gateway/placing.py
@@ -24,7 +24,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..core.placement.model import Placement, PreviousAttempts
+    from ..core.placement.model import Placement
     from .attempts import SendOutcome
     from .exchange import Exchange, FailedAnswer
     from .node import GatewayNode
@@ -94,7 +94,7 @@
             _log_send_failure(node, attempt)
             if not attempt.replaced:
                 exchange.reason = attempt.outcome.reason
-                exchange.previous_attempts = _add_attempt(node, attempt)
+                _exclude(node, attempt)
 
 
 def _has_better_end(exchange: Exchange, race: AttemptRace) -> bool:
@@ -121,7 +121,7 @@
     if is_repeat and not _may_repeat(node, exchange):
         return None
     for attempt in race.running:
-        exchange.previous_attempts = _add_attempt(node, attempt)
+        _exclude(node, attempt)
     await _wait_for_targets(node, exchange)
     await node.links.await_evidence(exchange.features)
     blocked = node.containment.find_refusal(exchange)
@@ -171,39 +171,34 @@
             await node.catalog_changed.wait()
 
 
-def _add_attempt(node: GatewayNode, attempt: Attempt) -> PreviousAttempts:
-    """Return where a request has been tried, with an attempt that failed or is silent."""
-    previous = attempt.exchange.previous_attempts
-    target, outcome = attempt.placed.target, attempt.outcome
-    is_remote = attempt.placed.is_remote
-    is_peer = is_remote and target.region == node.settings.region
-    if is_remote and (outcome.unreachable or (is_peer and not attempt.target)):
-        # Another host of that region may reach its targets.
-        return previous
-    if is_peer:
-        attempt.exchange.tried_hosts.discard(attempt.host)
-    elif is_remote and not _may_return(node, attempt):
-        return replace(previous, regions=previous.regions | {target.region})
-    if is_remote and not attempt.target:
-        return previous
+def _exclude(node: GatewayNode, attempt: Attempt) -> None:
+    """Exclude from a request's places what an attempt failed at, or is silent at."""
+    exchange, outcome = attempt.exchange, attempt.outcome
+    previous = exchange.previous_attempts
+    if attempt.placed.is_remote:
+        region = attempt.placed.target.region
+        is_peer = region == node.settings.region
+        if outcome.unreachable or (is_peer and not attempt.target):
+            # Another host of that region may reach its targets.
+            return
+        # A host that sent the request to no target has found none in its region.
+        found = is_peer or outcome.result is not AttemptResult.NOT_RUN
+        if found and attempt.target:
+            # The host that names the target can send the request to another one.
+            exchange.tried_hosts.discard(attempt.host)
+        if not (is_peer or (found and has_other_host(node, exchange, region))):
+            exchange.previous_attempts = replace(
+                previous, regions=previous.regions | {region}
+            )
+            return
+        if not attempt.target:
+            return
     if outcome.result is AttemptResult.FAILED:
-        return replace(previous, failed=previous.failed | {attempt.target})
-    return replace(previous, targets=previous.targets | {attempt.target})
-
-
-def _may_return(node: GatewayNode, attempt: Attempt) -> bool:
-    """
-    Whether other targets or hosts of the region of a relayed request may serve it.
-
-    A host that sent it to no target has found none, for all hosts of its region. One
-    that names its target as the cause can send it to another one.
-    """
-    if attempt.outcome.result is AttemptResult.NOT_RUN:
-        return False
-    tried = attempt.exchange.tried_hosts
-    if attempt.target:
-        tried.discard(attempt.host)
-    return has_other_host(node, attempt.placed.target.region, tried)
+        failed = previous.failed | {attempt.target}
+        exchange.previous_attempts = replace(previous, failed=failed)
+        return
+    targets = previous.targets | {attempt.target}
+    exchange.previous_attempts = replace(previous, targets=targets)
 
 
 async def _send(
--- a/src/lycheepath/gateway/relay.py
+++ b/src/lycheepath/gateway/relay.py
@@ -105,9 +105,9 @@
                 on_interim=partial(_read_interim, attempt, timer),
             )
         fields = dict(headers)
+        attempt.target = fields.get(TARGET_HEADER, b"").decode("latin-1")
         result = fields.get(RESULT_HEADER, FAILED_RESULT)
         if result != FAILED_RESULT or TARGET_HEADER not in fields:
-            attempt.target = fields.get(TARGET_HEADER, b"").decode("latin-1")
             outcome, reusable = await _read_result(upstream, status, fields), True
             if outcome.unreachable:
                 _avoid_host(node, host, outcome.reason)
@@ -116,12 +116,11 @@
         else:
             end_to_end = [h for h in headers if h[0] not in RELAY_HEADERS]
             answer_head = read_answer(status, end_to_end)
-            target_id = fields.get(TARGET_HEADER, b"").decode("latin-1")
-            record_answer_head(node, target_id, answer_head, sent_at)
-            answering = node.registry.targets.get(target_id)
+            record_answer_head(node, attempt.target, answer_head, sent_at)
+            answering = node.registry.targets.get(attempt.target)
             if placed.target.region == node.settings.region:
-                node.links.record_peer_answer(target_id)
-            _record_version(attempt, target_id, answering, fields)
+                node.links.record_peer_answer(attempt.target)
+            _record_version(attempt, answering, fields)
             if answering is not None and prompt and answer_head.succeeded:
                 node.registry.record_prompt_parts(answering, prompt.parts)
             outcome, reusable = await forward_answer(
@@ -145,9 +144,9 @@
             abandon(node, exchange, upstream)
 
 
-def has_other_host(node: GatewayNode, region: str, tried: Collection[str]) -> bool:
+def has_other_host(node: GatewayNode, exchange: Exchange, region: str) -> bool:
     """Whether a region has a host that a request hasn't been relayed to."""
-    return _pick_host(node, region, tried) is not None
+    return _pick_host(node, region, exchange.tried_hosts) is not None
 
 
 def _read_interim(
@@ -182,12 +181,10 @@
 
 def _record_version(
     attempt: Attempt,
-    target_id: str,
     target: TargetState | None,
     fields: dict[bytes, bytes],
 ) -> None:
     """Record the version of the target that answers through the other host."""
-    attempt.target = target_id
     attempt.version = fields.get(VERSION_HEADER, b"").decode("latin-1")
     if not attempt.version and target is not None:
         # Hosts of earlier versions name only the target.
