Show that a runner that restarts under its id gets too many requests while cold

While the store is down, a probe alone brings the runner back into use: gateway/links.py reads neither born nor Cold-Ms, and the assumption of core/placement/cold.py lasts 2.5 s from the last refused request.

--- a/review/harness.py
+++ b/review/harness.py
@@ -394,6 +394,8 @@
         self.running = 0
         self.entry_fields: dict[str, Any] = {}
         self.announces = True
+        self.listening = trio.CancelScope()
+        self.open: set[trio.SocketStream] = set()
         self._sequence = 0
         self._born = random.SystemRandom().randrange(
             1_700_000_000_000, 1_790_000_000_000
@@ -417,6 +419,38 @@
         self._sequence += 1
         return True
 
+    async def crash(self, down_s: float) -> None:
+        """End at once and start again under the same id, with nothing of before."""
+        self.site.record.write("runner-crashed", name=self.name)
+        self.announces = False
+        self.listening.cancel()
+        for stream in self.open:
+            stream.socket.close()
+        await trio.sleep(down_s)
+        self._sequence = 0
+        self._born += int(down_s * 1000)
+        self.announces = True
+        await self.open_port()
+        self.announce()
+        self.site.record.write("runner-back", name=self.name)
+
+    async def open_port(self) -> None:
+        """Listen, at the address that it had if it had one."""
+        port = int(self.address.rpartition(":")[2]) if self.address else 0
+        listeners = await trio.open_tcp_listeners(port, host="127.0.0.1")
+        ip, port = listeners[0].socket.getsockname()[:2]
+        self.address = f"{ip}:{port}"
+        self.listening = trio.CancelScope()
+        self.site.nursery.start_soon(self._listen, listeners)
+
+    async def _listen(self, listeners: list[trio.SocketListener]) -> None:
+        with self.listening:
+            await trio.serve_listeners(
+                self.serve, listeners, handler_nursery=self.site.nursery
+            )
+        for listener in listeners:
+            listener.socket.close()
+
     async def keep_announcing(self) -> None:
         """Write the entry about every heartbeat, until cancelled."""
         while True:
@@ -426,11 +460,15 @@
 
     async def serve(self, stream: trio.SocketStream) -> None:
         """Serve one connection."""
-        with ignore_end():
-            while seen := await read_message(h11.Connection(h11.SERVER), stream):
-                if not await self._serve_request(seen, stream):
-                    break
-        stream.socket.close()
+        self.open.add(stream)
+        try:
+            with ignore_end():
+                while seen := await read_message(h11.Connection(h11.SERVER), stream):
+                    if not await self._serve_request(seen, stream):
+                        break
+        finally:
+            self.open.discard(stream)
+            stream.socket.close()
 
     async def _serve_request(self, seen: Seen, stream: trio.SocketStream) -> bool:
         """Serve one request; return whether its connection is kept."""
@@ -479,8 +517,9 @@
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(_watch_close, run, stream, nursery.cancel_scope)
-                await self.work(self, run, stream)
-                run.end = run.end or "answered"
+                with ignore_end():
+                    await self.work(self, run, stream)
+                    run.end = run.end or "answered"
                 nursery.cancel_scope.cancel()
         finally:
             self.running -= 1
@@ -495,7 +534,12 @@
 ) -> None:
     """End a run when its connection closes; a peek reads nothing."""
     while True:
-        await trio.lowlevel.wait_readable(stream.socket)
+        try:
+            await trio.lowlevel.wait_readable(stream.socket)
+        except (trio.ClosedResourceError, ValueError):
+            run.end = "crashed"
+            scope.cancel()
+            return
         with suppress(OSError):
             if await stream.socket.recv(1, socket.MSG_PEEK):
                 await trio.sleep(POLL_S)
@@ -652,7 +696,7 @@
         """Start a runner and announce it."""
         name = f"i-{random.SystemRandom().getrandbits(32):08x}"
         runner = Runner(self, name, service, zone, work, slots)
-        runner.address = await listen(self.nursery, runner.serve)
+        await runner.open_port()
         self.runners.append(runner)
         self.record.write("runner", name=name, service=service, zone=zone)
         self.nursery.start_soon(runner.keep_announcing)
