--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,12 +1,12 @@
 """
-A runner turns slow while it writes streams; the others are as fast as before.
+A runner crashes and starts again under its id, cold, while the store is down.
 
-Each event then takes five times as long as before. The gateway asks another runner to go on
-with the stream, and leaves the first one at work.
+The gateways reach it again by their own probes before they can read that it is cold.
 """
 
 from __future__ import annotations
 
+import random
 import sys
 from functools import partial
 from pathlib import Path
@@ -15,124 +15,121 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 import trio
-from harness import ZONES, main, make_route
+from harness import BOUNDS, ZONES, main, make_route
 
 if TYPE_CHECKING:
-    from harness import Run, Runner, Site
+    from harness import Gateway, Run, Runner, Site
 
 POOL = "lycheepath-pool"
+COLD_PER_S = 3.5
+COLD_S = 3.0
 SERVICES = [
     {
         "name": POOL,
         "max_connections": 630,
-        "cold_per_s": 3.5,
+        "cold_per_s": COLD_PER_S,
         "engine": {"slots": 128, "kv_cache_tokens": 472760, "stride": 7},
     }
 ]
-# Within the objectives of the route: 800 ms to the first event, pauses of 400 ms.
-FIRST_EVENT_S = 0.6
-EVENT_S = 0.35
-EVENTS = 30
-SLOW_FACTOR = 5.0
-SLOW_S = 6.0
-STREAMS = 4
-OVERLAP_S = 0.4
-PROMPT = {
-    "Model": "m",
-    "Token-Usage": "826,300",
-    "Prompt-Prefix": "5c1e07a2:119,91bd3f06:79,{}:628",
-}
+ALLOWED = COLD_PER_S * BOUNDS["cold_over"] + BOUNDS["cold_slack"]
+DOWN_S = 2.0
+STORE_DOWN_S = 4.5
+# Requests a second for each gateway of the region.
+RATE = 15.0
+# As many shared parts of prompts as the site file has for these requests.
+PARTS = (4, 432)
+EVENTS = 7
 
 
-async def play(site: Site, trouble: bool) -> str:
-    """Return what broke TWICE, or an empty text."""
-    slow: set[str] = set()
-
-    async def write_stream(runner: Runner, run: Run, stream: trio.SocketStream) -> None:
-        after = int(run.fields.get("last-event-id", "0"))
-        head = (
-            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-            f"Request-Id: {run.id}\r\nResponse-Signature: {run.id}\r\n"
-            f"Server-Load: {runner.running},0,{runner.slots}\r\n"
-            "Transfer-Encoding: chunked\r\n\r\n"
-        )
-        for number in range(after + 1, EVENTS + 1):
-            wait_s = EVENT_S if number > after + 1 else FIRST_EVENT_S
-            factor = SLOW_FACTOR if runner.name in slow else 1.0
-            await trio.sleep(wait_s * factor)
-            event = f"id: {number}\ndata: {run.id} {number}\n\n".encode()
-            text = b"%x\r\n%b\r\n" % (len(event), event)
-            await stream.send_all(head.encode() + text if head else text)
-            head = ""
-        await stream.send_all(head.encode() + b"0\r\n\r\n")
+async def write_stream(runner: Runner, run: Run, stream: trio.SocketStream) -> None:
+    """Write a short stream."""
+    await trio.sleep(0.12)
+    head = (
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+        f"Request-Id: {run.id}\r\nResponse-Signature: {run.id}\r\n"
+        f"Server-Load: {runner.running},0,{runner.slots}\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n"
+    )
+    for number in range(1, EVENTS + 1):
+        event = f"id: {number}\ndata: {run.id} {number}\n\n".encode()
+        text = b"%x\r\n%b\r\n" % (len(event), event)
+        await stream.send_all(head.encode() + text if head else text)
+        head = ""
+        await trio.sleep(0.025)
+    await stream.send_all(b"0\r\n\r\n")
+
+
+def draw_prompt() -> dict[str, str]:
+    """Return the headers of a request's prompt."""
+    first, second = (random.randrange(count) for count in PARTS)
+    own = random.getrandbits(40)
+    return {
+        "Model": "m",
+        "Token-Usage": "9190,60",
+        "Prompt-Prefix": f"a{first:x}:2520,b{second:x}:3780,{own:x}:2890",
+    }
 
+
+async def keep_asking(site: Site, gateway: Gateway) -> None:
+    """Send requests until cancelled."""
+    while True:
+        ask = partial(site.ask, gateway, "POST", "/day-plan/1", b"plan", draw_prompt())
+        site.nursery.start_soon(partial(ask, deadline_ms=4000))
+        await trio.sleep(random.uniform(0.8, 1.2) / RATE)
+
+
+async def play(site: Site, trouble: bool) -> str:
+    """Return what broke FAILBACK, or an empty text."""
     route = make_route(
-        "artist-ask",
+        "day-plan",
         POOL,
         "streaming",
-        timeout_ms=12000,
+        timeout_ms=4000,
         target_latency_ms=800,
         gap_aim_ms=400,
-        priority=0,
-        max_attempts=2,
-        resumable=True,
+        priority=1,
+        max_attempts=1,
     )
     site.configure(10, [route], SERVICES)
-    for zone in [*ZONES, *ZONES]:
+    for zone in [*ZONES, "accra-a"]:
         await site.add_runner(POOL, zone, write_stream, slots=128)
-    await site.start_gateways(per_zone=1)
-    await trio.sleep(6.5)
-    gateway = site.gateways[0]
-    for number in range(STREAMS):
-        prompt = PROMPT["Prompt-Prefix"].format(f"{number + 1:08x}")
-        before = len(site.runs)
-        site.nursery.start_soon(
-            partial(
-                site.ask,
-                gateway,
-                "POST",
-                "/artist-ask/1",
-                b"question",
-                PROMPT | {"Prompt-Prefix": prompt},
-                deadline_ms=12000,
-            )
-        )
-        await trio.sleep(3.0)
-        if trouble and len(site.runs) > before:
-            slow = {site.runs[before].runner}
-            site.record.write("slow", runner=site.runs[before].runner)
-        await trio.sleep(SLOW_S)
-        if slow:
-            site.record.write("fast-again")
-        slow = set()
-        await trio.sleep(3.5)
-    overlaps = list(find_overlaps(site))
-    for first, second, overlap_s in overlaps:
-        site.record.write(
-            "overlap",
-            id=first.id,
-            first=first.runner,
-            second=second.runner,
-            seconds=round(overlap_s, 3),
-        )
-    if not overlaps:
+    await site.start_gateways(per_zone=3)
+    await trio.sleep(2.0)
+    for gateway in site.gateways[:3]:
+        site.nursery.start_soon(keep_asking, site, gateway)
+    await trio.sleep(8.0)
+    runner = site.runners[0]
+    back_at = 0.0
+    if trouble:
+        site.store.leave()
+        site.nursery.start_soon(end_outage, site)
+        site.nursery.start_soon(runner.crash, DOWN_S)
+        await trio.sleep(DOWN_S)
+        back_at = site.now()
+        runner.entry_fields = {"cold_left_ms": int(COLD_S * 1000)}
+    await trio.sleep(COLD_S)
+    runner.entry_fields = {}
+    await trio.sleep(3.0)
+    if not back_at:
         return ""
-    return (
-        f"TWICE: {len(overlaps)} of {STREAMS} streams went on at another runner while the"
-        f" one before still worked on them {OVERLAP_S} s later"
+    times = [
+        run.arrived_at
+        for run in site.runs
+        if run.runner == runner.name and back_at <= run.arrived_at < back_at + COLD_S
+    ]
+    most = max(
+        (sum(at <= other < at + 1.0 for other in times) for at in times), default=0
     )
+    site.record.write("cold-runner", requests=len(times), most_in_a_second=most)
+    if most <= ALLOWED:
+        return ""
+    return f"FAILBACK: a cold runner got {most} requests in a second; allowed {ALLOWED}"
 
 
-def find_overlaps(site: Site):
-    """Yield the runs of a stream that went on while the one before was still at work."""
-    for index, second in enumerate(site.runs):
-        if "last-event-id" not in second.fields:
-            continue
-        for first in site.runs[:index]:
-            overlap_s = (first.ended_at or site.now()) - second.arrived_at
-            same = first.id == second.id and first.runner != second.runner
-            if same and overlap_s > OVERLAP_S:
-                yield first, second, overlap_s
+async def end_outage(site: Site) -> None:
+    """End the store's outage; it has lost nothing."""
+    await trio.sleep(STORE_DOWN_S)
+    site.store.away = False
 
 
 if __name__ == "__main__":
