--- a/review/1/case.py
+++ b/review/1/case.py
@@ -16,12 +16,10 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 import trio
-from harness import BOUNDS, ZONES, Site, main, make_route
+from harness import BOUNDS, ZONES, Site, main, make_route, make_service
 
 OLD, NEW = "booking-desk", "deposit-desk"
-SERVICES = [
-    {"name": name, "max_connections": 110, "cold_per_s": 0} for name in (OLD, NEW)
-]
+SERVICES = [make_service(name, 110) for name in (OLD, NEW)]
 COPY_AGE_S = 6.0
 AWAY_S = 1.0
 CONTACT_S = BOUNDS["contact_ms"] / 1000.0
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -15,22 +15,14 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 import trio
-from harness import BOUNDS, ZONES, main, make_route
+from harness import BOUNDS, COLD_PER_S, ZONES, main, make_route, make_service
 
 if TYPE_CHECKING:
     from harness import Gateway, Run, Runner, Site
 
 POOL = "lycheepath-pool"
-COLD_PER_S = 3.5
 COLD_S = 3.0
-SERVICES = [
-    {
-        "name": POOL,
-        "max_connections": 630,
-        "cold_per_s": COLD_PER_S,
-        "engine": {"slots": 128, "kv_cache_tokens": 472760, "stride": 7},
-    }
-]
+SERVICES = [make_service(POOL, 630, COLD_S, engine=True)]
 ALLOWED = COLD_PER_S * BOUNDS["cold_over"] + BOUNDS["cold_slack"]
 DOWN_S = 2.0
 STORE_DOWN_S = 4.5
@@ -91,7 +83,7 @@
         max_attempts=1,
     )
     site.configure(10, [route], SERVICES)
-    for zone in [*ZONES, "accra-a"]:
+    for zone in [*ZONES, *ZONES]:
         await site.add_runner(POOL, zone, write_stream, slots=128)
     await site.start_gateways(per_zone=3)
     await trio.sleep(2.0)
@@ -99,23 +91,18 @@
         site.nursery.start_soon(keep_asking, site, gateway)
     await trio.sleep(8.0)
     runner = site.runners[0]
-    back_at = 0.0
+    cold_times: list[tuple[float, float]] = []
     if trouble:
         site.store.leave()
         site.nursery.start_soon(end_outage, site)
-        site.nursery.start_soon(runner.crash, DOWN_S)
-        await trio.sleep(DOWN_S)
-        back_at = site.now()
-        runner.entry_fields = {"cold_left_ms": int(COLD_S * 1000)}
-    await trio.sleep(COLD_S)
-    runner.entry_fields = {}
-    await trio.sleep(3.0)
-    if not back_at:
-        return ""
+        await runner.crash(DOWN_S, COLD_S)
+        cold_times.append((site.now(), site.now() + COLD_S))
+    await trio.sleep(COLD_S + 3.0)
     times = [
         run.arrived_at
         for run in site.runs
-        if run.runner == runner.name and back_at <= run.arrived_at < back_at + COLD_S
+        if run.runner == runner.name
+        and any(since <= run.arrived_at < until for since, until in cold_times)
     ]
     most = max(
         (sum(at <= other < at + 1.0 for other in times) for at in times), default=0
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -15,20 +15,13 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 import trio
-from harness import BOUNDS, ZONES, main, make_route
+from harness import BOUNDS, ZONES, main, make_route, make_service
 
 if TYPE_CHECKING:
     from harness import Run, Runner, Site
 
 POOL = "lycheepath-pool"
-SERVICES = [
-    {
-        "name": POOL,
-        "max_connections": 630,
-        "cold_per_s": 0,
-        "engine": {"slots": 128, "kv_cache_tokens": 472760, "stride": 7},
-    }
-]
+SERVICES = [make_service(POOL, 630, engine=True)]
 EVENTS = 7
 BACK_S = 2.0
 SOUND_RATE = 2.0
--- a/review/harness.py
+++ b/review/harness.py
@@ -42,8 +42,13 @@
 CALLED_HOST = "ficu95.example"
 HEARTBEAT_S = 1.2
 HISTORY_S = 20.0
+# Requests a second that a cold runner tolerates.
+COLD_PER_S = 3.5
 COPY_INTERVAL_S = 0.1
 POLL_S = 0.01
+HEALTH_PATH = "/healthz"
+# Ports of a gateway from the first one: 16 for its peers, then its listeners.
+PORTS = 24
 READY_S = 20.0
 # The figures of DEPLOY.md.
 BOUNDS = {
@@ -72,8 +77,8 @@
 LIMITS = {
     "max_header_bytes": 16384,
     "max_body_bytes": 4194304,
-    "header_timeout_ms": 5000,
-    "idle_timeout_ms": 10000,
+    "header_timeout_ms": 3000,
+    "idle_timeout_ms": 15000,
 }
 CONTRACTS = [
     "base",
@@ -89,6 +94,10 @@
 ]
 
 
+# All processes that were started, for the case that the script itself is told to end.
+STARTED: list[subprocess.Popen[bytes]] = []
+
+
 class NotRunError(Exception):
     """The case couldn't run; the text says why."""
 
@@ -393,6 +402,7 @@
         self.address = ""
         self.running = 0
         self.entry_fields: dict[str, Any] = {}
+        self.cold_until = 0.0
         self.announces = True
         self.listening = trio.CancelScope()
         self.open: set[trio.SocketStream] = set()
@@ -401,6 +411,11 @@
             1_700_000_000_000, 1_790_000_000_000
         )
 
+    @property
+    def cold_left_ms(self) -> int:
+        """How much longer it stays cold, in ms."""
+        return max(0, int((self.cold_until - trio.current_time()) * 1000))
+
     def announce(self) -> bool:
         """Write the entry once; return whether the store has acknowledged it."""
         entry = {
@@ -410,7 +425,7 @@
             "version": "1",
             "slots": self.slots,
             "state": "ready",
-            "cold_left_ms": 0,
+            "cold_left_ms": self.cold_left_ms,
             "seq": self._sequence + 1,
             "born": self._born,
         } | self.entry_fields
@@ -419,8 +434,8 @@
         self._sequence += 1
         return True
 
-    async def crash(self, down_s: float) -> None:
-        """End at once and start again under the same id, with nothing of before."""
+    async def crash(self, down_s: float, cold_s: float = 0.0) -> None:
+        """End at once; start again under the same id, cold, with nothing of before."""
         self.site.record.write("runner-crashed", name=self.name)
         self.announces = False
         self.listening.cancel()
@@ -430,6 +445,7 @@
         self._sequence = 0
         self._born += int(down_s * 1000)
         self.announces = True
+        self.cold_until = trio.current_time() + cold_s
         await self.open_port()
         self.announce()
         self.site.record.write("runner-back", name=self.name)
@@ -487,8 +503,17 @@
             }
             await send_text(stream, 200, json.dumps(report).encode(), [])
             return True
+        if seen.target == HEALTH_PATH:
+            headers = [
+                f"Instance-Id: {self.name}",
+                f"Server-Load: {self.running},0,{self.slots}",
+            ]
+            if self.cold_left_ms:
+                headers.append(f"Cold-Ms: {self.cold_left_ms}")
+            await send_text(stream, 200, b"", headers)
+            return True
         if "request-id" not in seen.headers:
-            await send_text(stream, 200, b"", [f"Instance-Id: {self.name}"])
+            await send_text(stream, 400, b"", ["Not-Executed: 1"])
             return True
         expected = seen.headers.get("expect-instance", self.name)
         if expected != self.name:
@@ -577,6 +602,7 @@
         self.zone = zone
         self.ip = ip
         self.process: subprocess.Popen[bytes] | None = None
+        self._starts = 0
         self._settings = site.folder / f"{name}.json"
 
     def address(self, part: str) -> tuple[str, int]:
@@ -598,7 +624,7 @@
             "listen": {part: f"{self.ip}:{port}" for part, port in site.ports.items()},
             "port_range": [site.first_port, site.first_port + 15],
             "seeds": [f"{ip}:{site.ports['control']}" for ip in site.seeds],
-            "bootstrap": False,
+            "bootstrap": self._starts == 0,
             "loss_counts": False,
             "limits": {"memory_mb": 300, "max_fds": 4100, "cores": 1},
             "data_dir": None,
@@ -618,6 +644,7 @@
                 "ttl_min_ms": 1000,
             },
         }
+        self._starts += 1
         self._settings.write_text(json.dumps(settings))
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         command = deploy["roles"]["gateway"]["run"].split()
@@ -630,6 +657,7 @@
             self.process = subprocess.Popen(
                 command, cwd=ROOT, env=environment, stdout=log, stderr=log
             )
+        STARTED.append(self.process)
         site.record.write("gateway-started", name=self.name, ip=self.ip)
 
     def send_signal(self, number: int) -> None:
@@ -674,8 +702,7 @@
         self.sent: dict[str, Sent] = {}
         self.answers: dict[str, Answer] = {}
         draw = random.SystemRandom()
-        self.network = f"127.{draw.randrange(2, 250)}.{draw.randrange(250)}"
-        self.first_port = draw.randrange(10_000, 30_000, 50)
+        self.network, self.first_port = draw_addresses(draw)
         parts = ("front", "ready", "control", "directory")
         self.ports = {part: self.first_port + 20 + n for n, part in enumerate(parts)}
         self.seeds: list[str] = []
@@ -778,6 +805,28 @@
             await trio.sleep(interval_s * random.uniform(0.8, 1.2))
 
 
+def draw_addresses(draw: random.Random) -> tuple[str, int]:
+    """Return a loopback network and the first of the ports that are free there."""
+    while True:
+        network = f"127.{draw.randrange(2, 250)}.{draw.randrange(250)}"
+        first_port = draw.randrange(10_000, 30_000, 50)
+        try:
+            for port in range(first_port, first_port + PORTS):
+                with socket.socket() as listener:
+                    listener.bind((f"{network}.10", port))
+        except OSError:
+            continue
+        return network, first_port
+
+
+def end_all(number: int, frame: object) -> None:
+    """End all processes and this one, which a signal has told to end."""
+    for process in STARTED:
+        if process.poll() is None:
+            process.kill()
+    os._exit(2)
+
+
 def make_route(name: str, service: str, kind: str, **fields: Any) -> dict[str, Any]:
     """Return a route as the operator writes it."""
     return {
@@ -793,6 +842,31 @@
     } | fields
 
 
+def make_service(
+    name: str, connections: int, cold_s: float = 0.0, engine: bool = False
+) -> dict[str, Any]:
+    """Return a service as the operator writes it, with the site file's figures."""
+    fields: dict[str, Any] = {
+        "name": name,
+        "health_path": HEALTH_PATH,
+        "max_connections": connections,
+        "protocol": "h1",
+        "tls": False,
+        "cold_start_s": cold_s,
+        "cold_per_s": COLD_PER_S if cold_s else 0.0,
+    }
+    if engine:
+        fields["engine"] = {
+            "slots": 128,
+            "kv_cache_tokens": 472760,
+            "kv_token_bytes": 18432,
+            "link_mbps": 88000.0,
+            "stride": 7,
+            "models": [{"name": "m"}],
+        }
+    return fields
+
+
 @asynccontextmanager
 async def open_site(record: Record) -> AsyncIterator[Site]:
     """Open a site with a store; all gateways end with the block."""
@@ -820,6 +894,7 @@
     ``play`` returns what broke the rule, or an empty text.
     """
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    signal.signal(signal.SIGTERM, end_all)
 
     async def run() -> str:
         record = Record(folder / "record.txt")
