--- a/review/harness.py
+++ b/review/harness.py
@@ -560,8 +560,10 @@
     """End a run when its connection closes; a peek reads nothing."""
     while True:
         try:
+            if stream.socket.fileno() < 0:
+                raise trio.ClosedResourceError
             await trio.lowlevel.wait_readable(stream.socket)
-        except (trio.ClosedResourceError, ValueError):
+        except (trio.ClosedResourceError, ValueError, OSError):
             run.end = "crashed"
             scope.cancel()
             return
