--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,114 +1,123 @@
-"""Machines of a region that crash three times and stay away are still named."""
+"""
+A runner crashes and starts again under its id, cold, while the store is down.
+
+The gateways reach it again by their own probes before they can read that it is cold.
+"""
 
 from __future__ import annotations
 
-import json
-import signal
-from contextlib import suppress
+import random
+import sys
+from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING
 
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+
 import trio
-from harness import (
-    BOUNDS,
-    CALLED_HOST,
-    ZONES,
-    Answer,
-    NotRunError,
-    main,
-    make_route,
-    make_service,
-    read_answer,
-)
+from harness import BOUNDS, COLD_PER_S, ZONES, main, make_route, make_service
 
 if TYPE_CHECKING:
-    from harness import Gateway, Site
-
-LOST_ZONE = "kumasi-a"
-CRASHES = 3
-RESTART_S = 0.5
-# How long a process runs before it crashes again, once it is ready.
-LIFE_S = 0.15
-SETTLE_S = 3.0
-ASK_INTERVAL_S = 0.25
-WATCH_S = 12.0
-ALLOWED = 3
-# A machine may be named for so long after its end.
-NAMED_S = BOUNDS["contact_ms"] / 1000.0 + 3.0
-
-
-async def resolve(site: Site, gateway: Gateway) -> list[str]:
-    """Return the addresses that a directory names for a client of the lost zone."""
-    answer = Answer()
-    query = f"name={CALLED_HOST}&region={ZONES[LOST_ZONE]}&zone={LOST_ZONE}"
-    text = f"GET /lycheepath/resolve?{query} HTTP/1.1\r\nHost: x\r\n\r\n"
-    with suppress(OSError), trio.move_on_after(1.0):
-        async with await trio.open_tcp_stream(*gateway.address("directory")) as stream:
-            await stream.send_all(text.encode())
-            await read_answer(stream, answer)
-    if answer.status != 200 or not answer.whole:
-        return []
-    return list(json.loads(answer.body)["addresses"])
-
-
-async def crash_in_a_loop(site: Site, gateways: list[Gateway]) -> None:
-    """Kill processes at the same moment, and again shortly after they are back."""
-    for _ in range(CRASHES - 1):
-        for gateway in gateways:
-            gateway.send_signal(signal.SIGKILL)
-        await trio.sleep(RESTART_S)
-        for gateway in gateways:
-            gateway.start()
-        for gateway in gateways:
-            await gateway.wait_until_ready()
-        await trio.sleep(LIFE_S)
-    for gateway in gateways:
-        gateway.send_signal(signal.SIGKILL)
+    from harness import Gateway, Run, Runner, Site
+
+POOL = "lycheepath-pool"
+COLD_S = 3.0
+SERVICES = [make_service(POOL, 630, COLD_S, engine=True)]
+ALLOWED = COLD_PER_S * BOUNDS["cold_over"] + BOUNDS["cold_slack"]
+DOWN_S = 2.0
+STORE_DOWN_S = 4.5
+# Requests a second for each gateway of the region.
+RATE = 15.0
+# As many shared parts of prompts as the site file has for these requests.
+PARTS = (4, 432)
+EVENTS = 7
+
+
+async def write_stream(runner: Runner, run: Run, stream: trio.SocketStream) -> None:
+    """Write a short stream."""
+    await trio.sleep(0.12)
+    head = (
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+        f"Request-Id: {run.id}\r\nResponse-Signature: {run.id}\r\n"
+        f"Server-Load: {runner.running},0,{runner.slots}\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n"
+    )
+    for number in range(1, EVENTS + 1):
+        event = f"id: {number}\ndata: {run.id} {number}\n\n".encode()
+        text = b"%x\r\n%b\r\n" % (len(event), event)
+        await stream.send_all(head.encode() + text if head else text)
+        head = ""
+        await trio.sleep(0.025)
+    await stream.send_all(b"0\r\n\r\n")
+
+
+def draw_prompt() -> dict[str, str]:
+    """Return the headers of a request's prompt."""
+    first, second = (random.randrange(count) for count in PARTS)
+    own = random.getrandbits(40)
+    return {
+        "Model": "m",
+        "Token-Usage": "9190,60",
+        "Prompt-Prefix": f"a{first:x}:2520,b{second:x}:3780,{own:x}:2890",
+    }
+
+
+async def keep_asking(site: Site, gateway: Gateway) -> None:
+    """Send requests until cancelled."""
+    while True:
+        ask = partial(site.ask, gateway, "POST", "/day-plan/1", b"plan", draw_prompt())
+        site.nursery.start_soon(partial(ask, deadline_ms=4000))
+        await trio.sleep(random.uniform(0.8, 1.2) / RATE)
 
 
 async def play(site: Site, trouble: bool) -> str:
-    for zone in ZONES:
-        await site.add_runner("desk", zone)
-    site.configure(
-        7, [make_route("date-check", "desk", "safe")], [make_service("desk", 110)]
+    """Return what broke FAILBACK, or an empty text."""
+    route = make_route(
+        "day-plan",
+        POOL,
+        "streaming",
+        timeout_ms=4000,
+        target_latency_ms=800,
+        gap_aim_ms=400,
+        priority=1,
+        max_attempts=1,
     )
+    site.configure(10, [route], SERVICES)
+    for zone in [*ZONES, *ZONES]:
+        await site.add_runner(POOL, zone, write_stream, slots=128)
     await site.start_gateways(per_zone=3)
-    await trio.sleep(SETTLE_S)
-    lost = [gateway for gateway in site.gateways if gateway.zone == LOST_ZONE]
-    others = [gateway for gateway in site.gateways if gateway.zone != LOST_ZONE]
-    dead = {f"{gateway.ip}:{site.ports['front']}" for gateway in lost}
-    for gateway in others:
-        if set(await resolve(site, gateway)) != dead:
-            raise NotRunError(f"{gateway.name} doesn't name the region's machines")
+    await trio.sleep(2.0)
+    for gateway in site.gateways[:3]:
+        site.nursery.start_soon(keep_asking, site, gateway)
+    await trio.sleep(8.0)
+    runner = site.runners[0]
+    cold_times: list[tuple[float, float]] = []
     if trouble:
-        await crash_in_a_loop(site, lost)
-    else:
-        for gateway in lost:
-            gateway.send_signal(signal.SIGKILL)
-    ended_at = site.now()
-    wrong = only_dead = answers = 0
-    last_s = 0.0
-    while (elapsed_s := site.now() - ended_at) < NAMED_S + WATCH_S:
-        for gateway in others:
-            named = set(await resolve(site, gateway))
-            site.record.write(
-                "resolved", by=gateway.name, dead=len(named & dead), all=len(named)
-            )
-            if elapsed_s > NAMED_S and named & dead:
-                wrong += 1
-                only_dead += named <= dead
-                last_s = elapsed_s
-            answers += elapsed_s > NAMED_S
-        await trio.sleep(ASK_INTERVAL_S)
-    site.record.write("judged", answers=answers, wrong=wrong, only_dead=only_dead)
-    if wrong <= ALLOWED:
-        return ""
-    return (
-        f"DRAIN: {wrong} of {answers} answers named machines that had ended over"
-        f" {NAMED_S:.0f} s before, {only_dead} of them no others; the last one came"
-        f" {last_s:.1f} s after their end"
+        site.store.leave()
+        site.nursery.start_soon(end_outage, site)
+        await runner.crash(DOWN_S, COLD_S)
+        cold_times.append((site.now(), site.now() + COLD_S))
+    await trio.sleep(COLD_S + 3.0)
+    times = [
+        run.arrived_at
+        for run in site.runs
+        if run.runner == runner.name
+        and any(since <= run.arrived_at < until for since, until in cold_times)
+    ]
+    most = max(
+        (sum(at <= other < at + 1.0 for other in times) for at in times), default=0
     )
+    site.record.write("cold-runner", requests=len(times), most_in_a_second=most)
+    if most <= ALLOWED:
+        return ""
+    return f"FAILBACK: a cold runner got {most} requests in a second; allowed {ALLOWED}"
+
+
+async def end_outage(site: Site) -> None:
+    """End the store's outage; it has lost nothing."""
+    await trio.sleep(STORE_DOWN_S)
+    site.store.away = False
 
 
 if __name__ == "__main__":
-    main(play, Path(__file__).parent)
+    main(play, Path(__file__).resolve().parent)
