--- a/review/1/case.py
+++ b/review/1/case.py
@@ -14,6 +14,7 @@
 
 STARTS_AT_S = 4.0
 NEW_RUNNERS = 3
+START_GAP_S = 0.6
 COLD_S = 3.0
 AWAY_AT_S = STARTS_AT_S + 4.5
 AWAY_S = 1.0
@@ -36,12 +37,14 @@
     for _ in range(NEW_RUNNERS):
         runner = await site.add_runner("new-desk", "accra-a")
         runner.cold_until = trio.current_time() + COLD_S
+        await trio.sleep(START_GAP_S)
 
 
 async def play(site: Site, trouble: bool) -> str:
-    for service in ("desk", "new-desk"):
-        for zone in ("accra-a", "kumasi-a", "tamale-a"):
-            await site.add_runner(service, zone)
+    for zone, count in (("accra-a", 5), ("kumasi-a", 4), ("tamale-a", 3)):
+        await site.add_runner("desk", zone)
+        for _ in range(count):
+            await site.add_runner("new-desk", zone)
     configure(site, 7, "desk")
     await site.start_gateways(per_zone=2)
     started = site.now()
