--- a/src/lycheepath/core/catalog/history.py
+++ b/src/lycheepath/core/catalog/history.py
@@ -32,8 +32,8 @@
         self._complete_since = 0
 
     def start_at(self, revision: int) -> None:
-        """Set the revision before which removals are unknown."""
-        self._complete_since = revision
+        """Set the revision before which changes are unknown."""
+        self.revision = self._complete_since = revision
 
     def begin_era(self, revision: int) -> None:
         """
--- a/tests/core/catalog/test_history.py
+++ b/tests/core/catalog/test_history.py
@@ -100,6 +100,14 @@
     assert isinstance(history.since(Position(0, 6), as_of), Delta)
 
 
+def test_host_without_entries_announces_the_revision_of_its_first_snapshot() -> None:
+    """Otherwise peers that lack the removals before it aren't told."""
+    started = Catalog()
+    started.apply(Delta((make_configuration(7),), 0), 0.0, False)
+    started.replace(Snapshot((make_configuration(7),), 20), 5.0, False)
+    assert started.history.revision == 20
+
+
 def test_reader_that_has_just_started_sends_a_snapshot() -> None:
     """It doesn't know of earlier removals, so a delta would lack them."""
     _, copier = make_pair()
