Apply each configuration's figures of a service to targets that are listed already

Cause: the registry copied the rate from the service when it first listed a target, 0 (no limit) without one, and no later configuration changed it. The class is a figure of the configuration that is copied when something is made.

Change: TargetState.set_service applies a service, with each change of the catalog.

--- a/src/lycheepath/core/placement/cold.py
+++ b/src/lycheepath/core/placement/cold.py
@@ -22,13 +22,17 @@
 class ColdRateLimit:
     """Token bucket of this host's share of a cold target's request rate."""
 
-    def __init__(self, rate_per_s: float) -> None:
-        self._rate_per_s = rate_per_s
+    def __init__(self) -> None:
+        self._rate_per_s = 0.0
         self._cold_until = float("-inf")
         self._senders = MAX_COLD_SENDERS
         self._tokens = 1.0
         self._refilled_at = float("-inf")
 
+    def set_rate(self, rate_per_s: float) -> None:
+        """Set the rate that a cold target can take; 0 is no limit."""
+        self._rate_per_s = rate_per_s
+
     def apply_announcement(self, left_s: float, now: float) -> None:
         """Apply the announced time for which the target stays cold."""
         if left_s > 0.0:
--- a/src/lycheepath/core/placement/prompts.py
+++ b/src/lycheepath/core/placement/prompts.py
@@ -24,7 +24,7 @@
 class PromptCache:
     """A target's cached parts in the order of their last use, the oldest first."""
 
-    def __init__(self, capacity_tokens: int) -> None:
+    def __init__(self, capacity_tokens: int = 0) -> None:
         self._capacity = capacity_tokens
         self._parts: OrderedDict[str, int] = OrderedDict()
         self._tokens = 0
@@ -35,9 +35,12 @@
             known_tokens = self._parts.pop(part.id, None)
             self._tokens += part.tokens - (known_tokens or 0)
             self._parts[part.id] = part.tokens
-        while self._tokens > self._capacity and self._parts:
-            _, tokens = self._parts.popitem(last=False)
-            self._tokens -= tokens
+        self._evict()
+
+    def set_capacity(self, capacity_tokens: int) -> None:
+        """Set the size of the target's memory for parts."""
+        self._capacity = capacity_tokens
+        self._evict()
 
     def count_cached(self, parts: Sequence[PromptPart]) -> int:
         """Return the number of leading tokens that the target has cached."""
@@ -52,3 +55,8 @@
         """Remove all parts, as for a target that has restarted."""
         self._parts.clear()
         self._tokens = 0
+
+    def _evict(self) -> None:
+        while self._tokens > self._capacity and self._parts:
+            _, tokens = self._parts.popitem(last=False)
+            self._tokens -= tokens
--- a/src/lycheepath/core/placement/registry.py
+++ b/src/lycheepath/core/placement/registry.py
@@ -87,9 +87,9 @@
 
     entry: TargetEntry
     region: str
-    service: Service | None
-    cache: PromptCache
-    cold: ColdRateLimit
+    service: Service | None = None
+    cache: PromptCache = field(default_factory=PromptCache)
+    cold: ColdRateLimit = field(default_factory=ColdRateLimit)
     health: TargetHealth = field(default_factory=TargetHealth)
     requests: dict[int, InFlightRequest] = field(default_factory=dict)
     peer_loads: PeerLoads = field(default_factory=PeerLoads)
@@ -99,6 +99,13 @@
     event_interval_s: float = INITIAL_EVENT_INTERVAL_S
     slowdown: Slowdown = field(default_factory=Slowdown)
 
+    def set_service(self, service: Service | None) -> None:
+        """Apply what the configuration says of the service, which may change."""
+        self.service = service
+        engine = service.engine if service else None
+        self.cache.set_capacity(int(engine.kv_tokens * CACHE_SHARE) if engine else 0)
+        self.cold.set_rate(service.cold_per_s if service else 0.0)
+
     def count_in_flight(self, now: float) -> int:
         """Return the number of in-flight requests, those of peers included."""
         count = sum(request.counts_here(now) for request in self.requests.values())
@@ -443,10 +450,7 @@
     ) -> None:
         known = self.targets.get(entry.id)
         if known is None:
-            engine = service.engine if service else None
-            capacity = int(engine.kv_tokens * CACHE_SHARE) if engine else 0
-            cold = ColdRateLimit(service.cold_per_s if service else 0.0)
-            state = TargetState(entry, region, service, PromptCache(capacity), cold)
+            state = TargetState(entry, region)
             state.availability = self._saved.restore(entry)
             self.targets[entry.id] = state
         else:
@@ -464,7 +468,7 @@
             state.cold.apply_announcement(entry.cold_s, now)
         state.entry = entry
         state.region = region
-        state.service = service
+        state.set_service(service)
 
     def _observe_estimate_error(self, request: InFlightRequest, now: float) -> None:
         expected = request.expected
