--- a/src/lycheepath/core/catalog/catalog.py
+++ b/src/lycheepath/core/catalog/catalog.py
@@ -92,10 +92,11 @@
         """
         if snapshot.position < self.position:
             return self._apply_configurations(snapshot.entries)
-        if self.revision == 0:
-            self.history.start_at(snapshot.revision)
-        elif snapshot.era > self.era:
+        if self.revision and snapshot.era > self.era:
             return self._apply_restored(snapshot, now)
+        if snapshot.position > self.position:
+            # What came and went since the earlier position isn't known.
+            self.history.start_at(snapshot.revision)
         self.era = snapshot.era
         self.revision = snapshot.revision
         changes = self._apply_entries(snapshot.entries)
--- a/tests/core/catalog/test_history.py
+++ b/tests/core/catalog/test_history.py
@@ -100,6 +100,18 @@
     assert isinstance(history.since(Position(0, 6), as_of), Delta)
 
 
+def test_reader_that_skipped_changes_sends_a_snapshot() -> None:
+    """A target that came and went between its readings is listed by other hosts."""
+    reader, copier = make_pair()
+    short_lived = replace(TARGET, id="i-2", address="10.0.0.2:80")
+    copier.apply(Delta((short_lived,), 12), 1.0, False)
+    snapshot = Snapshot((make_configuration(7), TARGET, Evacuation("b")), 20)
+    reader.replace(snapshot, 2.0, False)
+    assert reader.history.revision == 20
+    follow(reader, copier, 2.0)
+    assert copier.targets.keys() == {"i-1"}
+
+
 def test_host_without_entries_announces_the_revision_of_its_first_snapshot() -> None:
     """Otherwise peers that lack the removals before it aren't told."""
     started = Catalog()
