Pass a restored store's own entries on, not those that this host holds instead

A host that had copied from a reader during the doubt about an entry kept what the reader held in its place, and was never corrected: the end of a doubt has no revision of its own. Copies have the store's entry now, and each host judges it by what it knows itself.

--- a/src/lycheepath/core/catalog/catalog.py
+++ b/src/lycheepath/core/catalog/catalog.py
@@ -118,7 +118,6 @@
                 changes += self._remove_target(change.id, now, outage)
             elif isinstance(change, TargetEntry):
                 # A change is newer than any snapshot of its era.
-                self._doubted.discard(change.id)
                 changes += self._put_target(change)
             elif isinstance(change, EvacuationEnded):
                 changes += self._end_evacuation(change.zone)
@@ -148,12 +147,12 @@
         }
         self._begin_era(snapshot.position)
         for entry in _list_targets(snapshot):
-            if entry.id in removed:
+            if entry.id in removed or (
+                entry.id in known and is_outdated(entry, known[entry.id])
+            ):
                 self._doubted.add(entry, now)
-                # Other hosts may know that the target exists.
+                # Other hosts judge by what they know themselves.
                 self.history.record(f"target {entry.id}", entry, self.revision)
-            elif entry.id in known and is_outdated(entry, known[entry.id]):
-                self._doubted.add(entry, now)
         changes = self._apply_entries(snapshot.entries)
         for zone in self.evacuated - _list_zones(snapshot):
             self._lapsed_zones[zone] = now + LAPSE_GRACE_S
@@ -250,6 +249,7 @@
     def _put_target(self, entry: TargetEntry) -> list[StateChange]:
         current = self.targets.get(entry.id)
         lapsed = self._lapsed.pop(entry.id, None) is not None
+        doubted = self._doubted.discard(entry.id)
         subject = f"target {entry.id}"
         restarted = current is not None and has_restarted(current, entry)
         if current is not None and not entry.version and not restarted:
@@ -263,7 +263,7 @@
         same = (
             current is not None and replace(current, sequence=entry.sequence) == entry
         )
-        if same and not lapsed and not restarted:
+        if same and not (lapsed or doubted or restarted):
             self.history.refresh(subject, entry)
             return []
         self.history.record(subject, entry, self.revision)
--- a/src/lycheepath/core/catalog/restores.py
+++ b/src/lycheepath/core/catalog/restores.py
@@ -43,12 +43,9 @@
         self._entries[entry.id] = entry, now + DOUBT_S
 
     def admits(self, entry: TargetEntry) -> bool:
-        """Whether an entry isn't the doubted one; a later one ends the doubt."""
+        """Whether an entry is later than the one that is doubted, if any is."""
         doubted, _ = self._entries.get(entry.id, (None, 0.0))
-        if doubted is not None and (doubted == entry or is_outdated(entry, doubted)):
-            return False
-        self.discard(entry.id)
-        return True
+        return doubted is None or not (doubted == entry or is_outdated(entry, doubted))
 
     def discard(self, target: str) -> bool:
         """End the doubt about a target; return whether there was one."""
