Ask targets themselves whether they are cold while the store can't tell

Cause: the class is a fact that is read from one source only. Whether a target is cold was read from its entry alone; the start in the report that a probe asks for, the cold time of health answers and the cold time of its service were read nowhere, and a refused connection counted for 2.5 s from then, not from the target's return.

Change: a probe that reaches a target again reads the start in its report; a later one than the known one is a restart, as is a refused connection where no start is stated. The target is cold for the time that its service names then, unless its word or the entry of the new instance ends that. What a host learns it tells the others of its region and hosts that appear. A host that has sent a target a request in the second before it turned cold begins without a token.

Old hosts drop the new datagram, and get services without the new fields in copies.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -22,7 +22,6 @@
 from standins.site import (
     PORTS,
     REGIONS,
-    FakeStore,
     draw_network,
     listen,
     make_configuration,
@@ -30,6 +29,7 @@
     make_route,
     make_settings,
 )
+from standins.store import FakeStore
 
 from .answers import RequestKind
 from .brittle import FALL_EXIT, FALL_RESTART_S
--- a/src/lycheepath/adapters/catalog_copies.py
+++ b/src/lycheepath/adapters/catalog_copies.py
@@ -52,6 +52,7 @@
 TARGET, REMOVED, EVACUATED, EVACUATION_ENDED, CONFIGURATION = range(5)
 # Fields of a target's entry, and those that hosts of some earlier versions leave out.
 TARGET_FIELDS = frozenset(field.name for field in fields(TargetEntry))
+NEW_SERVICE_FIELDS = ("cold_start_s", "health_path")
 OPTIONAL_TARGET_FIELDS = frozenset({"leaves_in_s", "version", "restarted_at"})
 
 
@@ -77,7 +78,8 @@
     Encode a copy; the configuration is large and included only if requested.
 
     Hosts that don't request the targets' versions can't decode entries that have them,
-    and hosts that don't state their era can't decode a copy with one.
+    and hosts that don't state their era can't decode a copy with one, nor services with
+    ``NEW_SERVICE_FIELDS``.
     """
     content = copy.content
     is_snapshot = isinstance(content, Snapshot)
@@ -85,7 +87,7 @@
         content.entries if isinstance(content, Snapshot) else content.changes
     )
     items = [
-        _encode_change(change, with_versions)
+        _encode_change(change, with_versions, with_era)
         for change in changes
         if with_configuration or not isinstance(change, Configuration)
     ]
@@ -122,7 +124,9 @@
     raise TypeError(f"{type(value).__name__} is no part of a copy")
 
 
-def _encode_change(change: Change, with_versions: bool) -> list[Any]:
+def _encode_change(
+    change: Change, with_versions: bool, with_services: bool
+) -> list[Any]:
     if isinstance(change, TargetEntry):
         if with_versions:
             return [TARGET, change]
@@ -136,10 +140,19 @@
     if isinstance(change, EvacuationEnded):
         return [EVACUATION_ENDED, change.zone]
     if isinstance(change, Configuration):
-        return [CONFIGURATION, change]
+        return [CONFIGURATION, change if with_services else _strip(change)]
     raise TypeError(f"{type(change).__name__} is no part of a copy")
 
 
+def _strip(configuration: Configuration) -> dict[str, Any]:
+    """Return a configuration as hosts of earlier versions can decode it."""
+    values = asdict(configuration)
+    for service in values["services"].values():
+        for name in NEW_SERVICE_FIELDS:
+            del service[name]
+    return values
+
+
 def _decode_change(kind: Any, value: Any) -> Change:
     """Decode a change; whatever reading its values raises concerns it alone."""
     decode = _DECODERS.get(kind)
--- a/src/lycheepath/core/catalog/checks.py
+++ b/src/lycheepath/core/catalog/checks.py
@@ -69,6 +69,9 @@
         _check(service, read_name, "name")
         _check(service, _read_count, "max_connections")
         _check(service, _read_amount, "cold_per_s")
+        _check(service, _read_time, "cold_start_s")
+        if service.health_path != "":
+            _check(service, _read_path, "health_path")
         if service.engine is not None:
             _check_engine(service.engine)
     limits = configuration.limits
@@ -118,6 +121,13 @@
             raise ValueError(f"{name}: expected an integer, found {value!r}")
 
 
+def _read_path(value: Any) -> str:
+    path = read_name(value, MAX_PREFIX_BYTES)
+    if not path.startswith("/") or not path.isascii() or " " in path:
+        raise ValueError(f"expected a path, found {describe(path)}")
+    return path
+
+
 def _read_slots(value: Any) -> int:
     return read_integer(value, 1, MAX_SLOTS)
 
--- a/src/lycheepath/core/catalog/model.py
+++ b/src/lycheepath/core/catalog/model.py
@@ -97,13 +97,17 @@
     A service and the limits of each of its targets.
 
     ``max_connections`` limits the connections of all hosts together to one target. A
-    cold target can take ``cold_per_s`` requests per second (0: no limit).
+    cold target can take ``cold_per_s`` requests per second (0: no limit), and is cold
+    for ``cold_start_s`` after its start. ``health_path`` is that of its health checks
+    (empty: it has none).
     """
 
     name: str
     max_connections: int
     cold_per_s: float
     engine: EngineFacts | None
+    cold_start_s: float = 0.0
+    health_path: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/lycheepath/core/placement/cold.py
+++ b/src/lycheepath/core/placement/cold.py
@@ -17,17 +17,27 @@
 ASSUMED_COLD_S = 2.5
 # Maximum age of an announcement when it is read, in seconds.
 ANNOUNCEMENT_LAG_S = 1.5
+# Time in seconds within which requests that were sent before a target became cold count
+# like those sent after.
+RECENT_S = 1.0
 
 
 class ColdRateLimit:
-    """Token bucket of this host's share of a cold target's request rate."""
+    """
+    Token bucket of this host's share of a cold target's request rate.
+
+    A target is cold by its own word, or assumed to be cold since it may have restarted.
+    Its word ends the assumption.
+    """
 
     def __init__(self) -> None:
         self._rate_per_s = 0.0
-        self._cold_until = float("-inf")
+        self._stated_until = float("-inf")
+        self._assumed_until = float("-inf")
         self._senders = MAX_COLD_SENDERS
         self._tokens = 1.0
         self._refilled_at = float("-inf")
+        self._sent_at = float("-inf")
 
     def set_rate(self, rate_per_s: float) -> None:
         """Set the rate that a cold target can take; 0 is no limit."""
@@ -36,11 +46,23 @@
     def apply_announcement(self, left_s: float, now: float) -> None:
         """Apply the announced time for which the target stays cold."""
         if left_s > 0.0:
-            self._cold_until = max(self._cold_until, now + left_s)
+            self._begin(now)
+            self._stated_until = max(self._stated_until, now + left_s)
+
+    def apply_health(self, left_s: float, now: float) -> None:
+        """Apply the time that the target itself has just named, 0 if it is warm."""
+        self.end_assumption()
+        self._stated_until = float("-inf")
+        self.apply_announcement(left_s, now)
+
+    def assume_cold(self, now: float, for_s: float = ASSUMED_COLD_S) -> None:
+        """Assume that the target is cold until its own word can be read."""
+        self._begin(now)
+        self._assumed_until = max(self._assumed_until, now + for_s)
 
-    def assume_cold(self, now: float) -> None:
-        """Assume that the target is cold until a newer announcement can be read."""
-        self._cold_until = max(self._cold_until, now + ASSUMED_COLD_S)
+    def end_assumption(self) -> None:
+        """Forget that the target is assumed to be cold."""
+        self._assumed_until = float("-inf")
 
     def is_cold(self, now: float) -> bool:
         """Whether the rate limit applies."""
@@ -57,9 +79,20 @@
 
     def record_send(self, now: float) -> None:
         """Take a token for a request that is being sent."""
+        self._sent_at = now
         if self.is_cold(now):
             self._tokens = self._refill(now) - 1.0
 
+    @property
+    def _cold_until(self) -> float:
+        return max(self._stated_until, self._assumed_until)
+
+    def _begin(self, now: float) -> None:
+        """Start with a token unless a request has just been sent."""
+        if now >= self._cold_until:
+            self._tokens = 0.0 if now - self._sent_at < RECENT_S else 1.0
+            self._refilled_at = now
+
     def _refill(self, now: float) -> float:
         share = self._rate_per_s / self._senders
         if self._refilled_at > float("-inf"):
--- a/src/lycheepath/core/placement/registry.py
+++ b/src/lycheepath/core/placement/registry.py
@@ -462,6 +462,8 @@
             state.slowdown = Slowdown()
             if is_new_instance(state.entry, entry):
                 state.availability = Availability()
+                # The announcement says whether it is cold.
+                state.cold.end_assumption()
         if known is None or entry is not known.entry:
             # Each announcement counts once, from its arrival: a repeated update with
             # the same entry must not extend the cold period.
--- a/src/lycheepath/gateway/discovery.py
+++ b/src/lycheepath/gateway/discovery.py
@@ -458,6 +458,7 @@
         )
     node.versions.update(changes)
     node.registry.update(node.catalog, node.settings.zone_regions, node.now())
+    node.cold_checks.apply_reports()
     if node.catalog.routes is not None:
         node.configured.set()
     if changes:
--- a/src/lycheepath/gateway/instances.py
+++ b/src/lycheepath/gateway/instances.py
@@ -12,7 +12,12 @@
 
 from ..adapters.events import record_event
 from ..adapters.http1.upstream import BrokenAnswerError
-from ..platform.targets import REPORT_PATH, TargetAnswerError, read_start
+from ..platform.targets import (
+    MAX_REPORT_BYTES,
+    REPORT_PATH,
+    TargetAnswerError,
+    read_start,
+)
 
 if TYPE_CHECKING:
     from ..adapters.http1.upstream import Upstream
@@ -21,7 +26,6 @@
     from .exchange import Exchange
     from .node import GatewayNode
 
-MAX_REPORT_BYTES = 65_536
 # Time without a report, which needs no slot at the target, after which the target counts
 # as silent.
 REPORT_SILENCE_S = 0.3
--- a/src/lycheepath/gateway/links.py
+++ b/src/lycheepath/gateway/links.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -21,11 +22,12 @@
 from ..core.placement.overdue import is_overdue
 from ..core.placement.reachability import Reachability
 from ..core.routing.health import TargetHealth
-from ..platform.targets import REPORT_PATH
+from ..platform.targets import MAX_REPORT_BYTES, REPORT_PATH
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from ..adapters.http1.upstream import Upstream
     from ..core.placement.registry import TargetState
     from .node import GatewayNode
 
@@ -65,6 +67,8 @@
         self._held: list[_HeldEvidence] = []
         self._probes_due = trio.Event()
         self._settled = trio.Event()
+        # Targets that have refused or ended a connection since they were last probed.
+        self._refused: set[str] = set()
 
     def list_targets(self) -> list[TargetState]:
         """Return the targets of the region."""
@@ -121,6 +125,7 @@
         """Apply changes of the catalog and look for silence; called periodically."""
         targets = self.list_targets()
         self.reachability.set_targets((t.entry.id for t in targets), now)
+        self._refused.intersection_update(t.entry.id for t in targets)
         self._synchronize(targets)
         silent_since = self._find_silence(targets, now)
         if silent_since is not None:
@@ -162,16 +167,18 @@
         address = parse_address(target.entry.address)
         refused = accepts = False
         reason = ""
+        report = b""
         try:
             upstream = await node.pool.open(address, PROBE_CONNECT_S)
             try:
                 with trio.fail_after(PROBE_ANSWER_S):
-                    await upstream.request(
+                    status, _ = await upstream.request(
                         b"GET",
                         REPORT_PATH.encode(),
                         [(b"host", str(address).encode())],
                         b"",
                     )
+                report = await _read_report(upstream) if status == 200 else b""
             finally:
                 upstream.close()
         except ConnectError as error:
@@ -187,6 +194,9 @@
             return
         now = node.now()
         self._discard_silent(now)
+        was_refused = name in self._refused
+        self._refused.discard(name)
+        await node.cold_checks.record_report(target, report, was_refused)
         self.reachability.record_probe_answer(name, now)
         node.invalidate_context()
 
@@ -198,6 +208,8 @@
         if not refused and node.loop_delay.find_s(now) >= HELD_UP_S:
             # A time-out while this process was held up shows nothing of the target.
             return
+        if refused:
+            self._refused.add(target)
         self._synchronize(self.list_targets())
         was_suspected = self.reachability.is_suspected
         was_unreachable = self.reachability.is_unreachable(target)
@@ -275,3 +287,10 @@
         if len(self._held) < len(held):
             self._settled.set()
             self._settled = trio.Event()
+
+
+async def _read_report(upstream: Upstream) -> bytes:
+    """Return the body of a report, empty if it doesn't come whole and in time."""
+    with suppress(BrokenAnswerError), trio.move_on_after(PROBE_ANSWER_S):
+        return await upstream.read_all(MAX_REPORT_BYTES)
+    return b""
--- a/src/lycheepath/gateway/node.py
+++ b/src/lycheepath/gateway/node.py
@@ -31,6 +31,7 @@
 from ..core.reasons import Absent, Reason
 from ..core.retries.window import RetryWindow
 from ..core.serving.startup import find_hold_s
+from .cold_checks import ColdChecks
 from .containment import Containment
 from .coordination import REPORT_INTERVAL_S, TargetCoordination
 from .discovery import StoreFollower
@@ -112,6 +113,7 @@
     containment: Containment = field(init=False)
     versions: StreamVersions = field(init=False)
     links: TargetLinks = field(init=False)
+    cold_checks: ColdChecks = field(init=False)
     store: StoreFollower = field(init=False)
     inactivity: InactivityMonitor = field(default_factory=InactivityMonitor)
     _context: tuple[float, PlacementContext] = NO_CONTEXT
@@ -142,6 +144,7 @@
         self.containment = Containment(self)
         self.versions = StreamVersions(self)
         self.links = TargetLinks(self)
+        self.cold_checks = ColdChecks(self)
         self.store = StoreFollower(self)
         self.registry.unsynchronized_until = self.now() + SYNCHRONIZATION_S
 
--- a/src/lycheepath/gateway/peers.py
+++ b/src/lycheepath/gateway/peers.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from ..adapters.cold_messages import decode_cold_report, is_cold_report
 from ..adapters.crash_messages import decode_crash_report, is_crash_report
 from ..adapters.events import record_event
 from ..adapters.grant_messages import decode_grant_message, is_grant_message
@@ -74,6 +75,10 @@
         """Return the number of live hosts of the local region, with this one."""
         return len(self._live) + 1
 
+    def list_local_hosts(self) -> list[str]:
+        """Return the other live hosts of the local region."""
+        return list(self._live)
+
     async def send_to(self, host: str, data: bytes) -> None:
         """Send a datagram to a host of the local region, if it is live."""
         row = self._live.get(host)
@@ -125,6 +130,7 @@
             if found:
                 await node.permits.tell_hosts(found)
                 await node.grants.tell_hosts(found)
+                await node.cold_checks.tell_hosts(found)
 
     def _record_delay(self, late_s: float) -> None:
         self._node.metrics.record_ms("loop_delay_ms", late_s * 1000.0)
@@ -208,6 +214,8 @@
             await self._node.grants.handle_message(decode_grant_message(fields))
         elif is_origin_message(fields[0]):
             await self._node.versions.handle_message(decode_origin_message(fields))
+        elif is_cold_report(fields[0]):
+            self._node.cold_checks.handle_report(decode_cold_report(fields))
         elif is_crash_report(fields[0]):
             self._node.containment.apply_report(decode_crash_report(fields))
         else:
--- a/src/lycheepath/platform/configuration.py
+++ b/src/lycheepath/platform/configuration.py
@@ -77,6 +77,8 @@
         max_connections=int(entry.get("max_connections") or 0),
         cold_per_s=float(entry.get("cold_per_s") or 0.0),
         engine=_read_engine(engine) if engine else None,
+        cold_start_s=float(entry.get("cold_start_s") or 0.0),
+        health_path=entry.get("health_path") or "",
     )
 
 
--- a/src/lycheepath/platform/targets.py
+++ b/src/lycheepath/platform/targets.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import orjson
 
@@ -12,8 +12,14 @@
     read_integer,
 )
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
 HELD_PARTS_PATH = "/lycheepath/kv-list"
+# Longest time that a target may state, in digits of ms.
+MAX_TIME_DIGITS = 9
 REPORT_PATH = "/lycheepath/report"
+MAX_REPORT_BYTES = 65_536
 # Longest id of a prompt's part that is kept from a list; others are left out.
 MAX_PART_ID_CHARACTERS = 200
 
@@ -35,6 +41,22 @@
         raise TargetAnswerError(f"the list can't be read: {reason}") from error
 
 
+def read_cold_time(headers: Iterable[tuple[bytes, bytes]], target: str) -> float | None:
+    """
+    Return how long a target stays cold by its answer to a health check, in seconds.
+
+    Returns None if the answer isn't that of the target. Raises TargetAnswerError if
+    the time can't be read.
+    """
+    answered = {name.lower(): value for name, value in headers}
+    if answered.get(b"instance-id", b"").decode("latin-1") != target:
+        return None
+    text = answered.get(b"cold-ms", b"0").decode("latin-1").strip()
+    if not text.isascii() or not text.isdigit() or len(text) > MAX_TIME_DIGITS:
+        raise TargetAnswerError(f"expected a time in ms, found {describe(text)}")
+    return int(text) / 1000.0
+
+
 def read_start(body: bytes) -> int | None:
     """Return the start of a target in its report, in Unix ms, or None if it has none."""
     try:
--- /dev/null
+++ b/standins/requests.py
@@ -0,0 +1,42 @@
+"""Requests as stand-ins receive them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import h11
+
+if TYPE_CHECKING:
+    import trio
+
+
+@dataclass(frozen=True)
+class Seen:
+    """A request as received by a target."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+async def read_request(
+    connection: h11.Connection, stream: trio.SocketStream
+) -> Seen | None:
+    head: h11.Request | None = None
+    body = b""
+    while True:
+        event = connection.next_event()
+        if event is h11.NEED_DATA:
+            connection.receive_data(await stream.receive_some(65_536))
+        elif isinstance(event, h11.Request):
+            head = event
+        elif isinstance(event, h11.Data):
+            body += bytes(event.data)
+        elif isinstance(event, h11.EndOfMessage):
+            assert head is not None
+            headers = {n.decode(): v.decode() for n, v in head.headers}
+            return Seen(head.method.decode(), head.target.decode(), headers, body)
+        else:
+            return None
--- a/standins/site.py
+++ b/standins/site.py
@@ -13,13 +13,11 @@
 
 from __future__ import annotations
 
-import base64
 import os
 import random
 from dataclasses import dataclass, field
 from functools import partial
 from typing import TYPE_CHECKING, Any
-from urllib.parse import parse_qs
 
 import h11
 import orjson
@@ -32,8 +30,11 @@
 from lycheepath.platform.settings import read_settings
 from lycheepath.platform.targets import REPORT_PATH
 
+from .requests import Seen as Seen, read_request as read_request
+from .store import FakeStore
+
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable, Iterable
+    from collections.abc import Awaitable, Callable, Iterable, Mapping
 
     from .host_processes import Host
 
@@ -46,16 +47,6 @@
 READY_WITHIN_S = 5.0
 
 
-@dataclass(frozen=True)
-class Seen:
-    """A request as received by a target."""
-
-    method: str
-    target: str
-    headers: dict[str, str]
-    body: bytes
-
-
 @dataclass
 class Answer:
     """
@@ -140,131 +131,6 @@
             stream.socket.close()
 
 
-async def read_request(
-    connection: h11.Connection, stream: trio.SocketStream
-) -> Seen | None:
-    head: h11.Request | None = None
-    body = b""
-    while True:
-        event = connection.next_event()
-        if event is h11.NEED_DATA:
-            connection.receive_data(await stream.receive_some(65_536))
-        elif isinstance(event, h11.Request):
-            head = event
-        elif isinstance(event, h11.Data):
-            body += bytes(event.data)
-        elif isinstance(event, h11.EndOfMessage):
-            assert head is not None
-            headers = {n.decode(): v.decode() for n, v in head.headers}
-            return Seen(head.method.decode(), head.target.decode(), headers, body)
-        else:
-            return None
-
-
-@dataclass
-class FakeStore:
-    """
-    The platform's store; a nonzero ``failing`` is the status of all answers.
-
-    It can be restored from a copy, which begins another ``era`` (0: answers state none).
-    """
-
-    address: str = ""
-    items: dict[str, tuple[bytes, int]] = field(default_factory=dict)
-    history: list[dict[str, Any]] = field(default_factory=list)
-    revision: int = 1
-    oldest: int = 0
-    failing: int = 0
-    fail_later_pages: bool = False
-    page_items: int = 500
-    era: int = 0
-
-    def put(self, key: str, value: Any) -> None:
-        """Write an item; bytes are stored unencoded."""
-        self.revision += 1
-        data = value if isinstance(value, bytes) else orjson.dumps(value)
-        self.items[key] = (data, self.revision)
-        self.history.append(self._item(key))
-
-    def remove(self, key: str) -> None:
-        """Remove an item."""
-        self.revision += 1
-        del self.items[key]
-        self.history.append({"key": key, "revision": self.revision, "tombstone": True})
-
-    def compact(self) -> None:
-        """Discard the history."""
-        self.oldest = self.revision
-        self.history.clear()
-
-    def make_copy(self) -> tuple[int, dict[str, tuple[bytes, int]]]:
-        """Return a copy for ``restore``."""
-        return self.revision, dict(self.items)
-
-    def restore(self, copy: tuple[int, dict[str, tuple[bytes, int]]]) -> None:
-        """Return to a copy; revisions since are given out again."""
-        self.revision, self.items = copy[0], dict(copy[1])
-        self.history = [h for h in self.history if h["revision"] <= self.revision]
-        self.era += 1
-
-    async def serve(self, stream: trio.SocketStream) -> None:
-        """Serve one connection."""
-        try:
-            while (
-                seen := await read_request(h11.Connection(h11.SERVER), stream)
-            ) is not None:
-                status, answer = await self._answer(seen.target)
-                body = orjson.dumps(answer)
-                head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n"
-                head += f"Store-Era: {self.era}\r\n\r\n" if self.era else "\r\n"
-                await stream.send_all(head.encode() + body)
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            return
-
-    async def _answer(self, target: str) -> tuple[int, Any]:
-        path, _, query = target.partition("?")
-        fields = parse_qs(query)
-        if self.failing:
-            return self.failing, {}
-        if path.endswith("kv-key"):
-            key = fields["key"][0]
-            if key not in self.items:
-                return 404, {}
-            return 200, self._item(key) | {"as_of": self.revision}
-        if path.endswith("kv-range"):
-            return self._answer_page(fields.get("after", [""])[0])
-        after = int(fields["after"][0])
-        if not self.oldest <= after <= self.revision:
-            return 410, {}
-        era = self.era
-        with trio.move_on_after(int(fields["wait_ms"][0]) / 1000.0):
-            while self.revision <= after:
-                await trio.sleep(POLL_S)
-        if era != self.era:
-            return 410, {}
-        events = [event for event in self.history if event["revision"] > after]
-        return 200, {"events": events, "as_of": self.revision}
-
-    def _answer_page(self, after: str) -> tuple[int, Any]:
-        keys = [key for key in sorted(self.items) if key > after]
-        if after and self.fail_later_pages:
-            return 503, {}
-        page = keys[: self.page_items]
-        more = len(keys) > len(page)
-        items = [self._item(key) for key in page]
-        return 200, {"items": items, "has_more": more, "as_of": self.revision}
-
-    def _item(self, key: str) -> dict[str, Any]:
-        value, revision = self.items[key]
-        return {
-            "key": key,
-            "value": base64.b64encode(value).decode(),
-            "revision": revision,
-            "create_rev": revision,
-            "lease": 0,
-        }
-
-
 class Site:
     """State: the store, the targets and the gateways of one test."""
 
@@ -282,7 +148,7 @@
     async def open(cls, nursery: trio.Nursery) -> Site:
         """Return a site whose store is listening."""
         site = cls(nursery)
-        site.store.address = await site._listen(site.store.serve)
+        site.store.address = await site.listen(site.store.serve)
         return site
 
     async def add_target(
@@ -290,7 +156,7 @@
     ) -> FakeTarget:
         """Start a target and write its entry to the store."""
         target = FakeTarget(f"i-{len(self.targets)}", service, zone, "", behaviour)
-        target.address = await self._listen(target.serve)
+        target.address = await self.listen(target.serve)
         self.targets.append(target)
         self.announce(target, **fields)
         return target
@@ -301,15 +167,22 @@
         self.store.put(f"servers/{target.id}", entry)
 
     def configure(
-        self, *routes: dict[str, Any], connections: int = 100, **limits: int
+        self,
+        *routes: dict[str, Any],
+        connections: int = 100,
+        service: Mapping[str, Any] | None = None,
+        **limits: int,
     ) -> None:
         """
         Write a configuration with these routes under a new version.
 
-        ``connections`` limits the connections to each target of a service.
+        ``connections`` limits the connections to each target of a service; ``service``
+        has more fields of each.
         """
         self.version += 3
         value = make_configuration(self.version, routes, connections, limits)
+        for fields in value["services"]:
+            fields |= service or {}
         self.store.put("op/config", value)
 
     async def start_gateway(
@@ -381,7 +254,8 @@
             await start_tasks(node, nursery)
             task_status.started()
 
-    async def _listen(self, serve: Any) -> str:
+    async def listen(self, serve: Any) -> str:
+        """Serve connections to a port on loopback; return its address."""
         ip, port = await listen(self.nursery, serve)
         return f"{ip}:{port}"
 
--- a/tests/adapters/test_catalog_copies.py
+++ b/tests/adapters/test_catalog_copies.py
@@ -34,7 +34,9 @@
     make_route("/a/"), kind=RouteKind.STREAM, home_regions=frozenset({"b", "a"})
 )
 SERVICES = {
-    "pool": Service("pool", 100, 3.5, EngineFacts(128, 400_000, 7, 1e-7)),
+    "pool": Service(
+        "pool", 100, 3.5, EngineFacts(128, 400_000, 7, 1e-7), 3.0, "/healthz"
+    ),
     "books": Service("books", 100, 0.0, None),
 }
 CONFIGURATION = Configuration(7, (ROUTE,), SERVICES, CallerLimits(idle_s=3.0))
@@ -95,3 +97,20 @@
     assert found.content == Snapshot((STARTED,), 20)
     full = decode_catalog_copy(encode_catalog_copy(copy, True))
     assert full == copy
+
+
+def test_copy_for_a_host_that_knows_no_era_has_what_earlier_versions_decode() -> None:
+    copy = CatalogCopy(Snapshot((CONFIGURATION, STARTED), 20, 3), 0.25)
+    data = encode_catalog_copy(copy, True, with_era=False)
+    *_, items = values = orjson.loads(data)
+    assert len(values) == 5
+    fields = {"name", "max_connections", "cold_per_s", "engine"}
+    assert all(s.keys() == fields for s in items[0][1]["services"].values())
+    found = decode_catalog_copy(data).content
+    assert found.era == 0
+    assert isinstance(found, Snapshot)
+    configuration = found.entries[0]
+    assert isinstance(configuration, Configuration)
+    assert configuration.services["pool"].cold_start_s == 0.0
+    assert configuration.services["books"] == SERVICES["books"]
+    assert decode_catalog_copy(encode_catalog_copy(copy, True)) == copy
--- a/tests/adapters/test_odd_messages.py
+++ b/tests/adapters/test_odd_messages.py
@@ -15,6 +15,7 @@
     decode_catalog_copy,
     encode_catalog_copy,
 )
+from lycheepath.adapters.cold_messages import decode_cold_report, encode_cold_report
 from lycheepath.adapters.crash_messages import decode_crash_report, encode_crash_report
 from lycheepath.adapters.heartbeats import (
     BeatError,
@@ -67,6 +68,7 @@
     ),
     ([38, [["s", ["pool", "v1", "i-1"], 0.1]]], decode_origin_message, None),
     ([39, 1, "h-1", "s", "pool", 9.5, "p"], decode_origin_message, None),
+    ([45, "h-1", [["i-1", 7, 2.5]]], decode_cold_report, encode_cold_report),
     ([40, 1, "h-1", ["pool", "v1", "i"], ["v1"], ["v1"]], decode_origin_message, None),
 ]
 GOOD = {"id": "i-2", "service": "s", "address": "10.0.0.2:80", "zone": "a"}
--- a/tests/platform/test_targets.py
+++ b/tests/platform/test_targets.py
@@ -7,6 +7,7 @@
 
 from lycheepath.platform.targets import (
     TargetAnswerError,
+    read_cold_time,
     read_held_parts,
     read_start,
 )
@@ -74,3 +75,24 @@
         assert len(str(error)) <= 400
         return
     assert born_ms is None or 0 <= born_ms < 2**53
+
+
+@pytest.mark.parametrize(
+    ("headers", "expected"),
+    [
+        ([(b"Instance-Id", b"i-1"), (b"Cold-Ms", b"2500")], 2.5),
+        ([(b"instance-id", b"i-1")], 0.0),
+        ([(b"instance-id", b"i-2"), (b"cold-ms", b"2500")], None),
+        ([(b"cold-ms", b"2500")], None),
+    ],
+)
+def test_cold_time_is_that_of_the_target_that_was_asked(
+    headers: list[tuple[bytes, bytes]], expected: float | None
+) -> None:
+    assert read_cold_time(headers, "i-1") == expected
+
+
+@pytest.mark.parametrize("text", [b"", b"-1", b"2.5", b"soon", b"9" * 30, b"\xb2"])
+def test_cold_time_that_can_not_be_read_is_an_error(text: bytes) -> None:
+    with pytest.raises(TargetAnswerError):
+        read_cold_time([(b"instance-id", b"i-1"), (b"cold-ms", text)], "i-1")
