--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -68,6 +68,7 @@
         odd_entries=options.odd_entries,
         silent=options.silent,
         kept=options.kept,
+        restores=options.restores,
     )
     first = options.seed
     if first is None:
@@ -128,6 +129,9 @@
     parser.add_argument(
         "--kept", action="store_true", help="keep connections open, hold hosts up"
     )
+    parser.add_argument(
+        "--restores", action="store_true", help="restore the store from older copies"
+    )
     parser.add_argument(
         "--regressions", action="store_true", help="play the seeds that ever failed"
     )
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -94,7 +94,8 @@
     hosts that one cut takes off from the targets, ``brittle_share`` that of the targets
     of streams that are brittle at times. With ``odd_entries``, another writer leaves
     odd entries among those of the targets; with ``silent``, sound targets say nothing for
-    a moment now and then. With ``kept``, some callers keep their connections and let
+    a moment now and then. With ``restores``, the store comes back from older copies. With
+    ``kept``, some callers keep their connections and let
     them idle nearly as long as hosts allow, and hosts are held up for a moment.
     """
 
@@ -112,6 +113,7 @@
     odd_entries: bool = False
     silent: bool = False
     kept: bool = False
+    restores: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/soak/run.py
+++ b/soak/run.py
@@ -40,6 +40,7 @@
     Sizes,
     draw_plan,
 )
+from .restores import restore_store
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -174,6 +175,7 @@
 
 
 async def _start(fleet: Fleet, sizes: Sizes) -> None:
+    fleet.store.era = int(sizes.restores)
     await fleet.open_store()
     zones = cycle(REGIONS)
     # Each zone gets one target of every service before it gets a second of any.
@@ -198,6 +200,8 @@
         nursery.start_soon(hold_up_hosts, run)
     if sizes.odd_entries:
         nursery.start_soon(write_odd_entries, run)
+    if sizes.restores:
+        nursery.start_soon(restore_store, run)
     if sizes.silent:
         nursery.start_soon(silence_targets, run)
 
