Hold large answers once, and all of them within one budget

A host ran out of memory, and other callers' requests ended with it, while targets sent bytes without end: 200 answers at once whose callers read nothing took a gateway to 281 MB of its 300.

Cause: each buffer has a limit, all together have none. A large answer was kept as the list of its parts, joined, and as the bytes being sent, until its caller had read it. Lists and health answers of targets were read up to 32 MB.

Change: the parts that were read are forwarded one by one and not kept. All bodies that a process holds beyond the first 64 KB of each share a budget of 15 % of its memory; an answer that doesn't fit is forwarded at once, without the chance of a retry. Lists are read up to 2 MB, health answers up to 64 KB.

Ruled out by the same play: heads, header lines, events and bodies of errors without end (38 to 60 MB with 200 callers).

--- a/src/lycheepath/gateway/calls.py
+++ b/src/lycheepath/gateway/calls.py
@@ -36,12 +36,17 @@
 
 
 async def fetch(
-    node: GatewayNode, address: Address, path: str, timeout_s: float
+    node: GatewayNode,
+    address: Address,
+    path: str,
+    timeout_s: float,
+    max_bytes: int = MAX_ANSWER_BYTES,
 ) -> FetchedAnswer:
     """
     Send a GET and return the complete answer.
 
-    Raises CallFailedError if there is no complete answer within ``timeout_s``.
+    Raises CallFailedError if there is no complete answer within ``timeout_s``, or if it
+    is over ``max_bytes``.
     """
     headers = [(b"host", str(address).encode())]
     try:
@@ -51,7 +56,7 @@
                 status, answered = await upstream.request(
                     b"GET", path.encode(), headers, b""
                 )
-                body = await upstream.read_all(MAX_ANSWER_BYTES)
+                body = await upstream.read_all(max_bytes)
             except BaseException:
                 upstream.close()
                 raise
--- a/src/lycheepath/gateway/cold_checks.py
+++ b/src/lycheepath/gateway/cold_checks.py
@@ -40,6 +40,8 @@
 CHECK_INTERVAL_S = 0.15
 # Time without an answer to a health check, which waits for a slot, after which it ends.
 CHECK_TIMEOUT_S = 0.3
+# Largest answer to a health check, whose body isn't used.
+MAX_HEALTH_BYTES = 65_536
 # Largest number of targets of which other hosts' reports are kept.
 MAX_REPORTED = 4096
 
@@ -179,7 +181,11 @@
         node.metrics.count("health_checks_total")
         try:
             answer = await fetch(
-                node, address, target.service.health_path, CHECK_TIMEOUT_S
+                node,
+                address,
+                target.service.health_path,
+                CHECK_TIMEOUT_S,
+                MAX_HEALTH_BYTES,
             )
             left_s = read_cold_time(answer.headers, name)
         except (CallFailedError, TargetAnswerError) as error:
--- a/src/lycheepath/gateway/forwarding.py
+++ b/src/lycheepath/gateway/forwarding.py
@@ -12,6 +12,7 @@
 
 from ..adapters.http1.upstream import BrokenAnswerError
 from ..core.catalog.model import RouteKind
+from ..core.limits.buffers import BufferShare
 from ..core.placement.outcomes import AttemptOutcome
 from ..core.serving.answers import find_continuation_fault
 from ..core.serving.attempts import AttemptResult, may_run_again
@@ -99,23 +100,31 @@
     if exchange.route.kind is RouteKind.STREAM:
         await _forward_stream(node, attempt, upstream, answer_head, watch)
     else:
-        await _forward_buffered(attempt, upstream, answer_head)
+        share = BufferShare(node.buffers)
+        try:
+            await _forward_buffered(attempt, upstream, answer_head, share)
+        finally:
+            share.release()
     return SendOutcome(AttemptResult.ANSWERED, AttemptOutcome.COMPLETED), True
 
 
 async def _forward_buffered(
-    attempt: Attempt, upstream: Upstream, answer_head: AnswerHead
+    attempt: Attempt, upstream: Upstream, answer_head: AnswerHead, share: BufferShare
 ) -> None:
-    """Read an answer completely and forward it; forward large ones in parts."""
+    """
+    Read an answer completely and forward it; forward large ones in parts.
+
+    An answer for which this process has no room is forwarded as a large one.
+    """
     caller = attempt.exchange.caller
     parts: list[bytes] = []
     size = 0
     while (data := await upstream.read_body()) is not None:
         parts.append(data)
         size += len(data)
-        if size > MAX_BUFFERED_BYTES:
+        if size > MAX_BUFFERED_BYTES or not share.hold(size):
             attempt.take_over()
-            await _forward_large(caller, upstream, answer_head, b"".join(parts))
+            await _forward_large(caller, upstream, answer_head, parts)
             return
     attempt.take_over()
     await caller.answer(answer_head.status, answer_head.headers, b"".join(parts))
@@ -125,10 +134,14 @@
     caller: CallerConnection,
     upstream: Upstream,
     answer_head: AnswerHead,
-    first: bytes,
+    parts: list[bytes],
 ) -> None:
+    """Forward the parts that were read, none of which is kept, and those to come."""
     head = await caller.start_answer(answer_head.status, answer_head.headers)
-    await caller.send_data(first, head)
+    parts.reverse()
+    while parts:
+        await caller.send_data(parts.pop(), head)
+        head = b""
     while (data := await upstream.read_body()) is not None:
         await caller.send_data(data)
     await caller.end_answer()
--- a/src/lycheepath/gateway/held_prompts.py
+++ b/src/lycheepath/gateway/held_prompts.py
@@ -26,6 +26,8 @@
 LIST_TTL_S = 5.0
 # Timeout for a target's list.
 LIST_TIMEOUT_S = 0.5
+# Largest list that is read.
+MAX_LIST_BYTES = 2 << 20
 
 
 class HeldPrompts:
@@ -67,7 +69,9 @@
             return
         try:
             address = parse_address(target.entry.address)
-            answer = await fetch(node, address, HELD_PARTS_PATH, LIST_TIMEOUT_S)
+            answer = await fetch(
+                node, address, HELD_PARTS_PATH, LIST_TIMEOUT_S, MAX_LIST_BYTES
+            )
             if answer.status != 200:
                 raise CallFailedError(f"status {answer.status}")
             parts = read_held_parts(answer.body)
--- a/src/lycheepath/gateway/node.py
+++ b/src/lycheepath/gateway/node.py
@@ -16,6 +16,7 @@
 from ..adapters.metrics import Metrics
 from ..core.catalog.catalog import Catalog
 from ..core.hosts.rendezvous import rank
+from ..core.limits.buffers import BufferBudget
 from ..core.placement.choice import choose_target, is_conclusive, pick_targets_to_query
 from ..core.placement.cold import MAX_COLD_SENDERS
 from ..core.placement.connections import compute_idle_limit
@@ -81,6 +82,9 @@
 DEFAULT_PEER_RTT_S = 0.005
 # The time at which the placement context was built, and the context, before there is
 # any.
+# Share of the process's memory for the bodies of requests and answers that it holds; it
+# keeps up to three copies of one while that is read and sent.
+BUFFER_SHARE = 0.15
 NO_CONTEXT = (float("-inf"), PlacementContext("", {}, {}))
 
 
@@ -100,6 +104,7 @@
     metrics: Metrics = field(default_factory=Metrics)
     loop_delay: LoopDelay = field(default_factory=LoopDelay)
     pool: Pool = field(default_factory=Pool)
+    buffers: BufferBudget = field(init=False)
     catalog: Catalog = field(default_factory=Catalog)
     registry: TargetRegistry = field(default_factory=TargetRegistry)
     configured: trio.Event = field(default_factory=trio.Event)
@@ -134,6 +139,7 @@
 
     def __post_init__(self) -> None:
         bounds = self.settings.bounds
+        self.buffers = BufferBudget(int(BUFFER_SHARE * self.settings.memory_bytes))
         self.retries = RetryWindow(
             bounds.retry_ratio, bounds.retry_allowance, bounds.retry_window_s
         )
--- a/src/lycheepath/gateway/settings.py
+++ b/src/lycheepath/gateway/settings.py
@@ -37,7 +37,7 @@
     The addresses on which one process listens, and those it knows at its start.
 
     ``peer_port`` receives datagrams and ``relay_port`` relayed requests of other
-    hosts; all hosts use the same ports.
+    hosts; all hosts use the same ports. A process that exceeds ``memory_bytes`` is ended.
     """
 
     host: str
@@ -55,3 +55,4 @@
     seeds: tuple[Address, ...]
     store: Address
     bounds: DeploymentBounds
+    memory_bytes: int = 300 << 20
--- a/src/lycheepath/gateway/telemetry.py
+++ b/src/lycheepath/gateway/telemetry.py
@@ -30,6 +30,7 @@
     metrics.watch_gauge("ready", lambda: float(node.ready))
     metrics.watch_gauge("configuration_version", lambda: float(node.catalog.version))
     metrics.watch_gauge("store_revision", lambda: float(node.catalog.revision))
+    metrics.watch_gauge("buffered_bytes", lambda: float(node.buffers.used_bytes))
     metrics.watch_gauge("store_era", lambda: float(node.catalog.era))
     metrics.watch_gauge("targets_known", lambda: float(len(node.registry.targets)))
     metrics.watch_gauge(
--- a/src/lycheepath/platform/settings.py
+++ b/src/lycheepath/platform/settings.py
@@ -12,10 +12,13 @@
 import orjson
 
 from ..core.addresses import Address, parse_address
+from ..core.json_values import read_number
 from ..gateway.settings import DeploymentBounds, GatewaySettings
 
 SETTINGS_VARIABLE = "LYCHEEPATH_SETTINGS"
 METRICS_PORT = 9464
+# Memory of a process whose settings name none, in bytes.
+DEFAULT_MEMORY_BYTES = 300 << 20
 
 
 class SettingsError(ValueError):
@@ -59,9 +62,17 @@
         seeds=tuple(parse_address(seed) for seed in fields["seeds"]),
         store=parse_address(fields["platform"]["address"]),
         bounds=_decode_bounds(fields.get("bounds") or {}),
+        memory_bytes=_read_memory(fields.get("limits") or {}),
     )
 
 
+def _read_memory(limits: dict[str, Any]) -> int:
+    megabytes = limits.get("memory_mb")
+    if megabytes is None:
+        return DEFAULT_MEMORY_BYTES
+    return int(read_number(megabytes, 1.0) * (1 << 20))
+
+
 def _decode_bounds(fields: dict[str, Any]) -> DeploymentBounds:
     def read(name: str, default: float) -> float:
         value = fields.get(name)
--- a/standins/site.py
+++ b/standins/site.py
@@ -140,6 +140,7 @@
         self.targets: list[FakeTarget] = []
         self.version = 0
         self.bounds: dict[str, float] = {}
+        self.limits: dict[str, int] = {}
         self._hosts = 0
         self._running: dict[str, trio.CancelScope] = {}
         self._network = draw_network()
@@ -198,6 +199,7 @@
         fields = make_settings(host, ip, zone, store or self.store.address)
         fields["seeds"] = [f"{self._network}.1:{PORTS['control']}"]
         fields["bounds"] = self.bounds
+        fields["limits"] = self.limits
         settings = read_settings(orjson.dumps(fields))
         # Log lines of gateways in tests are discarded.
         devnull = os.open(os.devnull, os.O_WRONLY)
