Refuse requests whose bodies the process has no memory for

Cause: nothing bounded the bodies that are held at the same time. Change: the part of a body beyond its first 64 KB takes its size from the budget of the process when its length is announced, or as its chunks come; without room it is refused 503 with Retry-After. Small requests are served meanwhile.

--- a/src/lycheepath/adapters/http1/downstream.py
+++ b/src/lycheepath/adapters/http1/downstream.py
@@ -9,12 +9,14 @@
 
 import contextlib
 import os
+import sys
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import h11
 import trio
 
+from ...core.limits.buffers import BufferBudget, BufferShare
 from ..events import record_event
 from .sockets import (
     abort,
@@ -35,6 +37,8 @@
 READ_AHEAD_BYTES = 65_536
 # Timeout for sending the answer to a request that can't be parsed.
 ERROR_ANSWER_TIMEOUT_S = 1.0
+# Time after which a caller may come again whose body there was no room for.
+NO_ROOM_RETRY_S = 1.0
 # Status of an answer after a fault: the request may have run.
 FAULT_STATUS = 502
 # Time for which the rest of what a caller sends is discarded after the last answer: a
@@ -68,11 +72,18 @@
 
 
 class BadRequestError(Exception):
-    """The request is invalid or over a limit; ``status`` is the answer's status."""
+    """
+    The request is invalid or over a limit; ``status`` is the answer's status.
+
+    ``headers`` are more headers of the answer.
+    """
 
-    def __init__(self, status: int, reason: str) -> None:
+    def __init__(
+        self, status: int, reason: str, headers: tuple[tuple[bytes, bytes], ...] = ()
+    ) -> None:
         super().__init__(reason)
         self.status = status
+        self.headers = headers
 
 
 class CallerConnection:
@@ -82,6 +93,7 @@
     If ``close_after_answer`` is set, the connection ends after the current answer.
     ``read_limits`` returns the limits in force, which apply from the next request on.
     ``find_delay_s`` returns how long the event loop was held up lately, for the log.
+    Requests whose bodies don't fit into the ``buffers`` of the process are refused.
     """
 
     def __init__(
@@ -89,6 +101,7 @@
         stream: trio.SocketStream,
         read_limits: Callable[[], ReadLimits],
         find_delay_s: Callable[[], float] = lambda: 0.0,
+        buffers: BufferBudget | None = None,
     ) -> None:
         self.stream = stream
         self.limits = read_limits()
@@ -99,6 +112,7 @@
         self.answer_started = False
         self._read_limits = read_limits
         self._find_delay_s = find_delay_s
+        self._body_share = BufferShare(buffers or BufferBudget(sys.maxsize))
         self._request_id = b""
         self._end_reason = "the process ends"
         self._caller_ended = False
@@ -116,6 +130,8 @@
                 nursery.start_soon(self._receive)
                 while (request := await self._read_request()) is not None:
                     await self._serve(request, serve)
+                    del request
+                    self._body_share.release()
                     if self.disconnected:
                         break
                     if not self._start_next():
@@ -128,6 +144,7 @@
             raise
         finally:
             self._log_unanswered()
+            self._body_share.release()
             abort(self.stream)
 
     async def _linger(self) -> None:
@@ -281,6 +298,7 @@
         try:
             return await self._read_next_request()
         except BadRequestError as error:
+            self._body_share.release()
             self._end_reason = str(error)
             with trio.move_on_after(ERROR_ANSWER_TIMEOUT_S):
                 await self._refuse(error)
@@ -335,8 +353,10 @@
     async def _read_body(self, head: h11.Request) -> bytes:
         max_bytes = self.limits.body_bytes
         fields = dict(head.headers)
-        if int(fields.get(b"content-length", b"0")) > max_bytes:
+        length = int(fields.get(b"content-length", b"0"))
+        if length > max_bytes:
             raise BadRequestError(413, f"the body is over {max_bytes} bytes")
+        self._hold(length)
         if fields.get(b"expect", b"").lower() == b"100-continue":
             await self.send_interim(100, [])
         parts: list[bytes] = []
@@ -353,6 +373,16 @@
             size += len(event.data)
             if size > max_bytes:
                 raise BadRequestError(413, f"the body is over {max_bytes} bytes")
+            self._hold(size)
+
+    def _hold(self, size: int) -> None:
+        """Take the memory for a body; raises BadRequestError if there is too little."""
+        if not self._body_share.hold(size):
+            raise BadRequestError(
+                503,
+                f"the bodies of other requests leave no room for one of {size} bytes",
+                ((b"retry-after", b"%.2f" % NO_ROOM_RETRY_S),),
+            )
 
     async def _next_event(self, until: float) -> object:
         """Return the next event, or NEED_DATA if its bytes haven't come in time."""
@@ -417,7 +447,7 @@
             return
         self.close_after_answer = self._refusing = True
         try:
-            await self.answer(error.status, [], f"{error}\n".encode())
+            await self.answer(error.status, error.headers, f"{error}\n".encode())
         except (CallerGoneError, h11.LocalProtocolError):
             return
 
--- a/src/lycheepath/gateway/listeners.py
+++ b/src/lycheepath/gateway/listeners.py
@@ -108,7 +108,7 @@
 ) -> None:
     """Serve a connection; an unhandled exception ends it but not the process."""
     caller = CallerConnection(
-        stream, partial(read_limits, node), partial(_find_delay_s, node)
+        stream, partial(read_limits, node), partial(_find_delay_s, node), node.buffers
     )
     node.open_connections.add(caller)
     try:
