Guard routes and homes that change after a restore, with the users' report reproduced

The users saw 404 for routes that had been acknowledged, and requests outside their homes, for tens of seconds on two sites (CONFIG, DENIED, HOME).

That a restore is what the users had is suspected; their record doesn't tell.

--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -8,6 +8,7 @@
 import trio
 
 from standins.site import answer_text, make_route
+from tests.gateway.test_fleet import wait_until_live
 
 if TYPE_CHECKING:
     from lycheepath.gateway.node import GatewayNode
@@ -112,3 +113,33 @@
     site.configure(make_route("pages"))
     await wait_for_answers(site, nodes, b"new")
     assert all(node.catalog.era == 1 for node in nodes)
+
+
+async def test_homes_that_move_after_a_restore_are_kept_and_new_routes_served(
+    site: Site,
+) -> None:
+    """Hosts went on in the former homes, and answered 404 to new routes."""
+    site.store.era = 1
+    east = await site.add_target("books", answer_text(b"east"))
+    await site.add_target("books", answer_text(b"west"), "west-a")
+    site.configure(make_route("books", home_regions=["east"]))
+    nodes = [
+        await site.start_gateway("east-0"),
+        await site.start_gateway("east-1"),
+        await site.start_gateway("west-0", "west-a"),
+    ]
+    await wait_until_live(*nodes)
+    await wait_for_answers(site, nodes, b"east")
+    await lose_changes(site)
+    await trio.sleep(1.5)
+    site.configure(
+        make_route("books", home_regions=["west"]),
+        make_route("books", prefix="/new/", home_regions=["west"]),
+    )
+    await trio.sleep(DEADLINE_S)
+    ran = len(east.seen)
+    for node in nodes:
+        for path in ("/books/1", "/new/1"):
+            answer = await site.ask(node, b"GET", path)
+            assert (answer.status, answer.body) == (200, b"west")
+    assert len(east.seen) == ran
