--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -45,6 +45,10 @@
     silent=True,
     kept=True,
 )
+RESTORED_SEED = 7001
+RESTORED_SIZES = Sizes(
+    hosts=3, targets=6, seconds=14.0, faults_per_s=0.3, longest_s=3.0, restores=True
+)
 MIN_REQUESTS = 100
 # Take-ups from which the check on them counts.
 MIN_TAKE_UPS = 12
@@ -68,6 +72,15 @@
     assert len({limit.target for limit in limits}) >= LIMITED_SIZES.targets
 
 
+async def test_short_run_follows_a_store_that_is_restored(tmp_path: Path) -> None:
+    result = await run_seed(RESTORED_SIZES, RESTORED_SEED, tmp_path)
+
+    assert result.violations == []
+    lines = list(read_log_lines(str(path) for path in tmp_path.glob("*.log")))
+    following = {line["host"] for line in lines if line["event"] == "store-restored"}
+    assert len(following) == RESTORED_SIZES.hosts
+
+
 async def test_short_run_holds_back_requests_that_end_targets(tmp_path: Path) -> None:
     result = await run_seed(FATAL_SIZES, FATAL_SEED, tmp_path)
 
