Simplify the checks of cold targets, and put two comments back to their constants

- cold_checks chose by a text, 'health' or 'restart', what to apply to a target; each caller applies its own now, and _tell_cold only logs and tells.
- The comment of NO_CONTEXT stood over BUFFER_SHARE, that of the optional fields of targets over the new fields of services.
- _strip is named for what it leaves out; is_cold_report compares as its twin does.
- ANNOUNCEMENT_LAG_S was used nowhere.

--- a/src/lycheepath/adapters/catalog_copies.py
+++ b/src/lycheepath/adapters/catalog_copies.py
@@ -52,8 +52,9 @@
 TARGET, REMOVED, EVACUATED, EVACUATION_ENDED, CONFIGURATION = range(5)
 # Fields of a target's entry, and those that hosts of some earlier versions leave out.
 TARGET_FIELDS = frozenset(field.name for field in fields(TargetEntry))
-NEW_SERVICE_FIELDS = ("cold_start_s", "health_path")
 OPTIONAL_TARGET_FIELDS = frozenset({"leaves_in_s", "version", "restarted_at"})
+# Fields of a service that hosts of earlier versions can't decode.
+NEW_SERVICE_FIELDS = ("cold_start_s", "health_path")
 
 
 class CopyError(ValueError):
@@ -140,11 +141,11 @@
     if isinstance(change, EvacuationEnded):
         return [EVACUATION_ENDED, change.zone]
     if isinstance(change, Configuration):
-        return [CONFIGURATION, change if with_services else _strip(change)]
+        return [CONFIGURATION, change if with_services else _omit_new(change)]
     raise TypeError(f"{type(change).__name__} is no part of a copy")
 
 
-def _strip(configuration: Configuration) -> dict[str, Any]:
+def _omit_new(configuration: Configuration) -> dict[str, Any]:
     """Return a configuration as hosts of earlier versions can decode it."""
     values = asdict(configuration)
     for service in values["services"].values():
--- a/src/lycheepath/adapters/cold_messages.py
+++ b/src/lycheepath/adapters/cold_messages.py
@@ -57,7 +57,7 @@
 
 def is_cold_report(kind: Any) -> bool:
     """Whether a datagram's first field is the kind of a cold report."""
-    return kind in (COLD_REPORT,)
+    return bool(kind == COLD_REPORT)
 
 
 def _decode_report(fields: list[Any]) -> ColdReport:
--- a/src/lycheepath/core/placement/cold.py
+++ b/src/lycheepath/core/placement/cold.py
@@ -15,8 +15,6 @@
 # it may have restarted, and its announcement is read within about a second (doubled
 # to be safe).
 ASSUMED_COLD_S = 2.5
-# Maximum age of an announcement when it is read, in seconds.
-ANNOUNCEMENT_LAG_S = 1.5
 # Time in seconds within which requests that were sent before a target became cold count
 # like those sent after.
 RECENT_S = 1.0
--- a/src/lycheepath/gateway/cold_checks.py
+++ b/src/lycheepath/gateway/cold_checks.py
@@ -97,7 +97,8 @@
             return
         self._record_start(target, born_ms or 0)
         left_s = target.service.cold_start_s or ASSUMED_COLD_S
-        await self._record_cold(target, left_s, "restart")
+        target.cold.assume_cold(self._node.now(), left_s)
+        await self._tell_cold(target, left_s, "restart")
 
     async def tell_hosts(self, hosts: Collection[str]) -> None:
         """Tell hosts that have appeared which targets are cold, for one host each."""
@@ -193,19 +194,15 @@
             record_event("health-unread", subject=name, reason=str(error))
             return
         if left_s:
-            await self._record_cold(target, min(left_s, MAX_COLD_S), "health")
+            left_s = min(left_s, MAX_COLD_S)
+            target.cold.apply_health(left_s, node.now())
+            await self._tell_cold(target, left_s, "health")
 
-    async def _record_cold(
-        self, target: TargetState, left_s: float, source: str
-    ) -> None:
+    async def _tell_cold(self, target: TargetState, left_s: float, source: str) -> None:
+        """Place by a target's being cold from now on, and tell the region."""
         node = self._node
-        now = node.now()
-        if source == "health":
-            target.cold.apply_health(left_s, now)
-        else:
-            target.cold.assume_cold(now, left_s)
         node.invalidate_context()
-        if not target.cold.is_cold(now):
+        if not target.cold.is_cold(node.now()):
             return
         self._log_cold(target, left_s, source)
         node.metrics.count("targets_found_cold_total")
--- a/src/lycheepath/gateway/node.py
+++ b/src/lycheepath/gateway/node.py
@@ -80,11 +80,11 @@
 DEFAULT_REGION_RTT_S = 0.16
 # The same to another host of the region.
 DEFAULT_PEER_RTT_S = 0.005
-# The time at which the placement context was built, and the context, before there is
-# any.
 # Share of the process's memory for the bodies of requests and answers that it holds; it
 # keeps up to three copies of one while that is read and sent.
 BUFFER_SHARE = 0.15
+# The time at which the placement context was built, and the context, before there is
+# any.
 NO_CONTEXT = (float("-inf"), PlacementContext("", {}, {}))
 
 
