--- a/src/lycheepath/adapters/http1/downstream.py
+++ b/src/lycheepath/adapters/http1/downstream.py
@@ -21,6 +21,7 @@
 from .sockets import (
     abort,
     count_undelivered_bytes,
+    count_unread_bytes,
     has_ended,
     is_idle,
     receive,
@@ -466,7 +467,7 @@
         theirs, ours = self._h11.their_state, self._h11.our_state
         serving = theirs is not h11.IDLE and ours in (h11.SEND_RESPONSE, h11.SEND_BODY)
         unread_bytes = len(self._h11.trailing_data[0]) + self._inbox_bytes
-        in_kernel = self.stream.socket.fileno() >= 0 and not is_idle(self.stream)
+        in_kernel = count_unread_bytes(self.stream) > 0
         # The rest of a request that was refused is unread too.
         begun = serving or (
             theirs not in (h11.SEND_BODY, h11.ERROR) and bool(unread_bytes or in_kernel)
--- a/src/lycheepath/adapters/http1/sockets.py
+++ b/src/lycheepath/adapters/http1/sockets.py
@@ -113,11 +113,17 @@
     The kernel goes on sending them after a plain close. Returns 0 for a connection that
     is closed already.
     """
-    try:
-        queued = fcntl.ioctl(stream.socket.fileno(), termios.TIOCOUTQ, bytes(4))
-    except (OSError, ValueError):
-        return 0
-    return int(struct.unpack("i", queued)[0])
+    return _read_count(stream, termios.TIOCOUTQ)
+
+
+def count_unread_bytes(stream: trio.SocketStream) -> int:
+    """
+    Return how many bytes have arrived that weren't read.
+
+    The end of the other side counts as none. Returns 0 for a connection that is closed
+    already.
+    """
+    return _read_count(stream, termios.FIONREAD)
 
 
 def abort(stream: trio.SocketStream) -> None:
@@ -132,6 +138,15 @@
     stream.socket.close()
 
 
+def _read_count(stream: trio.SocketStream, request: int) -> int:
+    """Return a byte count that the kernel keeps of a connection, 0 once it is closed."""
+    try:
+        count = fcntl.ioctl(stream.socket.fileno(), request, bytes(4))
+    except (OSError, ValueError):
+        return 0
+    return int(struct.unpack("i", count)[0])
+
+
 def _has_event(stream: trio.SocketStream | trio.SocketListener, event: int) -> bool:
     """Whether an event, the end or a fault of a socket waits; doesn't wait for it."""
     poll = select.poll()
--- a/src/lycheepath/gateway/node.py
+++ b/src/lycheepath/gateway/node.py
@@ -20,7 +20,11 @@
 from ..core.placement.choice import choose_target, is_conclusive, pick_targets_to_query
 from ..core.placement.cold import MAX_COLD_SENDERS
 from ..core.placement.connections import compute_idle_limit
-from ..core.placement.draining import admit_while_draining, find_longest_wait_s
+from ..core.placement.draining import (
+    admit_while_draining,
+    estimate_end_s,
+    find_longest_wait_s,
+)
 from ..core.placement.model import (
     Placement,
     PlacementContext,
@@ -197,6 +201,12 @@
         remaining_s = self.shutdown_deadline - self.now() if self.shutting_down else 0.0
         return min(MAX_REMAINING_S, max(0.0, remaining_s))
 
+    def find_draining_s(self) -> float | None:
+        """Return for how long this host has been shutting down, None if it isn't."""
+        if not self.shutting_down:
+            return None
+        return round(self.now() - self.shutdown_started_at, 3)
+
     def find_hold_s(self, remaining_s: float) -> float:
         """Return how long a request may wait for the catalog, in seconds."""
         return find_hold_s(self.now() - self.started_at, remaining_s)
@@ -290,16 +300,29 @@
             if is_conclusive(placed, queried):
                 break
         if self.shutting_down and isinstance(placed, Placement):
-            now = self.now()
-            return admit_while_draining(
-                request,
-                placed,
-                self.remaining_s(),
-                now - self.shutdown_started_at,
-                find_longest_wait_s(placed.target, now),
-            )
+            return self._admit_while_draining(exchange, request, placed)
         return placed
 
+    def _admit_while_draining(
+        self, exchange: Exchange, request: PlacementRequest, placed: Placement
+    ) -> Placement | Absent:
+        now = self.now()
+        left_s = self.remaining_s()
+        draining_s = now - self.shutdown_started_at
+        waited_s = find_longest_wait_s(placed.target, now)
+        admitted = admit_while_draining(request, placed, left_s, draining_s, waited_s)
+        if isinstance(admitted, Placement):
+            record_event(
+                "admitted-while-draining",
+                request=exchange.request_head.id,
+                target=placed.target.entry.id,
+                ends_s=round(estimate_end_s(request.prompt, placed), 3),
+                longest_wait_s=round(waited_s, 3),
+                left_s=round(left_s, 3),
+                draining_s=round(draining_s, 3),
+            )
+        return admitted
+
     def _build_placement_request(self, exchange: Exchange) -> PlacementRequest:
         now = self.now()
         return PlacementRequest(
--- a/src/lycheepath/gateway/process.py
+++ b/src/lycheepath/gateway/process.py
@@ -67,7 +67,12 @@
             nursery.start_soon(_discard, signals)
             await drain(node)
             nursery.cancel_scope.cancel()
-        record_event("stop", serving=node.active_requests)
+        record_event(
+            "stop",
+            serving=node.active_requests,
+            draining_s=node.find_draining_s(),
+            held_up_s=round(node.loop_delay.find_s(node.now()), 3),
+        )
         node.events.flush()
 
 
@@ -134,7 +139,11 @@
     notice_s = min(DRAIN_NOTICE_S, running_s / 2)
     node.shutting_down = True
     node.shutdown_started_at, node.shutdown_deadline = started, started + grace_s
-    record_event("leaving", serving=node.active_requests)
+    record_event(
+        "leaving",
+        serving=node.active_requests,
+        held_up_s=round(node.loop_delay.find_s(started), 3),
+    )
     await node.peers.announce_shutdown()
     last_request_at = started
     while (now := node.now()) - started < grace_s:
--- a/src/lycheepath/gateway/serving.py
+++ b/src/lycheepath/gateway/serving.py
@@ -264,6 +264,9 @@
     placed = attempt and attempt.placed
     load = attempt and attempt.reported_load
     took_s = node.now() - exchange.received_at
+    since_event_s = (
+        node.now() - exchange.last_event_at if exchange.last_event_at else None
+    )
     exchange.outcome_logged = True
     record_outcome(node, exchange, event)
     record_event(
@@ -282,6 +285,9 @@
         expected_s=round(placed.first_event_s, 4) if placed else None,
         first_s=exchange.first_event_s and round(exchange.first_event_s, 4),
         longest_gap_s=round(exchange.longest_gap_s, 4),
+        events=exchange.cutter.event_count,
+        last_event_s_ago=since_event_s and round(since_event_s, 4),
+        draining_s=node.find_draining_s(),
         ended_with_connection=attempt is not None and attempt.ended_with_connection,
         no_place=exchange.no_place,
         version=node.catalog.version,
--- a/tests/gateway/test_unanswered_requests.py
+++ b/tests/gateway/test_unanswered_requests.py
@@ -326,3 +326,39 @@
     assert by_request["waiting"]["reason"] == "the process ends"
     assert not by_request["waiting"]["answer_started"]
     assert by_request[""]["unread_bytes"] == 40
+
+
+async def test_caller_that_closes_after_its_answer_is_not_logged_as_unanswered(
+    site: Site, unanswered: list[dict[str, Any]]
+) -> None:
+    await site.add_target("books", answer_text(b"done"))
+    site.configure(make_route("books"))
+    site.bounds = {"grace_s": 2.0}
+    node = await site.start_gateway("host-1")
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(drain, node)
+        while not node.shutting_down:
+            await trio.sleep(0.01)
+        for number in range(CONNECTIONS):
+            async with await connect(node) as stream:
+                assert (await ask_on(stream, f"r{number}")).whole
+                # The end of the caller's side arrives before the host looks.
+                await stream.send_eof()
+    assert not unanswered
+
+
+@pytest.mark.parametrize("closes", [False, True])
+async def test_request_that_was_not_read_before_the_end_is_logged(
+    site: Site, unanswered: list[dict[str, Any]], closes: bool
+) -> None:
+    await site.add_target("books", answer_text(b"done"))
+    site.configure(make_route("books"))
+    node = await site.start_gateway("host-1")
+    async with await connect(node) as stream:
+        assert (await ask_on(stream, "r0")).whole
+        os.write(stream.socket.fileno(), write_request("r1"))
+        if closes:
+            stream.socket.shutdown(socket.SHUT_WR)
+        site.stop_gateway(node)
+        await trio.sleep(0.1)
+    assert [line["unread_in_kernel"] for line in unanswered] == [True]
