Begin late answers of a draining host only once they are whole

Cause: a stream that came later than 3 s after the signal was admitted if its estimate and 2 s fitted into the time left. That is no bound; an answer that has begun can end only whole or broken off, and at the end of the drain it was broken off. The class: a promise with a hard end is given by an estimate. It acted in streams, in answers over 256 kB, and at hosts that others relay to.

Ruled out: refusing all that is late, since in a region without another host nobody would serve it; a larger margin, which is an estimate still; passing requests on to a peer, as the answer comes back through the host that ends.

Change: what is admitted late and has a deadline after this host's end is held until it is whole, within the budget of bodies, and passed on then; if it isn't whole in time, the caller gets a complete failure. A stream that no target has got yet is refused at once if another host of the region accepts callers: there its events come as they are made. Requests whose deadline comes first pass through, as that bounds them. A stream that another attempt has begun goes on as before. Only the first event is late for callers, and only where no other host is ready.

--- a/src/lycheepath/core/placement/draining.py
+++ b/src/lycheepath/core/placement/draining.py
@@ -4,10 +4,13 @@
 Its in-flight requests are cut off when it ends, so it refuses at once any request
 that would not be complete by then. In the first seconds, callers can't know that the
 host is draining, and an answer that will probably be complete is worth more to them
-than a retry. Later requests arrive only if the region has no other host, and are
-admitted with a safety factor::
+than a retry. Later requests are admitted with a safety factor::
 
     placed = admit_while_draining(request, placed, left_s=4.0, draining_s=3.5)
+
+An estimate is no bound. The answer to a later request that could outlast this host isn't
+begun before it is whole. Streams, whose callers would wait for the first event until then,
+are left to another host of the region if one accepts callers.
 """
 
 from __future__ import annotations
@@ -37,18 +40,25 @@
     left_s: float,
     draining_s: float,
     longest_wait_s: float = 0.0,
+    others_serve: bool = False,
 ) -> Placement | Absent:
     """
     Return a placement, or a refusal if its answer would be cut off.
 
     ``left_s`` is the time until the host ends, ``draining_s`` the time since it began
     to drain, ``longest_wait_s`` how long the target has let another request wait: the
-    estimate may be of a time when it was faster. A late stream has to end in time though
-    its target falls silent for a moment: once it has begun, it can't be refused.
+    estimate may be of a time when it was faster. ``others_serve`` says that another host
+    of this region accepts callers. A late stream has to end in time though its target falls
+    silent for a moment.
     """
+    is_stream = request.route.kind is RouteKind.STREAM
+    must_be_whole = needs_whole_answer(request, left_s, draining_s)
+    if must_be_whole and is_stream and others_serve and not request.already_sent:
+        detail = f"another host can finish a stream, this one leaves in {left_s:.1f} s"
+        return Absent(Reason.DRAINING, MIN_RETRY_AFTER_S, detail)
     ends_s = max(estimate_end_s(request.prompt, placed), longest_wait_s)
     if draining_s > DRAIN_NOTICE_S:
-        silent_s = SOUND_SILENCE_S if request.route.kind is RouteKind.STREAM else 0.0
+        silent_s = SOUND_SILENCE_S if is_stream else 0.0
         ends_s = max(SLOW_FACTOR * ends_s, ends_s + silent_s)
     if ends_s <= left_s:
         return placed
@@ -56,6 +66,17 @@
     return Absent(Reason.DRAINING, MIN_RETRY_AFTER_S, detail)
 
 
+def needs_whole_answer(
+    request: PlacementRequest, left_s: float, draining_s: float
+) -> bool:
+    """
+    Whether an answer may be begun only once it is whole.
+
+    A request whose deadline comes before this host's end can't be cut off by that.
+    """
+    return draining_s > DRAIN_NOTICE_S and request.time_left_s > left_s
+
+
 def find_longest_wait_s(target: TargetState, now: float) -> float:
     """Return how long this host's oldest request without an event waits at a target."""
     request = target.find_oldest_waiting(relayed=True)
--- a/src/lycheepath/gateway/exchange.py
+++ b/src/lycheepath/gateway/exchange.py
@@ -9,10 +9,12 @@
 from ..core.serving.attempts import AttemptCounts
 from ..core.serving.events import EventSplitter
 from ..core.serving.fingerprints import list_features
+from .withholding import WithheldAnswer
 
 if TYPE_CHECKING:
     from ..adapters.http1.downstream import CallerConnection, ReceivedRequest
     from ..core.catalog.model import Route
+    from ..core.limits.buffers import BufferBudget
     from ..core.serving.answers import AnswerHead
     from ..core.serving.requests import RequestHead
 
@@ -45,7 +47,8 @@
     another host received it, ``reports_silence`` that this host is told when its
     target is silent. ``started_head`` is the head of the stream that was started.
     ``tried_hosts`` are the hosts that it was relayed to. ``no_place`` says why there
-    was no other target when the request was given up.
+    was no other target when the request was given up. ``withheld`` is the answer that is
+    held back until it is whole, None if it is passed on as it comes.
     """
 
     caller: CallerConnection
@@ -75,6 +78,7 @@
     started_head: AnswerHead | None = None
     no_place: str = ""
     tried_hosts: set[str] = field(default_factory=set)
+    withheld: WithheldAnswer | None = None
 
     def __post_init__(self) -> None:
         self.cutter = EventSplitter(self.request_head.last_event_id)
@@ -106,6 +110,21 @@
         """Whether the answer to the caller has been started."""
         return self.caller.answer_started
 
+    @property
+    def answer_begun(self) -> bool:
+        """Whether a target has begun the answer, passed on or withheld."""
+        return self.started_head is not None or self.answer_started
+
+    def withhold_answer(self, buffers: BufferBudget) -> None:
+        """Hold the answer back until it is whole, unless it has been started."""
+        if self.withheld is None and not self.answer_started:
+            self.withheld = WithheldAnswer(buffers)
+
+    def release(self) -> None:
+        """Give back the memory of an answer that was withheld and not passed on."""
+        if self.withheld is not None:
+            self.withheld.release()
+
     @property
     def received_at(self) -> float:
         """When the first host received the head of the request."""
--- a/src/lycheepath/gateway/forwarding.py
+++ b/src/lycheepath/gateway/forwarding.py
@@ -20,6 +20,7 @@
 from .attempts import SendOutcome
 from .exchange import FailedAnswer
 from .inactivity import NO_LIMIT_S
+from .withholding import NoRoomError
 
 if TYPE_CHECKING:
     from ..adapters.http1.downstream import CallerConnection
@@ -114,15 +115,20 @@
     """
     Read an answer completely and forward it; forward large ones in parts.
 
-    An answer for which this process has no room is forwarded as a large one.
+    An answer for which this process has no room is forwarded as a large one, unless it
+    is withheld until it is whole.
     """
     caller = attempt.exchange.caller
+    must_be_whole = attempt.exchange.withheld is not None
     parts: list[bytes] = []
     size = 0
     while (data := await upstream.read_body()) is not None:
         parts.append(data)
         size += len(data)
-        if size > MAX_BUFFERED_BYTES or not share.hold(size):
+        has_room = share.hold(size)
+        if must_be_whole and not has_room:
+            raise NoRoomError(size)
+        if not must_be_whole and (size > MAX_BUFFERED_BYTES or not has_room):
             attempt.take_over()
             await _forward_large(caller, upstream, answer_head, parts)
             return
@@ -183,8 +189,9 @@
         attempt.take_over()
     head = b""
     if not exchange.answer_started:
-        head = await _start_stream(exchange, answer_head)
-    await exchange.caller.end_answer(head)
+        head = await _start_stream(exchange, exchange.started_head or answer_head)
+    withheld = exchange.withheld
+    await exchange.caller.end_answer(head, withheld.take() if withheld else b"")
 
 
 def _check_end(
@@ -217,8 +224,12 @@
 ) -> None:
     """Forward complete events, the first ones together with the answer's head."""
     exchange = attempt.exchange
+    withheld = exchange.withheld
     head = b""
-    if not exchange.answer_started:
+    if withheld is not None:
+        withheld.add(events)
+        exchange.started_head = exchange.started_head or answer_head
+    elif not exchange.answer_started:
         head = await _start_stream(exchange, answer_head)
     now = node.now()
     if exchange.version is None:
@@ -229,7 +240,8 @@
     )
     if started_target is not None:
         node.coordination.schedule_report(started_target)
-    await exchange.caller.send_data(events, head)
+    if withheld is None:
+        await exchange.caller.send_data(events, head)
 
 
 def _require_version(node: GatewayNode, attempt: Attempt) -> None:
@@ -262,6 +274,6 @@
     route = exchange.route
     if not may_run_again(route, exchange.attempts):
         return NO_LIMIT_S
-    if not exchange.answer_started:
+    if not exchange.answer_begun:
         return route.aim_s
     return max(MIN_GAP_S, GAP_FACTOR * route.gap_aim_s)
--- a/src/lycheepath/gateway/node.py
+++ b/src/lycheepath/gateway/node.py
@@ -24,6 +24,7 @@
     admit_while_draining,
     estimate_end_s,
     find_longest_wait_s,
+    needs_whole_answer,
 )
 from ..core.placement.model import (
     Placement,
@@ -310,8 +311,12 @@
         left_s = self.remaining_s()
         draining_s = now - self.shutdown_started_at
         waited_s = find_longest_wait_s(placed.target, now)
-        admitted = admit_while_draining(request, placed, left_s, draining_s, waited_s)
+        admitted = admit_while_draining(
+            request, placed, left_s, draining_s, waited_s, bool(self._list_peers())
+        )
         if isinstance(admitted, Placement):
+            if needs_whole_answer(request, left_s, draining_s):
+                exchange.withhold_answer(self.buffers)
             record_event(
                 "admitted-while-draining",
                 request=exchange.request_head.id,
@@ -320,6 +325,7 @@
                 longest_wait_s=round(waited_s, 3),
                 left_s=round(left_s, 3),
                 draining_s=round(draining_s, 3),
+                withheld=exchange.withheld is not None,
             )
         return admitted
 
--- a/src/lycheepath/gateway/placing.py
+++ b/src/lycheepath/gateway/placing.py
@@ -103,7 +103,7 @@
 
     Sound targets aren't silent for longer than these have been.
     """
-    if exchange.answer_started or race.ended or not find_failure(exchange):
+    if exchange.answer_begun or race.ended or not find_failure(exchange):
         return False
     return race.find_silent_s() > SOUND_SILENCE_S
 
--- a/src/lycheepath/gateway/relay.py
+++ b/src/lycheepath/gateway/relay.py
@@ -40,6 +40,7 @@
     log_target_changes,
     record_answer_head,
 )
+from .withholding import NoRoomError
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Sequence
@@ -129,7 +130,12 @@
             if outcome.result is AttemptResult.ANSWERED:
                 node.registry.record_relayed_answer(attempt.number, node.now())
         return outcome
-    except (BrokenAnswerError, EventOrderError, WrongVersionError) as error:
+    except (
+        BrokenAnswerError,
+        EventOrderError,
+        WrongVersionError,
+        NoRoomError,
+    ) as error:
         return SendOutcome(
             AttemptResult.LOST, AttemptOutcome.UNDETERMINED, f"{host.id}: {error}"
         )
--- a/src/lycheepath/gateway/relayed.py
+++ b/src/lycheepath/gateway/relayed.py
@@ -85,6 +85,8 @@
         except Exception:
             record_request_fault(node, find_request_id(request.headers))
             await _answer_lost(caller, FAULT_REASON)
+        finally:
+            exchange.release()
 
 
 def _open_relayed(
--- a/src/lycheepath/gateway/serving.py
+++ b/src/lycheepath/gateway/serving.py
@@ -85,6 +85,7 @@
         if scope.cancelled_caught:
             _abort_answer(node, exchange)
     finally:
+        exchange.release()
         node.containment.end_trial(exchange)
         if caller.disconnected and not exchange.outcome_logged:
             _log_outcome(node, exchange, "left", 0)
@@ -288,6 +289,7 @@
         events=exchange.cutter.event_count,
         last_event_s_ago=since_event_s and round(since_event_s, 4),
         draining_s=node.find_draining_s(),
+        withheld=exchange.withheld is not None,
         ended_with_connection=attempt is not None and attempt.ended_with_connection,
         no_place=exchange.no_place,
         version=node.catalog.version,
--- a/tests/core/placement/test_draining.py
+++ b/tests/core/placement/test_draining.py
@@ -10,6 +10,7 @@
     SLOW_FACTOR,
     admit_while_draining,
     estimate_end_s,
+    needs_whole_answer,
 )
 from lycheepath.core.placement.model import Placement
 from lycheepath.core.placement.silence import SOUND_SILENCE_S
@@ -67,3 +68,32 @@
         needed_s = max(SLOW_FACTOR * ends_s, ends_s + SOUND_SILENCE_S)
         assert not admit_while_draining(REQUEST, placed, needed_s - 0.01, late_s)
         assert admit_while_draining(REQUEST, placed, needed_s, late_s) is placed
+
+
+def test_late_answer_may_begin_before_it_is_whole_if_its_deadline_bounds_it() -> None:
+    late_s = DRAIN_NOTICE_S + 0.1
+    request = replace(REQUEST, time_left_s=4.0)
+    assert needs_whole_answer(request, 3.9, late_s)
+    assert not needs_whole_answer(request, 4.0, late_s)
+    assert not needs_whole_answer(request, 3.9, DRAIN_NOTICE_S)
+
+
+def test_late_stream_is_left_to_another_host_unless_a_target_has_it() -> None:
+    placed, late_s, left_s = place(), DRAIN_NOTICE_S + 0.1, 30.0
+    request = replace(REQUEST, time_left_s=left_s + 1.0)
+    refused = admit_while_draining(
+        request, placed, left_s, late_s, 0.0, others_serve=True
+    )
+    assert isinstance(refused, Absent)
+    assert refused.reason is Reason.DRAINING
+    assert refused.retry_after_s > 0
+    for admitted, others_serve in (
+        (replace(request, already_sent=True), True),
+        (replace(request, time_left_s=left_s), True),
+        (replace(request, route=replace(request.route, kind=RouteKind.SAFE)), True),
+        (request, False),
+    ):
+        assert (
+            admit_while_draining(admitted, placed, left_s, late_s, 0.0, others_serve)
+            is placed
+        )
--- a/tests/gateway/test_late_streams.py
+++ b/tests/gateway/test_late_streams.py
@@ -1,7 +1,7 @@
 """
-Streams that reach a host after callers have heard that it stops.
+Streams and large answers that a host begins after callers have heard that it stops.
 
-Once the first event has been passed on, such a stream can end only whole or broken off.
+Once the first byte has been passed on, such an answer can end only whole or broken off.
 """
 
 from __future__ import annotations
@@ -31,6 +31,8 @@
 OFTEN, ONCE = (2, 4, 6), (4,)
 HEADERS = {"deadline-ms": "6000"}
 LATE_S = (0.3, 0.6, 0.9, 1.2)
+# Half of an answer that is too large to be passed on in one piece.
+HALF = b"x" * 300_000
 STREAM = "".join(f"id: {n}\ndata: x\n\n" for n in range(EVENTS)).encode()
 
 
@@ -39,15 +41,16 @@
     """A sound target of streams that is silent before the events in ``silent_before``."""
 
     silent_before: tuple[int, ...]
+    data: str = "x"
     seen: set[str] = field(default_factory=set)
 
     async def behave(self, seen: Seen, stream: trio.SocketStream) -> None:
         request_id = seen.headers["request-id"]
         self.seen.add(request_id)
         await stream.send_all(STREAM_HEAD.format(request_id).encode())
-        for number in range(EVENTS):
+        for number in range(int(seen.headers.get("last-event-id", "-1")) + 1, EVENTS):
             await trio.sleep(SILENT_S if number in self.silent_before else EVENT_S)
-            event = f"id: {number}\ndata: x\n\n".encode()
+            event = f"id: {number}\ndata: {self.data}\n\n".encode()
             await stream.send_all(b"%x\r\n%b\r\n" % (len(event), event))
         await stream.send_all(b"0\r\n\r\n")
 
@@ -89,11 +92,13 @@
     return answers
 
 
-async def start_hosts(site: Site, hosts: int, zone: str) -> list[GatewayNode]:
+async def start_hosts(
+    site: Site, hosts: int, zone: str, kind: str = "streaming", resumable: bool = False
+) -> list[GatewayNode]:
     site.bounds = {"grace_s": GRACE_S}
     await site.add_target("slow", stay_silent, zone)
     site.configure(
-        make_route("books", "streaming", timeout_ms=6000, gap_aim_ms=400),
+        make_route("books", kind, timeout_ms=6000, gap_aim_ms=400, resumable=resumable),
         make_route("slow", "unsafe", "/slow/", timeout_ms=6000),
     )
     nodes = [await site.start_gateway(f"east-{number}") for number in range(hosts)]
@@ -103,7 +108,6 @@
     return nodes
 
 
-@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt, issue 55")
 @pytest.mark.parametrize(
     ("hosts", "zone", "stops"),
     [
@@ -139,3 +143,71 @@
     answers = await ask_late(site, nodes[0], nodes[0])
     assert [answer.status for answer in answers.values()] == [200] * len(LATE_S)
     assert all(answer.body == STREAM for answer in answers.values())
+
+
+async def test_late_stream_is_left_to_another_host_that_is_ready(site: Site) -> None:
+    target = SilentTarget(())
+    await site.add_target("books", target.behave, slots=64)
+    nodes = await start_hosts(site, 2, "east-a")
+    answers = await ask_late(site, nodes[0], nodes[0])
+    assert [answer.status for answer in answers.values()] == [503] * len(LATE_S)
+    assert all(float(a.headers["retry-after"]) > 0 for a in answers.values())
+    assert all(a.headers["connection"] == "close" for a in answers.values())
+    assert not target.seen
+
+
+async def test_late_stream_that_a_target_breaks_off_goes_on_at_another_one(
+    site: Site,
+) -> None:
+    target = SilentTarget(())
+
+    async def break_off(seen: Seen, stream: trio.SocketStream) -> None:
+        if "last-event-id" in seen.headers:
+            await target.behave(seen, stream)
+            return
+        await stream.send_all(STREAM_HEAD.format(seen.headers["request-id"]).encode())
+        event = b"id: 0\ndata: x\n\n"
+        await stream.send_all(b"%x\r\n%b\r\n" % (len(event), event))
+        await stream.aclose()
+
+    for _ in range(2):
+        await site.add_target("books", break_off, slots=64)
+    nodes = await start_hosts(site, 1, "east-a", resumable=True)
+    answers = await ask_late(site, nodes[0], nodes[0])
+    assert [answer.status for answer in answers.values()] == [200] * len(LATE_S)
+    assert all(answer.body == STREAM for answer in answers.values())
+
+
+@pytest.mark.parametrize("rest_after_s", [0.2, 9.0], ids=["in-time", "too-late"])
+async def test_late_large_answer_is_passed_on_only_whole(
+    site: Site, rest_after_s: float
+) -> None:
+    async def behave(seen: Seen, stream: trio.SocketStream) -> None:
+        request_id = seen.headers["request-id"]
+        head = (
+            f"HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\nResponse-Signature: s\r\n"
+            f"Content-Length: {2 * len(HALF)}\r\n\r\n"
+        )
+        await stream.send_all(head.encode() + HALF)
+        await trio.sleep(rest_after_s)
+        await stream.send_all(HALF)
+
+    await site.add_target("books", behave, slots=64)
+    nodes = await start_hosts(site, 1, "east-a", kind="unsafe")
+    answers = await ask_late(site, nodes[0], nodes[0])
+    expected = (200, 2 * HALF) if rest_after_s < GRACE_S else (502, b"this host ends\n")
+    assert all(answer.whole for answer in answers.values())
+    assert [(a.status, a.body) for a in answers.values()] == [expected] * len(LATE_S)
+
+
+async def test_late_stream_without_room_to_hold_it_ends_with_a_complete_failure(
+    site: Site,
+) -> None:
+    target = SilentTarget((), data="x" * 60_000)
+    await site.add_target("books", target.behave, slots=64)
+    nodes = await start_hosts(site, 1, "east-a")
+    nodes[0].buffers.limit_bytes = 200_000
+    answers = await ask_late(site, nodes[0], nodes[0])
+    assert [answer.status for answer in answers.values()] == [502] * len(LATE_S)
+    assert all(answer.whole for answer in answers.values())
+    assert nodes[0].buffers.used_bytes == 0
