Count a drain from when its signal may have come

What callers see: streams sent over 3 s after SIGTERM begin and are broken off, or all that a process serves ends without an answer, if the process was held up when the signal came.

Cause: time counted from when the event loop took the signal. A process that is held up for 0.6 s just then takes a stream that comes 3.05 s after the signal for one of the first 3 s, for which nothing is withheld; after 0.9 s its own end, 7.5 s and some more, comes after SIGKILL. Besides, the end was looked for every 0.1 s only.

Ruled out: the moment at which Python's handler runs, which is as late if the process gets no processor time.

Change: the loop's delay of the last second and one of its intervals bound how long ago the signal may have come. Lateness counts from that moment; the end comes sooner by it, as far as it stays in the last sixth of the grace. The drain wakes up at its end.

Evidence: test_process_that_is_held_up_while_it_is_told_to_end_breaks_nothing_off, a process that is stopped for 0.6 or 0.9 s across SIGTERM, three late streams each.

--- a/src/lycheepath/gateway/node.py
+++ b/src/lycheepath/gateway/node.py
@@ -203,7 +203,11 @@
         return min(MAX_REMAINING_S, max(0.0, remaining_s))
 
     def find_draining_s(self) -> float | None:
-        """Return for how long this host has been shutting down, None if it isn't."""
+        """
+        Return for how long this host has been shutting down, None if it isn't.
+
+        Counts from the earliest time at which the signal may have come.
+        """
         if not self.shutting_down:
             return None
         return round(self.now() - self.shutdown_started_at, 3)
--- a/src/lycheepath/gateway/process.py
+++ b/src/lycheepath/gateway/process.py
@@ -41,6 +41,8 @@
 FINAL_LOG_S = 0.5
 # Time kept free before that for the final answers to requests that didn't end in time.
 FINAL_ANSWERS_S = 0.3
+# Last share of the grace, the only one in which requests may be cut off.
+FINAL_SHARE = 1 / 6
 # A host that shuts down exits once it had no request for this long.
 QUIESCENCE_S = 0.5
 # Interval at which idle connections are closed.
@@ -133,20 +135,22 @@
 async def drain(node: GatewayNode) -> None:
     """Stop accepting new callers, finish current requests, return in time."""
     started = node.now()
+    unnoticed_s = _find_unnoticed_s(node, started)
     requests = node.total_requests
     running_s = node.settings.bounds.grace_s - FINAL_LOG_S
-    grace_s = running_s - FINAL_ANSWERS_S
     notice_s = min(DRAIN_NOTICE_S, running_s / 2)
+    ends_at = started + _find_length_s(node.settings.bounds.grace_s, unnoticed_s)
     node.shutting_down = True
-    node.shutdown_started_at, node.shutdown_deadline = started, started + grace_s
+    node.shutdown_started_at = started - unnoticed_s
+    node.shutdown_deadline = ends_at
     record_event(
         "leaving",
         serving=node.active_requests,
-        held_up_s=round(node.loop_delay.find_s(started), 3),
+        unnoticed_s=round(unnoticed_s, 3),
     )
     await node.peers.announce_shutdown()
     last_request_at = started
-    while (now := node.now()) - started < grace_s:
+    while (now := node.now()) < ends_at:
         if node.active_requests or node.total_requests > requests:
             requests = node.total_requests
             last_request_at = now
@@ -156,7 +160,7 @@
             await trio.lowlevel.checkpoint()
             if not (node.active_requests or has_unread_requests(node)):
                 return
-        await trio.sleep(POLL_INTERVAL_S)
+        await trio.sleep(min(POLL_INTERVAL_S, ends_at - now))
     if node.active_requests:
         record_event("drain-cut", serving=node.active_requests)
     node.end_requests()
@@ -165,6 +169,23 @@
             await trio.sleep(FINAL_ANSWERS_S / 10)
 
 
+def _find_length_s(grace_s: float, unnoticed_s: float) -> float:
+    """
+    Return the time from now on after which requests are cut off, in seconds.
+
+    The signal may have come ``unnoticed_s`` ago, but also just now.
+    """
+    reserve_s = FINAL_LOG_S + FINAL_ANSWERS_S
+    slack_s = max(0.0, FINAL_SHARE * grace_s - reserve_s)
+    return grace_s - reserve_s - min(unnoticed_s, slack_s)
+
+
+def _find_unnoticed_s(node: GatewayNode, now: float) -> float:
+    """Return how long ago the signal to end may have come, in seconds."""
+    # Before its next wake-up the loop may have stood still for an interval unnoticed.
+    return node.loop_delay.find_s(now) + node.peers.view.heartbeat_interval_s
+
+
 async def _close_idle(node: GatewayNode) -> None:
     while True:
         await trio.sleep(IDLE_CHECK_INTERVAL_S)
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -17,6 +17,8 @@
 import pytest
 import trio
 
+from lycheepath.core.placement.draining import DRAIN_NOTICE_S
+from standins.pausing_target import STREAM_HEAD
 from standins.processes import launch_process
 from standins.site import (
     HOST,
@@ -29,11 +31,15 @@
     make_route,
     make_settings,
     read_answer,
+    send_request,
+    write_request,
 )
 
 if TYPE_CHECKING:
     from pathlib import Path
 
+    from standins.processes import Process
+
 GRACE_S = 8.0
 READY_S = 10.0
 ANSWER_S = 0.05
@@ -42,6 +48,11 @@
 STOP_AFTER_S = 0.5
 STOPS = 3
 SIGNAL_INTERVAL_S = 0.4
+# Streams that take longer than a process has left, and when they are sent after callers
+# have heard of the stop.
+EVENTS = 5
+SILENT_S = 1.4
+LATE_S = (0.05, 0.2, 0.4)
 
 
 @dataclass
@@ -108,6 +119,16 @@
     await answer_text(b"done")(seen, stream)
 
 
+async def stream_with_silences(seen: Seen, stream: trio.SocketStream) -> None:
+    """Stream events with a pause before each that sound targets may make."""
+    await stream.send_all(STREAM_HEAD.format(seen.headers["request-id"]).encode())
+    for number in range(EVENTS):
+        await trio.sleep(SILENT_S if number else 0.0)
+        event = f"id: {number}\ndata: x\n\n".encode()
+        await stream.send_all(b"%x\r\n%b\r\n" % (len(event), event))
+    await stream.send_all(b"0\r\n\r\n")
+
+
 @pytest.mark.parametrize("stop", range(STOPS))
 async def test_planned_stop_under_load_interrupts_no_accepted_request(
     site: Site, tmp_path: Path, stop: int
@@ -121,19 +142,65 @@
     await stop_under_load(site, tmp_path, STOP_AFTER_S, signals=3)
 
 
-async def stop_under_load(
-    site: Site, tmp_path: Path, stop_after_s: float, signals: int
+@pytest.mark.parametrize("held_up_s", [0.6, 0.9])
+async def test_process_that_is_held_up_while_it_is_told_to_end_breaks_nothing_off(
+    site: Site, tmp_path: Path, held_up_s: float
 ) -> None:
-    """Send SIGTERM to a gateway under load, and check what its callers get."""
-    target = await site.add_target("books", answer_later, slots=64)
-    site.configure(make_route("books", "unsafe", timeout_ms=3000))
+    await site.add_target("books", stream_with_silences, slots=64)
+    site.configure(make_route("books", "streaming", timeout_ms=9000, gap_aim_ms=400))
     ip = f"{draw_network()}.1"
+    process = launch_gateway(site, tmp_path, ip)
+    answers: list[Answer] = []
+    ended_after_s = 0.0
+    try:
+        await wait_until_ready(ip)
+        for number in (signal.SIGSTOP, signal.SIGTERM):
+            process.popen.send_signal(number)
+        told_at = trio.current_time()
+        await trio.sleep(held_up_s)
+        process.popen.send_signal(signal.SIGCONT)
+
+        async def ask(late_s: float) -> None:
+            await trio.sleep_until(told_at + DRAIN_NOTICE_S + late_s)
+            async with await trio.open_tcp_stream(ip, PORTS["front"]) as stream:
+                headers = {"deadline-ms": "9000"}
+                request = write_request(
+                    b"POST", "/books/1", b"x", f"r{late_s}", headers
+                )
+                answers.append(await send_request(stream, request))
+
+        async with trio.open_nursery() as nursery:
+            for late_s in LATE_S:
+                nursery.start_soon(ask, late_s)
+            with trio.fail_after(GRACE_S + 2.0):
+                while process.running:
+                    await trio.sleep(0.02)
+            ended_after_s = trio.current_time() - told_at
+    finally:
+        process.terminate()
+    assert ended_after_s < GRACE_S
+    assert len(answers) == len(LATE_S)
+    assert all(answer.whole for answer in answers), answers
+
+
+def launch_gateway(site: Site, tmp_path: Path, ip: str) -> Process:
+    """Start a gateway as a process that drains for ``GRACE_S`` at most."""
     fields = make_settings("east-0", ip, "east-a", site.store.address)
     fields["bounds"] = {"grace_s": GRACE_S}
     settings = tmp_path / "settings.json"
     settings.write_bytes(orjson.dumps(fields))
     arguments = ["-m", "lycheepath", "gateway", "--settings", str(settings)]
-    process = launch_process("east-0", arguments, tmp_path)
+    return launch_process("east-0", arguments, tmp_path)
+
+
+async def stop_under_load(
+    site: Site, tmp_path: Path, stop_after_s: float, signals: int
+) -> None:
+    """Send SIGTERM to a gateway under load, and check what its callers get."""
+    target = await site.add_target("books", answer_later, slots=64)
+    site.configure(make_route("books", "unsafe", timeout_ms=3000))
+    ip = f"{draw_network()}.1"
+    process = launch_gateway(site, tmp_path, ip)
     load = Load(ip)
     try:
         await wait_until_ready(ip)
