--- a/src/lycheepath/core/explaining/losses.py
+++ b/src/lycheepath/core/explaining/losses.py
@@ -54,6 +54,7 @@
     ("first event expected", Loss.REFUSED_LATE),
     ("no target is", Loss.NO_OPEN_TARGET),
     ("the answer takes", Loss.HOST_DRAINING),
+    ("another host can finish", Loss.HOST_DRAINING),
     ("this host ends", Loss.HOST_DRAINING),
     ("targets went down", Loss.TARGETS_DOWN),
     ("the time is over", Loss.DEADLINE_PASSED),
--- a/tests/core/explaining/test_losses.py
+++ b/tests/core/explaining/test_losses.py
@@ -38,6 +38,14 @@
             [make_line(2.0, "refused", reason="the answer takes 3.0 s, this host")],
             Loss.HOST_DRAINING,
         ),
+        (
+            [
+                make_line(
+                    2.0, "refused", reason="another host can finish a stream, this"
+                )
+            ],
+            Loss.HOST_DRAINING,
+        ),
         ([make_line(2.0, "refused", reason=END_REASON)], Loss.HOST_DRAINING),
     ],
 )
