--- a/standins/host_processes.py
+++ b/standins/host_processes.py
@@ -76,6 +76,14 @@
     return [RemoteHost(read_settings(path.read_bytes())) for path in paths]
 
 
+def launch_host(name: str, directory: Path, checkout: Path = ROOT) -> HostProcess:
+    """Start the gateway whose settings file is in a directory, without waiting for it."""
+    path = directory / f"{name}.json"
+    arguments = ["-m", "lycheepath", "gateway", "--settings", str(path)]
+    process = launch_process(name, arguments, directory, checkout)
+    return HostProcess(read_settings(path.read_bytes()), process)
+
+
 @asynccontextmanager
 async def run_hosts(
     site: Site,
@@ -88,7 +96,8 @@
     Run a gateway in each of the zones; they are ready, and end with the block.
 
     Raises ``trio.TooSlowError`` if they aren't ready in time, ``ProcessEndedError`` if
-    one ends before.
+    one ends before. A host that takes the place of another in the list ends with the
+    block, too.
     """
     network = draw_network()
     hosts: list[HostProcess] = []
@@ -97,14 +106,11 @@
             name, ip = f"host-{number}", f"{network}.{number}"
             fields = make_settings(name, ip, zone, site.store.address)
             fields["seeds"] = [f"{network}.1:{PORTS['control']}"]
-            path = directory / f"{name}.json"
-            path.write_bytes(orjson.dumps(fields))
-            arguments = ["-m", "lycheepath", "gateway", "--settings", str(path)]
-            process = launch_process(name, arguments, directory, checkout)
-            hosts.append(HostProcess(read_settings(path.read_bytes()), process))
+            (directory / f"{name}.json").write_bytes(orjson.dumps(fields))
+            hosts.append(launch_host(name, directory, checkout))
         for host in hosts:
             with trio.fail_after(READY_S):
-                await _wait_until_ready(host)
+                await wait_until_ready(host)
         await trio.sleep(meet_s)
         yield hosts
     finally:
@@ -113,7 +119,8 @@
                 await host.process.kill()
 
 
-async def _wait_until_ready(host: HostProcess) -> None:
+async def wait_until_ready(host: HostProcess) -> None:
+    """Wait until a gateway is ready; raises ``ProcessEndedError`` if it ends before."""
     while True:
         require_running(host.process)
         try:
