Count a withheld answer until it has been sent

What operators see: a process that passes large withheld answers on to slow callers holds more than its budget of bodies says.

Cause: taking the answer out gave its memory back before a byte was sent. It is given back when the request ends, as that of other bodies. Evidence: test_withheld_answer_counts_until_it_has_been_sent failed before (0 of 600 bytes counted).

--- a/src/lycheepath/gateway/withholding.py
+++ b/src/lycheepath/gateway/withholding.py
@@ -43,9 +43,9 @@
         self._parts.append(data)
 
     def take(self) -> bytes:
-        """Return all events of the stream, which aren't held any longer."""
+        """Return all events of the stream; their memory counts until it is released."""
         data = b"".join(self._parts)
-        self.release()
+        self._parts.clear()
         return data
 
     def release(self) -> None:
--- /dev/null
+++ b/tests/gateway/test_withholding.py
@@ -0,0 +1,23 @@
+from __future__ import annotations
+
+import pytest
+
+from lycheepath.core.limits.buffers import UNCOUNTED_BYTES, BufferBudget
+from lycheepath.gateway.withholding import NoRoomError, WithheldAnswer
+
+
+def test_withheld_answer_counts_until_it_has_been_sent() -> None:
+    budget = BufferBudget(1000)
+    withheld = WithheldAnswer(budget)
+    withheld.add(b"x" * UNCOUNTED_BYTES)
+    withheld.add(b"y" * 600)
+    assert len(withheld.take()) == UNCOUNTED_BYTES + 600
+    assert budget.used_bytes == 600
+    withheld.release()
+    assert budget.used_bytes == 0
+
+
+def test_withheld_answer_without_room_is_refused() -> None:
+    withheld = WithheldAnswer(BufferBudget(1000))
+    with pytest.raises(NoRoomError):
+        withheld.add(b"x" * (UNCOUNTED_BYTES + 1001))
