Serve late streams that another host relays, though a peer is ready

What callers saw: 503 "another host can finish a stream" from a host that isn't stopping. It had relayed the request to the only host of the region that it reaches, which drained and refused it in favour of a peer that the first host can't choose; the whole region was left out then.

--- a/src/lycheepath/gateway/node.py
+++ b/src/lycheepath/gateway/node.py
@@ -315,8 +315,10 @@
         left_s = self.remaining_s()
         draining_s = now - self.shutdown_started_at
         waited_s = find_longest_wait_s(placed.target, now)
+        # The host that relays a request has chosen this one for want of others.
+        others_serve = not exchange.relayed and bool(self._list_peers())
         admitted = admit_while_draining(
-            request, placed, left_s, draining_s, waited_s, bool(self._list_peers())
+            request, placed, left_s, draining_s, waited_s, others_serve
         )
         if isinstance(admitted, Placement):
             if needs_whole_answer(request, left_s, draining_s):
--- a/tests/gateway/test_late_streams.py
+++ b/tests/gateway/test_late_streams.py
@@ -211,3 +211,16 @@
     assert [answer.status for answer in answers.values()] == [502] * len(LATE_S)
     assert all(answer.whole for answer in answers.values())
     assert nodes[0].buffers.used_bytes == 0
+
+
+async def test_late_relayed_stream_is_served_though_its_sender_reaches_no_other_host(
+    site: Site,
+) -> None:
+    target = SilentTarget(())
+    await site.add_target("books", target.behave, "west-a", slots=64)
+    east, west = await start_hosts(site, 1, "west-a")
+    other = await site.start_gateway("west-1", "west-a")
+    await wait_until_live(east, west, other)
+    east.avoided_until["west-1"] = float("inf")
+    answers = await ask_late(site, east, west)
+    assert [answer.status for answer in answers.values()] == [200] * len(LATE_S)
