Decide with its first placement whether an answer is withheld

What callers saw: all events of a stream at its end, though they had sent it before they could know of the stop.

Cause: a stream that falls silent across the third second of a drain is placed again; that later placement withheld the events of the attempt that had begun in time. A request whose first placement was early was sent early, and what is still worked on at the end may be cut then. test_early_stream_is_passed_on_as_it_comes_while_no_other_place_is_found failed before.

--- a/src/lycheepath/gateway/node.py
+++ b/src/lycheepath/gateway/node.py
@@ -321,7 +321,8 @@
             request, placed, left_s, draining_s, waited_s, others_serve
         )
         if isinstance(admitted, Placement):
-            if needs_whole_answer(request, left_s, draining_s):
+            is_first = not exchange.attempts.started
+            if is_first and needs_whole_answer(request, left_s, draining_s):
                 exchange.withhold_answer(self.buffers)
             record_event(
                 "admitted-while-draining",
--- a/tests/gateway/test_late_streams.py
+++ b/tests/gateway/test_late_streams.py
@@ -16,7 +16,7 @@
 from lycheepath.core.placement.draining import DRAIN_NOTICE_S
 from lycheepath.gateway.process import drain
 from standins.pausing_target import STREAM_HEAD
-from standins.site import Answer, Site, make_route
+from standins.site import Answer, Site, make_route, read_answer, write_request
 from tests.gateway.test_fleet import wait_until_live
 
 if TYPE_CHECKING:
@@ -224,3 +224,25 @@
     east.avoided_until["west-1"] = float("inf")
     answers = await ask_late(site, east, west)
     assert [answer.status for answer in answers.values()] == [200] * len(LATE_S)
+
+
+async def test_early_stream_is_passed_on_as_it_comes_while_no_other_place_is_found(
+    site: Site,
+) -> None:
+    target = SilentTarget((0, 4))
+    for _ in range(2):
+        await site.add_target("books", target.behave, slots=64)
+    node, *_ = await start_hosts(site, 1, "east-a", resumable=True)
+    address = node.settings.callers
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(drain, node)
+        await trio.sleep(DRAIN_NOTICE_S - 0.4)
+        async with await trio.open_tcp_stream(address.ip, address.port) as stream:
+            await stream.send_all(
+                write_request(b"POST", "/books/1", b"x", "r1", HEADERS)
+            )
+            await trio.lowlevel.wait_readable(stream.socket)
+            begun_at = trio.current_time()
+            answer = await read_answer(stream)
+    assert answer.whole
+    assert trio.current_time() - begun_at > SILENT_S
