Date signals to end when Python takes them

What it prevents: a late stream that is taken for an early one beside a loop of slow rounds.

Cause: the event loop takes a signal two or three of its rounds after it came (handler, entry queue, receiving task); the delay of the loop bounds about one.

Change: the time is noted in the handler, which Python runs between two instructions; the delay of the loop as of then covers a process that got no processor time. Whichever of that and the former bound is earlier counts. test_signal_is_never_dated_later_than_it_came_beside_slow_rounds_of_the_loop, 3 cases of 8 signals each, passes; it can't run on the code before, which dated nothing.

--- a/src/lycheepath/gateway/node.py
+++ b/src/lycheepath/gateway/node.py
@@ -134,6 +134,8 @@
     listeners: list[trio.SocketListener] = field(default_factory=list)
     open_connections: set[CallerConnection] = field(default_factory=set)
     shutting_down: bool = False
+    # The earliest time at which the first signal to end may have come.
+    end_signal_at: float = float("inf")
     shutdown_started_at: float = float("inf")
     shutdown_deadline: float = float("inf")
     # Whether the requests that are still served get their final answers.
--- a/src/lycheepath/gateway/process.py
+++ b/src/lycheepath/gateway/process.py
@@ -5,7 +5,7 @@
 import os
 import signal
 from functools import partial
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import trio
 from loguru import logger
@@ -29,10 +29,14 @@
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
+    from types import FrameType
 
     from .settings import GatewaySettings
 
-SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    Handler = Callable[[int, FrameType | None], Any]
+
+END_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+SIGNALS = (*END_SIGNALS, signal.SIGHUP)
 # Interval between two checks of whether the process has drained.
 POLL_INTERVAL_S = 0.1
 # Pause before a failed task is restarted.
@@ -60,6 +64,7 @@
     # Handlers are installed before anything listens, so that a signal during the start
     # doesn't abort requests of callers.
     with trio.open_signal_receiver(*SIGNALS) as signals:
+        note_end_signals(node)
         record_event(
             "start", zone=settings.zone, region=settings.region, pid=os.getpid()
         )
@@ -118,6 +123,27 @@
             await trio.sleep(TASK_RESTART_S)
 
 
+def note_end_signals(node: GatewayNode) -> None:
+    """
+    Note signals to end when Python takes them, besides what handles them now.
+
+    The event loop takes a signal some of its rounds later, however long those are.
+    """
+
+    def note(handle: Handler) -> Handler:
+        def handle_noted(number: int, frame: FrameType | None) -> None:
+            now = node.now()
+            node.end_signal_at = min(node.end_signal_at, _find_earliest(node, now))
+            handle(number, frame)
+
+        return handle_noted
+
+    for number in END_SIGNALS:
+        handler = signal.getsignal(number)
+        if callable(handler):
+            signal.signal(number, note(handler))
+
+
 async def _wait_for_end(signals: AsyncIterator[int]) -> None:
     async for number in signals:
         if number == signal.SIGHUP:
@@ -135,7 +161,7 @@
 async def drain(node: GatewayNode) -> None:
     """Stop accepting new callers, finish current requests, return in time."""
     started = node.now()
-    unnoticed_s = _find_unnoticed_s(node, started)
+    unnoticed_s = started - min(node.end_signal_at, _find_earliest(node, started))
     requests = node.total_requests
     running_s = node.settings.bounds.grace_s - FINAL_LOG_S
     notice_s = min(DRAIN_NOTICE_S, running_s / 2)
@@ -180,10 +206,11 @@
     return grace_s - reserve_s - min(unnoticed_s, slack_s)
 
 
-def _find_unnoticed_s(node: GatewayNode, now: float) -> float:
-    """Return how long ago the signal to end may have come, in seconds."""
+def _find_earliest(node: GatewayNode, now: float) -> float:
+    """Return the earliest time at which a signal that is taken now may have come."""
     # Before its next wake-up the loop may have stood still for an interval unnoticed.
-    return node.loop_delay.find_s(now) + node.peers.view.heartbeat_interval_s
+    interval_s = node.peers.view.heartbeat_interval_s
+    return now - node.loop_delay.find_s(now) - interval_s
 
 
 async def _close_idle(node: GatewayNode) -> None:
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -9,7 +9,11 @@
 
 from __future__ import annotations
 
+import os
+import random
 import signal
+import threading
+import time
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -18,6 +22,7 @@
 import trio
 
 from lycheepath.core.placement.draining import DRAIN_NOTICE_S
+from lycheepath.gateway.process import note_end_signals
 from standins.pausing_target import STREAM_HEAD
 from standins.processes import launch_process
 from standins.site import (
@@ -36,6 +41,7 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from pathlib import Path
 
     from standins.processes import Process
@@ -48,6 +54,9 @@
 STOP_AFTER_S = 0.5
 STOPS = 3
 SIGNAL_INTERVAL_S = 0.4
+# Signals to a process whose loop is slow, and the longest time between two of them.
+SIGNALS = 8
+SLOW_ROUNDS_S = 0.6
 # Streams that take longer than a process has left, and when they are sent after callers
 # have heard of the stop.
 EVENTS = 5
@@ -244,3 +253,45 @@
             except OSError:
                 pass
             await trio.sleep(0.05)
+
+
+@pytest.mark.parametrize("round_s", [0.05, 0.2, 0.4])
+async def test_signal_is_never_dated_later_than_it_came_beside_slow_rounds_of_the_loop(
+    site: Site, round_s: float
+) -> None:
+    site.configure(make_route("books"))
+    node = await site.start_gateway("east-0")
+    draw = random.Random(f"signals/{round_s}")
+    dated_later_s: list[float] = []
+
+    async def work() -> None:
+        while True:
+            time.sleep(round_s)
+            await trio.sleep(0)
+
+    def tell(after_s: float, told_at: list[float]) -> None:
+        time.sleep(after_s)
+        told_at.append(trio_clock())
+        os.kill(os.getpid(), signal.SIGTERM)
+
+    async with trio.open_nursery() as nursery:
+        trio_clock = find_clock()
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            note_end_signals(node)
+            nursery.start_soon(work)
+            for _ in range(SIGNALS):
+                node.end_signal_at = float("inf")
+                told_at: list[float] = []
+                arguments = (SLOW_ROUNDS_S * draw.random(), told_at)
+                threading.Thread(target=tell, args=arguments).start()
+                async for _number in signals:
+                    break
+                dated_later_s.append(node.end_signal_at - told_at[0])
+        nursery.cancel_scope.cancel()
+    assert max(dated_later_s) <= 0.0, dated_later_s
+
+
+def find_clock() -> Callable[[], float]:
+    """Return a function that tells the loop's time in any thread."""
+    offset_s = trio.current_time() - time.perf_counter()
+    return lambda: time.perf_counter() + offset_s
