--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -155,6 +155,13 @@
 async def test_process_that_is_held_up_while_it_is_told_to_end_breaks_nothing_off(
     site: Site, tmp_path: Path, held_up_s: float
 ) -> None:
+    await check_late_streams_of_a_held_up_process(site, tmp_path, held_up_s)
+
+
+async def check_late_streams_of_a_held_up_process(
+    site: Site, tmp_path: Path, held_up_s: float
+) -> None:
+    """Hold a process up across SIGTERM; check its end and what late callers get."""
     await site.add_target("books", stream_with_silences, slots=64)
     site.configure(make_route("books", "streaming", timeout_ms=9000, gap_aim_ms=400))
     ip = f"{draw_network()}.1"
