--- a/soak/stop_load.py
+++ b/soak/stop_load.py
@@ -24,6 +24,7 @@
     answer_text,
     make_route,
     read_answer,
+    write_chunk,
     write_request,
 )
 
@@ -99,7 +100,7 @@
             late_s = draw.uniform(*LATE_S) if draw.random() < LATE_SHARE else 0.0
             await trio.sleep(EVENT_S + late_s)
             event = write_event(request_id, number)
-            await stream.send_all(b"%x\r\n%b\r\n" % (len(event), event))
+            await stream.send_all(write_chunk(event))
         await stream.send_all(b"0\r\n\r\n")
 
     return behave
--- a/soak/target.py
+++ b/soak/target.py
@@ -23,7 +23,7 @@
 import h11
 import trio
 
-from standins.site import Seen, read_request
+from standins.site import Seen, read_request, write_chunk
 
 from .answers import Work, make_body, make_event, read_path, sign
 from .brittle import BRITTLE_HEADER, BRITTLE_QUEUE, FALL_EXIT, BrittleWatch
@@ -236,11 +236,6 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
 
-def write_chunk(data: bytes) -> bytes:
-    """Return data as one chunk of a body."""
-    return b"%x\r\n%s\r\n" % (len(data), data)
-
-
 async def _change_limits(target: Target, draw: random.Random) -> None:
     """State the limits that are drawn, and none once faults are off."""
     for wait_s, rate in draw_limits(draw):
--- a/standins/pausing_target.py
+++ b/standins/pausing_target.py
@@ -16,7 +16,7 @@
 
 import trio
 
-from .site import Answer, Seen, Site, answer_text, make_route
+from .site import Answer, Seen, Site, answer_text, make_route, write_chunk
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -83,7 +83,7 @@
             await trio.sleep(self.event_s)
             await self.awake.wait()
             event = f"id: {number + 1}\ndata: x\n\n".encode()
-            await stream.send_all(b"%x\r\n%b\r\n" % (len(event), event))
+            await stream.send_all(write_chunk(event))
         await stream.send_all(b"0\r\n\r\n")
 
 
--- a/standins/scripted_target.py
+++ b/standins/scripted_target.py
@@ -21,6 +21,7 @@
 import trio
 
 from .pausing_target import ONCE, RESUMABLE, STREAM_HEAD
+from .site import write_chunk
 
 if TYPE_CHECKING:
     from .site import Seen, Site
@@ -242,7 +243,7 @@
     random: Random, request_id: str, after: int, run: str, framed: bool
 ) -> list[bytes]:
     """Return a stream after an event, each event and comment in two parts."""
-    write = _write_chunk if framed else bytes
+    write = write_chunk if framed else bytes
     head = STREAM_HEAD if framed else UNFRAMED_HEAD
     pieces = [head.format(request_id).encode()]
     for number in range(after + 1, EVENTS + 1):
@@ -253,7 +254,3 @@
         cut = random.randrange(1, len(event) - 5)
         pieces += [event[:cut], event[cut:]]
     return [*pieces, CHUNK_END if framed else b""]
-
-
-def _write_chunk(data: bytes) -> bytes:
-    return b"%x\r\n%b\r\n" % (len(data), data)
--- a/standins/site.py
+++ b/standins/site.py
@@ -64,6 +64,11 @@
     end: str = ""
 
 
+def write_chunk(data: bytes) -> bytes:
+    """Return data as one chunk of a body."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
 def answer_bytes(*pieces: bytes, close: bool = False) -> Any:
     """Return a behaviour that sends raw pieces, then optionally closes."""
 
--- a/tests/gateway/test_cut_deliveries.py
+++ b/tests/gateway/test_cut_deliveries.py
@@ -17,7 +17,7 @@
 from lycheepath.core.placement.draining import DRAIN_NOTICE_S
 from lycheepath.gateway.process import drain
 from standins.pausing_target import STREAM_HEAD
-from standins.site import Answer, Site, write_request
+from standins.site import Answer, Site, write_chunk, write_request
 from tests.gateway.test_fleet import wait_until_live
 from tests.gateway.test_late_streams import (
     GRACE_S,
@@ -58,7 +58,7 @@
         await stream.send_all(STREAM_HEAD.format(seen.headers["request-id"]).encode())
         for number in range(PARTS):
             event = b"id: %d\ndata: %b\n\n" % (number, PART)
-            await stream.send_all(b"%x\r\n%b\r\n" % (len(event), event))
+            await stream.send_all(write_chunk(event))
         await stream.send_all(b"0\r\n\r\n")
 
     await site.add_target("books", behave, slots=64)
--- a/tests/gateway/test_late_streams.py
+++ b/tests/gateway/test_late_streams.py
@@ -16,7 +16,14 @@
 from lycheepath.core.placement.draining import DRAIN_NOTICE_S
 from lycheepath.gateway.process import drain
 from standins.pausing_target import STREAM_HEAD
-from standins.site import Answer, Site, make_route, read_answer, write_request
+from standins.site import (
+    Answer,
+    Site,
+    make_route,
+    read_answer,
+    write_chunk,
+    write_request,
+)
 from tests.gateway.test_fleet import wait_until_live
 
 if TYPE_CHECKING:
@@ -51,7 +58,7 @@
         for number in range(int(seen.headers.get("last-event-id", "-1")) + 1, EVENTS):
             await trio.sleep(SILENT_S if number in self.silent_before else EVENT_S)
             event = f"id: {number}\ndata: {self.data}\n\n".encode()
-            await stream.send_all(b"%x\r\n%b\r\n" % (len(event), event))
+            await stream.send_all(write_chunk(event))
         await stream.send_all(b"0\r\n\r\n")
 
 
@@ -167,7 +174,7 @@
             return
         await stream.send_all(STREAM_HEAD.format(seen.headers["request-id"]).encode())
         event = b"id: 0\ndata: x\n\n"
-        await stream.send_all(b"%x\r\n%b\r\n" % (len(event), event))
+        await stream.send_all(write_chunk(event))
         await stream.aclose()
 
     for _ in range(2):
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -37,6 +37,7 @@
     make_settings,
     read_answer,
     send_request,
+    write_chunk,
     write_request,
 )
 
@@ -134,7 +135,7 @@
     for number in range(EVENTS):
         await trio.sleep(SILENT_S if number else 0.0)
         event = f"id: {number}\ndata: x\n\n".encode()
-        await stream.send_all(b"%x\r\n%b\r\n" % (len(event), event))
+        await stream.send_all(write_chunk(event))
     await stream.send_all(b"0\r\n\r\n")
 
 
