--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -23,8 +23,8 @@
 
 from lycheepath.core.placement.draining import DRAIN_NOTICE_S
 from lycheepath.gateway.process import note_end_signals
+from standins.host_processes import launch_host, wait_until_ready
 from standins.pausing_target import STREAM_HEAD
-from standins.processes import launch_process
 from standins.site import (
     HOST,
     PORTS,
@@ -45,7 +45,7 @@
     from collections.abc import Callable
     from pathlib import Path
 
-    from standins.processes import Process
+    from standins.host_processes import HostProcess
 
 GRACE_S = 8.0
 READY_S = 10.0
@@ -166,11 +166,13 @@
     await site.add_target("books", stream_with_silences, slots=64)
     site.configure(make_route("books", "streaming", timeout_ms=9000, gap_aim_ms=400))
     ip = f"{draw_network()}.1"
-    process = launch_gateway(site, tmp_path, ip)
+    host = launch_gateway(site, tmp_path, ip)
+    process = host.process
     answers: list[Answer] = []
     ended_after_s = 0.0
     try:
-        await wait_until_ready(ip)
+        with trio.fail_after(READY_S):
+            await wait_until_ready(host)
         for number in (signal.SIGSTOP, signal.SIGTERM):
             process.popen.send_signal(number)
         told_at = trio.current_time()
@@ -200,14 +202,12 @@
     assert all(answer.whole for answer in answers), answers
 
 
-def launch_gateway(site: Site, tmp_path: Path, ip: str) -> Process:
+def launch_gateway(site: Site, tmp_path: Path, ip: str) -> HostProcess:
     """Start a gateway as a process that drains for ``GRACE_S`` at most."""
     fields = make_settings("east-0", ip, "east-a", site.store.address)
     fields["bounds"] = {"grace_s": GRACE_S}
-    settings = tmp_path / "settings.json"
-    settings.write_bytes(orjson.dumps(fields))
-    arguments = ["-m", "lycheepath", "gateway", "--settings", str(settings)]
-    return launch_process("east-0", arguments, tmp_path)
+    (tmp_path / "east-0.json").write_bytes(orjson.dumps(fields))
+    return launch_host("east-0", tmp_path)
 
 
 async def stop_under_load(
@@ -217,10 +217,12 @@
     target = await site.add_target("books", answer_later, slots=64)
     site.configure(make_route("books", "unsafe", timeout_ms=3000))
     ip = f"{draw_network()}.1"
-    process = launch_gateway(site, tmp_path, ip)
+    host = launch_gateway(site, tmp_path, ip)
+    process = host.process
     load = Load(ip)
     try:
-        await wait_until_ready(ip)
+        with trio.fail_after(READY_S):
+            await wait_until_ready(host)
         async with trio.open_nursery() as nursery:
             for number in range(CALLERS):
                 pipelined = PIPELINED if number % 3 == 0 else 1
@@ -247,22 +249,6 @@
             assert request_id not in ran, (request_id, answer)
 
 
-async def wait_until_ready(ip: str) -> None:
-    """Wait until a gateway reports that it is ready."""
-    with trio.fail_after(READY_S):
-        while True:
-            try:
-                async with await trio.open_tcp_stream(ip, PORTS["ready"]) as stream:
-                    await stream.send_all(
-                        b"GET /lycheepath/readyz HTTP/1.1\r\nHost: x\r\n\r\n"
-                    )
-                    if (await read_answer(stream)).status == 200:
-                        return
-            except OSError:
-                pass
-            await trio.sleep(0.05)
-
-
 @pytest.mark.parametrize("round_s", [0.05, 0.2, 0.4])
 async def test_signal_is_never_dated_later_than_it_came_beside_slow_rounds_of_the_loop(
     site: Site, round_s: float
