--- a/src/lycheepath/gateway/process.py
+++ b/src/lycheepath/gateway/process.py
@@ -161,13 +161,14 @@
 async def drain(node: GatewayNode) -> None:
     """Stop accepting new callers, finish current requests, return in time."""
     started = node.now()
-    unnoticed_s = started - min(node.end_signal_at, _find_earliest(node, started))
+    signalled_at = min(node.end_signal_at, _find_earliest(node, started))
+    unnoticed_s = started - signalled_at
     requests = node.total_requests
     running_s = node.settings.bounds.grace_s - FINAL_LOG_S
     notice_s = min(DRAIN_NOTICE_S, running_s / 2)
     ends_at = started + _find_length_s(node.settings.bounds.grace_s, unnoticed_s)
     node.shutting_down = True
-    node.shutdown_started_at = started - unnoticed_s
+    node.shutdown_started_at = signalled_at
     node.shutdown_deadline = ends_at
     record_event(
         "leaving",
--- a/src/lycheepath/gateway/serving.py
+++ b/src/lycheepath/gateway/serving.py
@@ -264,10 +264,9 @@
 ) -> None:
     placed = attempt and attempt.placed
     load = attempt and attempt.reported_load
-    took_s = node.now() - exchange.received_at
-    since_event_s = (
-        node.now() - exchange.last_event_at if exchange.last_event_at else None
-    )
+    now = node.now()
+    took_s = now - exchange.received_at
+    since_event_s = now - exchange.last_event_at if exchange.last_event_at else None
     exchange.outcome_logged = True
     record_outcome(node, exchange, event)
     record_event(
