Fail what has no answer and cut off answers at two ends of a drain

Cause: a drain had one end. It may not be earlier than the last sixth of the grace, since answers that have begun may be cut off only then, and not later than SIGKILL less the time for final answers. The signal may have come any time within the hold-up, so that no single time meets both once the hold-up is longer than that slack; the end was then too late for the final answers.

Change: the two bounds are two ends. Requests without an answer get a complete failure 0.8 s before SIGKILL counted from the earliest time of the signal. What has begun can't be replaced by a failure; it goes on until 0.5 s before SIGKILL, and never ends before the last sixth counted from the latest time. Log lines are written at the first end. The scopes of requests move to a module of their own, since they have to know whose answer has begun. Answers that have begun have 0.3 s more than before.

Ruled out: an end by the earliest time alone cuts answers before the last sixth, which nothing excuses; one by the latest time alone is the fault.

--- a/src/lycheepath/core/placement/draining.py
+++ b/src/lycheepath/core/placement/draining.py
@@ -15,6 +15,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from ..catalog.model import RouteKind
@@ -32,6 +33,41 @@
 DRAIN_NOTICE_S = 3.0
 # Safety factor of estimates; answers seldom take longer by more than this.
 SLOW_FACTOR = 1.5
+# Time kept free before SIGKILL for writing the last log lines.
+FINAL_LOG_S = 0.5
+# Time kept free before that for the final answers to requests that didn't end in time.
+FINAL_ANSWERS_S = 0.3
+# Last share of the grace, the only one in which answers may be cut off.
+FINAL_SHARE = 1 / 6
+
+
+@dataclass(frozen=True, slots=True)
+class DrainEnds:
+    """
+    When a drain ends, on the loop's clock, in seconds.
+
+    Requests without an answer get a failure at ``fails_at``. Answers that have begun
+    can't be replaced by one, and are cut off at ``cuts_at``.
+    """
+
+    fails_at: float
+    cuts_at: float
+
+
+def plan_ends(signalled_at: float, noticed_at: float, grace_s: float) -> DrainEnds:
+    """
+    Return when a drain ends whose signal came between two times.
+
+    A failure has to be out before SIGKILL, which counts from the earlier time. Answers
+    aren't cut off before the last share of the grace, which counts from the later one,
+    though a process that was held up for longer is killed first::
+
+        plan_ends(9.0, 10.0, grace_s=8.0)  # fails_at 16.2, cuts_at 16.67
+    """
+    cuts_at = signalled_at + grace_s - FINAL_LOG_S
+    fails_at = cuts_at - FINAL_ANSWERS_S
+    earliest_cut_at = noticed_at + (1.0 - FINAL_SHARE) * grace_s
+    return DrainEnds(fails_at, max(cuts_at, earliest_cut_at))
 
 
 def admit_while_draining(
--- a/src/lycheepath/gateway/node.py
+++ b/src/lycheepath/gateway/node.py
@@ -46,6 +46,7 @@
 from .links import TargetLinks
 from .peers import Peers
 from .permits import RatePermits
+from .request_scopes import RequestScopes
 from .stream_versions import StreamVersions
 
 if TYPE_CHECKING:
@@ -138,10 +139,8 @@
     end_signal_at: float = float("inf")
     shutdown_started_at: float = float("inf")
     shutdown_deadline: float = float("inf")
-    # Whether the requests that are still served get their final answers.
-    ending: bool = False
+    scopes: RequestScopes = field(default_factory=RequestScopes)
     active_requests: int = 0
-    _request_scopes: set[trio.CancelScope] = field(default_factory=set)
     total_requests: int = 0
 
     def __post_init__(self) -> None:
@@ -181,24 +180,6 @@
         finally:
             self.active_requests -= 1
 
-    @contextmanager
-    def limit_request(self, deadline: float) -> Iterator[trio.CancelScope]:
-        """Cancel what is done in the block at a deadline, or when this host ends."""
-        with trio.CancelScope(deadline=deadline) as scope:
-            self._request_scopes.add(scope)
-            if self.ending:
-                scope.cancel()
-            try:
-                yield scope
-            finally:
-                self._request_scopes.discard(scope)
-
-    def end_requests(self) -> None:
-        """Cancel the requests that are still served, so that they are answered."""
-        self.ending = True
-        for scope in self._request_scopes:
-            scope.cancel()
-
     def remaining_s(self) -> float:
         """Return how long this host keeps running; 0 unless it is shutting down."""
         remaining_s = self.shutdown_deadline - self.now() if self.shutting_down else 0.0
--- a/src/lycheepath/gateway/process.py
+++ b/src/lycheepath/gateway/process.py
@@ -12,7 +12,7 @@
 
 from ..adapters.events import record_event, set_up_events
 from ..core.addresses import Address
-from ..core.placement.draining import DRAIN_NOTICE_S
+from ..core.placement.draining import DRAIN_NOTICE_S, FINAL_LOG_S, plan_ends
 from .listeners import (
     answer_directory,
     answer_metrics,
@@ -39,14 +39,12 @@
 SIGNALS = (*END_SIGNALS, signal.SIGHUP)
 # Interval between two checks of whether the process has drained.
 POLL_INTERVAL_S = 0.1
+# The same once requests are ended.
+FINAL_POLL_INTERVAL_S = 0.03
+# Time within which answers that are cut off have ended.
+CUT_S = 0.1
 # Pause before a failed task is restarted.
 TASK_RESTART_S = 0.5
-# Time kept free before SIGKILL for writing the last log lines.
-FINAL_LOG_S = 0.5
-# Time kept free before that for the final answers to requests that didn't end in time.
-FINAL_ANSWERS_S = 0.3
-# Last share of the grace, the only one in which requests may be cut off.
-FINAL_SHARE = 1 / 6
 # A host that shuts down exits once it had no request for this long.
 QUIESCENCE_S = 0.5
 # Interval at which idle connections are closed.
@@ -162,49 +160,58 @@
     """Stop accepting new callers, finish current requests, return in time."""
     started = node.now()
     signalled_at = min(node.end_signal_at, _find_earliest(node, started))
-    unnoticed_s = started - signalled_at
-    requests = node.total_requests
-    running_s = node.settings.bounds.grace_s - FINAL_LOG_S
-    notice_s = min(DRAIN_NOTICE_S, running_s / 2)
-    ends_at = started + _find_length_s(node.settings.bounds.grace_s, unnoticed_s)
+    grace_s = node.settings.bounds.grace_s
+    ends = plan_ends(signalled_at, started, grace_s)
     node.shutting_down = True
     node.shutdown_started_at = signalled_at
-    node.shutdown_deadline = ends_at
+    node.shutdown_deadline = ends.fails_at
     record_event(
         "leaving",
         serving=node.active_requests,
-        unnoticed_s=round(unnoticed_s, 3),
+        unnoticed_s=round(started - signalled_at, 3),
     )
     await node.peers.announce_shutdown()
-    last_request_at = started
-    while (now := node.now()) < ends_at:
+    notice_s = min(DRAIN_NOTICE_S, (grace_s - FINAL_LOG_S) / 2)
+    if await _wait_until_quiet(node, started + notice_s, ends.fails_at):
+        return
+    await _end_requests(node, ends.cuts_at)
+
+
+async def _wait_until_quiet(
+    node: GatewayNode, callers_move_at: float, until: float
+) -> bool:
+    """Wait until no request comes any more; return False if some come until the end."""
+    requests = node.total_requests
+    last_request_at = node.now()
+    while (now := node.now()) < until:
         if node.active_requests or node.total_requests > requests:
             requests = node.total_requests
             last_request_at = now
-        callers_moved = now - started > notice_s
-        if callers_moved and now - last_request_at > QUIESCENCE_S:
+        if now > callers_move_at and now - last_request_at > QUIESCENCE_S:
             # Connections that were just accepted are served first.
             await trio.lowlevel.checkpoint()
             if not (node.active_requests or has_unread_requests(node)):
-                return
-        await trio.sleep(min(POLL_INTERVAL_S, ends_at - now))
+                return True
+        await trio.sleep(min(POLL_INTERVAL_S, until - now))
+    return False
+
+
+async def _end_requests(node: GatewayNode, cuts_at: float) -> None:
+    """Fail requests without an answer, let those that have one end, cut off the rest."""
     if node.active_requests:
         record_event("drain-cut", serving=node.active_requests)
-    node.end_requests()
-    with trio.move_on_after(FINAL_ANSWERS_S):
+    node.scopes.cancel_unanswered()
+    # A process that was held up may be killed before it cuts answers off.
+    node.events.flush()
+    while node.active_requests and node.now() < cuts_at:
+        await trio.sleep(FINAL_POLL_INTERVAL_S)
+    if not node.active_requests:
+        return
+    record_event("answers-cut", serving=node.active_requests)
+    node.scopes.cancel_all()
+    with trio.move_on_after(CUT_S):
         while node.active_requests:
-            await trio.sleep(FINAL_ANSWERS_S / 10)
-
-
-def _find_length_s(grace_s: float, unnoticed_s: float) -> float:
-    """
-    Return the time from now on after which requests are cut off, in seconds.
-
-    The signal may have come ``unnoticed_s`` ago, but also just now.
-    """
-    reserve_s = FINAL_LOG_S + FINAL_ANSWERS_S
-    slack_s = max(0.0, FINAL_SHARE * grace_s - reserve_s)
-    return grace_s - reserve_s - min(unnoticed_s, slack_s)
+            await trio.sleep(FINAL_POLL_INTERVAL_S)
 
 
 def _find_earliest(node: GatewayNode, now: float) -> float:
--- a/src/lycheepath/gateway/relayed.py
+++ b/src/lycheepath/gateway/relayed.py
@@ -75,10 +75,10 @@
         return
     with node.count_request():
         try:
-            with node.limit_request(exchange.deadline) as scope:
+            with node.scopes.limit(caller, exchange.deadline) as scope:
                 await _send_locally(node, exchange)
             if scope.cancelled_caught:
-                reason = END_REASON if node.ending else TIMEOUT_REASON
+                reason = END_REASON if node.scopes.ending else TIMEOUT_REASON
                 await _answer_lost(caller, reason)
         except CallerGoneError:
             raise
--- a/tests/core/placement/test_draining.py
+++ b/tests/core/placement/test_draining.py
@@ -7,10 +7,13 @@
 from lycheepath.core.catalog.model import RouteKind
 from lycheepath.core.placement.draining import (
     DRAIN_NOTICE_S,
+    FINAL_ANSWERS_S,
+    FINAL_LOG_S,
     SLOW_FACTOR,
     admit_while_draining,
     estimate_end_s,
     needs_whole_answer,
+    plan_ends,
 )
 from lycheepath.core.placement.model import Placement
 from lycheepath.core.placement.silence import SOUND_SILENCE_S
@@ -78,6 +81,21 @@
     assert not needs_whole_answer(request, 3.9, DRAIN_NOTICE_S)
 
 
+@pytest.mark.parametrize("unnoticed_s", [0.0, 0.5, 1.6, 9.0])
+@pytest.mark.parametrize("grace_s", [2.0, 4.8, 8.0])
+def test_drain_fails_requests_before_it_can_be_killed_and_cuts_answers_only_in_its_last_sixth(
+    unnoticed_s: float, grace_s: float
+) -> None:
+    noticed_at = 100.0
+    ends = plan_ends(noticed_at - unnoticed_s, noticed_at, grace_s)
+    killed_at = noticed_at - unnoticed_s + grace_s
+    assert ends.fails_at == pytest.approx(killed_at - FINAL_LOG_S - FINAL_ANSWERS_S)
+    assert ends.cuts_at >= noticed_at + grace_s * 5 / 6
+    assert ends.cuts_at >= ends.fails_at
+    if unnoticed_s == 0.0 and grace_s > 6 * FINAL_LOG_S:
+        assert ends.cuts_at == pytest.approx(killed_at - FINAL_LOG_S)
+
+
 def test_late_stream_is_left_to_another_host_unless_a_target_has_it() -> None:
     placed, late_s, left_s = place(), DRAIN_NOTICE_S + 0.1, 30.0
     request = replace(REQUEST, time_left_s=left_s + 1.0)
--- a/tests/gateway/test_cut_deliveries.py
+++ b/tests/gateway/test_cut_deliveries.py
@@ -1,8 +1,8 @@
 """
-Answers that a planned stop still cuts: they are listed in KNOWN-RED.txt.
+Deliveries that go on when a planned stop ends.
 
-A caller that reads slowly gets an answer whose target is done only in part, a stream is
-relayed to a host that ends, and a long hold-up takes a process past its grace.
+A caller reads slowly an answer whose target is done, a stream is relayed to a host that
+ends, and a process that was held up for long has less time than it knows.
 """
 
 from __future__ import annotations
@@ -119,7 +119,6 @@
     assert all(answer.whole for answer in answers)
 
 
-@KNOWN_RED
 async def test_process_that_is_held_up_for_long_ends_before_it_is_killed(
     site: Site, tmp_path: Path
 ) -> None:
