Let request scopes be used by the product's hosts too

The scopes ask a function whether an answer has begun, instead of a caller's connection, and move to adapters/.

--- a/src/lycheepath/gateway/request_scopes.py
+++ b/src/lycheepath/adapters/request_scopes.py
@@ -2,15 +2,14 @@
 
 from __future__ import annotations
 
+import math
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
 import trio
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
-
-    from ..adapters.http1.downstream import CallerConnection
+    from collections.abc import Callable, Iterator
 
 
 class RequestScopes:
@@ -22,31 +21,35 @@
 
     def __init__(self) -> None:
         self.ending = False
-        self._callers: dict[trio.CancelScope, CallerConnection] = {}
+        self._has_begun: dict[trio.CancelScope, Callable[[], bool]] = {}
 
     @contextmanager
     def limit(
-        self, caller: CallerConnection, deadline: float
+        self, has_begun: Callable[[], bool], deadline: float = math.inf
     ) -> Iterator[trio.CancelScope]:
-        """Cancel what is done in the block at a deadline, or when this process ends."""
+        """
+        Cancel what is done in the block at a deadline, or when this process ends.
+
+        ``has_begun`` tells whether the answer to the request has begun.
+        """
         with trio.CancelScope(deadline=deadline) as scope:
-            self._callers[scope] = caller
+            self._has_begun[scope] = has_begun
             if self.ending:
                 scope.cancel()
             try:
                 yield scope
             finally:
-                del self._callers[scope]
+                del self._has_begun[scope]
 
     def cancel_unanswered(self) -> None:
         """Cancel requests whose answers haven't begun, so that they get a failure."""
         self.ending = True
-        for scope, caller in self._callers.items():
-            if not caller.answer_started:
+        for scope, has_begun in self._has_begun.items():
+            if not has_begun():
                 scope.cancel()
 
     def cancel_all(self) -> None:
         """Cancel the requests that are still served; answers that have begun break off."""
         self.ending = True
-        for scope in self._callers:
+        for scope in self._has_begun:
             scope.cancel()
--- a/src/lycheepath/gateway/node.py
+++ b/src/lycheepath/gateway/node.py
@@ -14,6 +14,7 @@
 from ..adapters.http1.pool import Pool
 from ..adapters.loop_delay import LoopDelay
 from ..adapters.metrics import Metrics
+from ..adapters.request_scopes import RequestScopes
 from ..core.catalog.catalog import Catalog
 from ..core.hosts.rendezvous import rank
 from ..core.limits.buffers import BufferBudget
@@ -46,7 +47,6 @@
 from .links import TargetLinks
 from .peers import Peers
 from .permits import RatePermits
-from .request_scopes import RequestScopes
 from .stream_versions import StreamVersions
 
 if TYPE_CHECKING:
--- a/src/lycheepath/gateway/relayed.py
+++ b/src/lycheepath/gateway/relayed.py
@@ -75,7 +75,9 @@
         return
     with node.count_request():
         try:
-            with node.scopes.limit(caller, exchange.deadline) as scope:
+            with node.scopes.limit(
+                lambda: caller.answer_started, exchange.deadline
+            ) as scope:
                 await _send_locally(node, exchange)
             if scope.cancelled_caught:
                 reason = END_REASON if node.scopes.ending else TIMEOUT_REASON
--- a/src/lycheepath/gateway/serving.py
+++ b/src/lycheepath/gateway/serving.py
@@ -69,7 +69,9 @@
     node: GatewayNode, caller: CallerConnection, exchange: Exchange
 ) -> None:
     try:
-        with node.scopes.limit(caller, exchange.deadline) as scope:
+        with node.scopes.limit(
+            lambda: caller.answer_started, exchange.deadline
+        ) as scope:
             await _run(node, exchange)
         if scope.cancelled_caught and node.scopes.ending:
             await _answer_at_end(node, exchange)
