Play planned stops with callers who read slowly

Every third caller of soak.stops reads 16 kB at a time and lets its kernel hold little; a third of the streams that aren't short carry 1.2 MB.

--- a/soak/stop_checks.py
+++ b/soak/stop_checks.py
@@ -45,8 +45,8 @@
     """
     What a caller sent, and what it got.
 
-    ``events`` is the number of events of a stream, 0 for a text; ``whole`` says that the
-    answer is complete, of whatever status.
+    ``events`` is the number of events of a stream, 0 for a text, and ``event_bytes`` the
+    size of what they carry; ``whole`` says that the answer is complete, of whatever status.
     """
 
     id: str
@@ -58,6 +58,7 @@
     status: int
     whole: bool
     body: bytes
+    event_bytes: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,16 +71,19 @@
     broke_off: bool = False
 
 
-def write_body(request_id: str, events: int) -> bytes:
+def write_body(request_id: str, events: int, event_bytes: int = 0) -> bytes:
     """Return the body of a whole answer to a request."""
     if not events:
         return request_id.encode()
-    return b"".join(write_event(request_id, number) for number in range(events))
+    return b"".join(
+        write_event(request_id, number, event_bytes) for number in range(events)
+    )
 
 
-def write_event(request_id: str, number: int) -> bytes:
+def write_event(request_id: str, number: int, event_bytes: int = 0) -> bytes:
     """Return an event of the answer to a request; the first has the number 0."""
-    return f"id: {number + 1}\ndata: {request_id}/{number}\n\n".encode()
+    data = f"{request_id}/{number}".ljust(event_bytes, ".")
+    return f"id: {number + 1}\ndata: {data}\n\n".encode()
 
 
 def find_violations(
@@ -135,7 +139,7 @@
 def _find_fault(
     request: Request, ran: Sequence[Run], stops: Sequence[Stop]
 ) -> str | None:
-    body = write_body(request.id, request.events)
+    body = write_body(request.id, request.events, request.event_bytes)
     if request.status == 200:
         if request.whole and request.body != body:
             return "wrong answer"
--- a/soak/stop_load.py
+++ b/soak/stop_load.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import random
+import socket
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -46,6 +47,10 @@
 # Time that a caller waits longer than its deadline, and its pauses.
 PATIENCE_S = 1.0
 PAUSE_S = (0.01, 0.15)
+# Every so many callers one reads slowly: so much at a time, with a pause after it.
+SLOW_CALLERS = 3
+SLOW_READ_BYTES = 16_384
+SLOW_READ_PAUSE_S = 0.06
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,12 +63,14 @@
     deadline_s: float
     resumable: bool = False
     max_attempts: int = 1
+    event_bytes: int = 0
 
 
 SHORT = Kind("/short/", "streaming", 9, 5.0)
 LONG = Kind("/long/", "streaming", 49, 12.0, resumable=True, max_attempts=2)
+LARGE = Kind("/large/", "streaming", 20, 8.0, event_bytes=60_000)
 QUICK = Kind("/quick/", "unsafe", 0, 5.0)
-KINDS = (SHORT, SHORT, SHORT, LONG, QUICK)
+KINDS = (SHORT, SHORT, SHORT, LONG, LARGE, QUICK)
 
 
 @dataclass
@@ -75,6 +82,24 @@
     stops: list[Stop] = field(default_factory=list)
 
 
+class SlowReader(trio.abc.ReceiveStream):
+    """A connection that is read slowly; its kernel holds little of what has come."""
+
+    def __init__(self, stream: trio.SocketStream) -> None:
+        self._stream = stream
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_READ_BYTES)
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes:
+        """Return some bytes, a moment later."""
+        data = await self._stream.receive_some(SLOW_READ_BYTES)
+        await trio.sleep(SLOW_READ_PAUSE_S)
+        return bytes(data)
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        await self._stream.aclose()
+
+
 def make_behaviour(records: Records, draw: random.Random) -> Callable[..., object]:
     """Return the behaviour of targets that are sound, and silent now and then."""
 
@@ -85,7 +110,7 @@
             kind = next(each for each in KINDS if seen.target.startswith(each.prefix))
             if kind.events:
                 first = int(seen.headers.get("last-event-id", "0"))
-                await send_events(stream, request_id, first, kind.events)
+                await send_events(stream, request_id, first, kind)
             else:
                 await trio.sleep(QUICK_S)
                 await answer_text(write_body(request_id, 0))(seen, stream)
@@ -93,13 +118,13 @@
             records.runs.append(Run(request_id, since, trio.current_time()))
 
     async def send_events(
-        stream: trio.SocketStream, request_id: str, first: int, events: int
+        stream: trio.SocketStream, request_id: str, first: int, kind: Kind
     ) -> None:
         await stream.send_all(STREAM_HEAD.format(request_id).encode())
-        for number in range(first, events):
+        for number in range(first, kind.events):
             late_s = draw.uniform(*LATE_S) if draw.random() < LATE_SHARE else 0.0
             await trio.sleep(EVENT_S + late_s)
-            event = write_event(request_id, number)
+            event = write_event(request_id, number, kind.event_bytes)
             await stream.send_all(write_chunk(event))
         await stream.send_all(b"0\r\n\r\n")
 
@@ -112,6 +137,7 @@
     """Send requests to one host; to another only while that accepts no connection."""
     home = hosts[number % len(hosts)].settings
     keeps = number // len(hosts) % 2 == 0
+    is_slow = number % SLOW_CALLERS == 0
     settings, sent = home, 0
     while True:
         try:
@@ -128,14 +154,22 @@
                 request_id = f"r{number}-{sent}"
                 sent += 1
                 kind = draw.choice(KINDS)
-                answer = await ask(records, settings.host, stream, request_id, kind)
+                reader = SlowReader(stream) if is_slow else stream
+                answer = await ask(
+                    records, settings.host, stream, reader, request_id, kind
+                )
                 kept = keeps and answer.kept and settings is home
                 await trio.sleep(draw.uniform(*PAUSE_S))
         settings = home
 
 
 async def ask(
-    records: Records, host: str, stream: trio.SocketStream, request_id: str, kind: Kind
+    records: Records,
+    host: str,
+    stream: trio.SocketStream,
+    reader: trio.abc.ReceiveStream,
+    request_id: str,
+    kind: Kind,
 ) -> Answer:
     """Send a request on a connection, and record it with its answer."""
     answer = Answer()
@@ -145,7 +179,7 @@
     with trio.move_on_after(kind.deadline_s + PATIENCE_S):
         try:
             await stream.send_all(request)
-            await read_answer(stream, answer)
+            await read_answer(reader, answer)
         except trio.BrokenResourceError:
             answer.end = "reset"
     records.requests.append(
@@ -159,6 +193,7 @@
             answer.status,
             answer.whole,
             answer.body,
+            kind.event_bytes,
         )
     )
     return answer
--- a/standins/site.py
+++ b/standins/site.py
@@ -303,7 +303,7 @@
 
 
 async def read_answer(
-    stream: trio.SocketStream, answer: Answer | None = None
+    stream: trio.abc.ReceiveStream, answer: Answer | None = None
 ) -> Answer:
     """
     Read one answer, complete or not.
@@ -319,7 +319,7 @@
         try:
             event = connection.next_event()
             if event is h11.NEED_DATA:
-                connection.receive_data(await stream.receive_some(65_536))
+                connection.receive_data(bytes(await stream.receive_some(65_536)))
                 continue
         except h11.RemoteProtocolError:
             answer.end = "broken off"
