Say that a chat may have run once its attempt has begun when its host ends

Cause: an answer counts as sent once its head has come, or a failure says so; a scope that ends while the head is awaited says neither.

Change: from the first attempt on it is unknown whether the request ran. One that wasn't sent after all is told the weaker word; nothing is promised wrongly.

Evidence: test_request_that_a_target_may_have_when_its_host_ends_is_not_said_to_ have_not_run, with both engines stopped: "not-run" before, "unknown" after.

--- a/src/lycheepath/host/chat.py
+++ b/src/lycheepath/host/chat.py
@@ -136,7 +136,7 @@
     node: Node, answer: _AnswerState, batches: AsyncGenerator[TokenBatch, None]
 ) -> TokenBatch | None:
     """Return the next tokens, None at the end; raises if this host ends before."""
-    with fail_at_end(node, lambda: answer.sent):
+    with fail_at_end(node, lambda: answer.attempts > 0):
         return await anext(batches, None)
 
 
--- a/tests/promises/test_leaving.py
+++ b/tests/promises/test_leaving.py
@@ -152,6 +152,17 @@
     assert outcomes[0].kind is not Kind.BROKEN
 
 
+async def test_request_that_a_target_may_have_when_its_host_ends_is_not_said_to_have_not_run(
+    fleet: Fleet,
+) -> None:
+    fleet.settings["drain_s"] = 3.0
+    await start_fleet(fleet)
+    for number in (1, 2):
+        fleet.processes[f"runner-{number}"].stop()
+    outcomes = await ask_while_ending(fleet, 100, stream=False, signals=1)
+    assert (outcomes[0].kind, outcomes[0].run) == (Kind.UNKNOWN, "unknown")
+
+
 async def ask_while_ending(
     fleet: Fleet, max_tokens: int, stream: bool, signals: int
 ) -> list[Outcome]:
