Leave send buffers that are larger than the machine's limit as they are

A drain set SO_SNDBUF of every connection, which the kernel cuts to net.core.wmem_max: buffers that it had enlarged beyond that by itself became smaller (3,939,840 to 425,984 bytes with a limit of 212,992). The limit is now read from a socket of our own.

--- a/src/lycheepath/adapters/http1/sockets.py
+++ b/src/lycheepath/adapters/http1/sockets.py
@@ -9,6 +9,7 @@
 import socket
 import struct
 import termios
+from functools import cache
 from typing import TYPE_CHECKING
 
 import trio
@@ -132,13 +133,14 @@
     """
     Let the kernel take as much as it can of what the other side hasn't read yet.
 
-    It takes no more than the machine's limit, ``net.core.wmem_max``.
+    It takes no more than the machine's limit, ``net.core.wmem_max``. A buffer that the
+    kernel has enlarged beyond that by itself is left as it is.
     """
     size = LARGEST_SEND_BUFFER_BYTES
     with contextlib.suppress(OSError):
         # trio has it hold a few unsent bytes only.
         stream.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, size)
-        if _read_send_buffer(stream) < size:
+        if _read_send_buffer(stream.socket) < _find_largest_send_buffer():
             stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
 
 
@@ -149,7 +151,7 @@
     Returns 0 for a connection that is closed already.
     """
     try:
-        buffer_bytes = _read_send_buffer(stream)
+        buffer_bytes = _read_send_buffer(stream.socket)
     except OSError:
         return 0
     return max(0, buffer_bytes - count_undelivered_bytes(stream))
@@ -167,10 +169,19 @@
     stream.socket.close()
 
 
-def _read_send_buffer(stream: trio.SocketStream) -> int:
+@cache
+def _find_largest_send_buffer() -> int:
+    """Return the size that a send buffer gets if the largest one is asked for."""
+    with socket.socket() as probe:
+        size = LARGEST_SEND_BUFFER_BYTES
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
+        return _read_send_buffer(probe)
+
+
+def _read_send_buffer(tcp_socket: socket.socket | trio.socket.SocketType) -> int:
     """Return the bytes of data that a send buffer holds; raises OSError."""
     # Linux doubles the size for its own records.
-    return stream.socket.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF) // 2
+    return tcp_socket.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF) // 2
 
 
 def _read_count(stream: trio.SocketStream, request: int) -> int:
