End actions that outlast the drain of a product's host, and use the whole drain

An action that may run only once was shielded until its own time-out: its caller's connection was closed without an answer, and the host ended 9.73 s after a signal with a drain of 3 s. The shield now ends when requests are failed, after claims are handed over. Time that the handover doesn't use is left to requests: they were failed 0.99 s after the signal, and are now 2.7 s after it.

--- a/src/lycheepath/adapters/request_scopes.py
+++ b/src/lycheepath/adapters/request_scopes.py
@@ -22,6 +22,17 @@
     def __init__(self) -> None:
         self.ending = False
         self._has_begun: dict[trio.CancelScope, Callable[[], bool]] = {}
+        self._shields: set[trio.CancelScope] = set()
+
+    @contextmanager
+    def shield(self) -> Iterator[None]:
+        """Keep what is done in the block from being cancelled until this process ends."""
+        with trio.CancelScope(shield=not self.ending) as scope:
+            self._shields.add(scope)
+            try:
+                yield
+            finally:
+                self._shields.discard(scope)
 
     @contextmanager
     def limit(
@@ -44,6 +55,8 @@
     def cancel_unanswered(self) -> None:
         """Cancel requests whose answers haven't begun, so that they get a failure."""
         self.ending = True
+        for shield in self._shields:
+            shield.shield = False
         for scope, has_begun in self._has_begun.items():
             if not has_begun():
                 scope.cancel()
--- a/src/lycheepath/host/actions.py
+++ b/src/lycheepath/host/actions.py
@@ -222,9 +222,9 @@
 
 
 async def _send_uncancelled(sending: _PendingAction) -> ActionOutcome:
-    """Send the action once, even if the caller disconnects meanwhile."""
+    """Send the action once, even if the caller disconnects before this host ends."""
     outcome: ActionOutcome | None = None
-    with trio.CancelScope(shield=True):
+    with sending.node.scopes.shield():
         outcome = await _send_once(sending)
     assert outcome is not None
     return outcome
--- a/src/lycheepath/host/process.py
+++ b/src/lycheepath/host/process.py
@@ -133,10 +133,11 @@
     node.record_change("drain", "signal", "serving", "draining")
     if node.membership is not None and node.runner is not None:
         node.runner.act(node.membership.start_draining(node.now()))
-    reserve_s = HANDOVER_TIMEOUT_S + FINAL_ANSWERS_S
-    await _wait_for_requests(node, max(0.0, node.settings.drain_s - reserve_s))
+    fails_at = node.now() + node.settings.drain_s - FINAL_ANSWERS_S
+    await _wait_for_requests(node, fails_at - HANDOVER_TIMEOUT_S - node.now())
     with trio.move_on_after(HANDOVER_TIMEOUT_S):
         await _close_claims(node)
+    await _wait_for_requests(node, fails_at - node.now())
     node.scopes.cancel_unanswered()
     await _wait_for_requests(node, FINAL_ANSWERS_S)
     if node.membership is not None and node.runner is not None:
@@ -146,6 +147,6 @@
 
 async def _wait_for_requests(node: Node, timeout_s: float) -> None:
     """Wait until no request is in flight, for a time at most."""
-    with trio.move_on_after(timeout_s):
+    with trio.move_on_after(max(0.0, timeout_s)):
         while node.in_flight:
             await trio.sleep(DRAIN_POLL_INTERVAL_S)
