Withhold resumable streams too at a host that nobody else can go on for

They are left to others only if a ready host's region has targets of the service. The unit test of needs_whole_answer said that all resumable ones pass; it now checks both cases. The limit of send buffers isn't cached any more, as tests change it.

--- a/src/lycheepath/adapters/http1/sockets.py
+++ b/src/lycheepath/adapters/http1/sockets.py
@@ -9,7 +9,6 @@
 import socket
 import struct
 import termios
-from functools import cache
 from typing import TYPE_CHECKING
 
 import trio
@@ -169,7 +168,6 @@
     stream.socket.close()
 
 
-@cache
 def _find_largest_send_buffer() -> int:
     """Return the size that a send buffer gets if the largest one is asked for."""
     with socket.socket() as probe:
--- a/src/lycheepath/core/placement/draining.py
+++ b/src/lycheepath/core/placement/draining.py
@@ -107,16 +107,19 @@
     left_s: float,
     draining_s: float,
     relayed: bool = False,
+    others_resume: bool = False,
 ) -> bool:
     """
     Whether an answer may be begun only once it is whole.
 
     A request whose deadline comes before this host's end can't be cut off by that. Hosts
-    that relay requests hear of the drain at once; what may be resumed they continue.
+    that relay requests hear of the drain at once; what may be resumed they continue, if
+    ``others_resume``: other hosts that are ready serve its service.
     """
     if request.time_left_s <= left_s:
         return False
-    return draining_s > DRAIN_NOTICE_S or (relayed and not request.route.resumable)
+    resumed = request.route.resumable and others_resume
+    return draining_s > DRAIN_NOTICE_S or (relayed and not resumed)
 
 
 def find_longest_wait_s(target: TargetState, now: float) -> float:
--- a/src/lycheepath/gateway/node.py
+++ b/src/lycheepath/gateway/node.py
@@ -311,8 +311,14 @@
         )
         if isinstance(admitted, Placement):
             is_first = not exchange.attempts.started
-            relayed = exchange.relayed
-            if is_first and needs_whole_answer(request, left_s, draining_s, relayed):
+            must_be_whole = needs_whole_answer(
+                request,
+                left_s,
+                draining_s,
+                exchange.relayed,
+                self._has_other_host(exchange),
+            )
+            if is_first and must_be_whole:
                 exchange.withhold_answer(self.buffers)
             record_event(
                 "admitted-while-draining",
@@ -326,6 +332,15 @@
             )
         return admitted
 
+    def _has_other_host(self, exchange: Exchange) -> bool:
+        """Whether another host is ready in a region that may serve a request."""
+        homes = exchange.route.home_regions
+        return any(
+            (not homes or row.region in homes)
+            and self.registry.list_region_targets(exchange.service, row.region)
+            for row in self.peers.view.ready_hosts(self.now())
+        )
+
     def _build_placement_request(self, exchange: Exchange) -> PlacementRequest:
         now = self.now()
         return PlacementRequest(
--- a/tests/core/placement/test_draining.py
+++ b/tests/core/placement/test_draining.py
@@ -87,7 +87,11 @@
     assert not needs_whole_answer(request, 3.9, draining_s=0.1)
     assert needs_whole_answer(request, 3.9, draining_s=0.1, relayed=True)
     assert not needs_whole_answer(request, 4.0, draining_s=0.1, relayed=True)
-    assert not needs_whole_answer(resumable, 3.9, draining_s=0.1, relayed=True)
+    for others_resume in (False, True):
+        whole = needs_whole_answer(
+            resumable, 3.9, draining_s=0.1, relayed=True, others_resume=others_resume
+        )
+        assert whole is not others_resume
 
 
 @pytest.mark.parametrize("unnoticed_s", [0.0, 0.5, 1.6, 9.0])
