--- a/src/lycheepath/gateway/exchange.py
+++ b/src/lycheepath/gateway/exchange.py
@@ -48,7 +48,8 @@
     target is silent. ``started_head`` is the head of the stream that was started.
     ``tried_hosts`` are the hosts that it was relayed to. ``no_place`` says why there
     was no other target when the request was given up. ``withheld`` is the answer that is
-    held back until it is whole, None if it is passed on as it comes.
+    held back until it is whole, None if it is passed on as it comes; ``undeliverable`` says
+    that the caller may not read it in time.
     """
 
     caller: CallerConnection
@@ -77,6 +78,7 @@
     reports_silence: bool = False
     started_head: AnswerHead | None = None
     no_place: str = ""
+    undeliverable: bool = False
     tried_hosts: set[str] = field(default_factory=set)
     withheld: WithheldAnswer | None = None
 
--- a/src/lycheepath/gateway/forwarding.py
+++ b/src/lycheepath/gateway/forwarding.py
@@ -21,7 +21,7 @@
 from .attempts import SendOutcome
 from .exchange import FailedAnswer
 from .inactivity import NO_LIMIT_S
-from .withholding import NoRoomError, require_delivery
+from .withholding import NoRoomError, SlowDeliveryError, require_delivery
 
 if TYPE_CHECKING:
     from ..adapters.http1.downstream import CallerConnection
@@ -206,7 +206,11 @@
 def _require_delivery(node: GatewayNode, exchange: Exchange, size: int) -> None:
     """Raise SlowDeliveryError unless a withheld answer will be delivered in time."""
     send_room = count_send_room(exchange.caller.stream)
-    require_delivery(size, send_room, node.find_delivery_s())
+    try:
+        require_delivery(size, send_room, node.find_delivery_s())
+    except SlowDeliveryError:
+        exchange.undeliverable = True
+        raise
 
 
 def _check_end(
--- a/src/lycheepath/gateway/placing.py
+++ b/src/lycheepath/gateway/placing.py
@@ -36,6 +36,7 @@
 PLACE_AGAIN_S = 0.25
 # Why no other attempt is made.
 NO_ATTEMPT = "the route allows no other attempt"
+NO_DELIVERY = "the caller may not read another answer in time either"
 NO_RETRY = "the retry budget is used up"
 # The reason of an attempt that was silent until another one answered.
 REPLACED_REASON = "another attempt has answered"
@@ -152,6 +153,9 @@
 
 def _may_repeat(node: GatewayNode, exchange: Exchange) -> bool:
     """Whether the route and the retry budget allow another attempt."""
+    if exchange.undeliverable:
+        exchange.no_place = NO_DELIVERY
+        return False
     if not may_start_another(exchange.route, exchange.attempts):
         exchange.no_place = NO_ATTEMPT
         return False
