--- a/tests/gateway/test_review_stops.py
+++ b/tests/gateway/test_review_stops.py
@@ -12,7 +12,7 @@
 from lycheepath.core.placement.draining import DRAIN_NOTICE_S
 from lycheepath.gateway.process import drain
 from standins.pausing_target import STREAM_HEAD
-from standins.site import Answer, Site, make_route, write_chunk, write_request
+from standins.site import Answer, Site, write_chunk, write_request
 from tests.gateway.test_fleet import wait_until_live
 from tests.gateway.test_late_streams import (
     GRACE_S,
@@ -20,11 +20,9 @@
     SilentTarget,
     keep_busy,
     start_hosts,
-    stay_silent,
 )
 
 if TYPE_CHECKING:
-    from lycheepath.gateway.node import GatewayNode
     from standins.site import Seen
 
 PART = b"x" * 50_000
@@ -165,9 +163,7 @@
     async def ask(sent_s: float) -> None:
         await trio.sleep(sent_s)
         name = f"r{sent_s}"
-        answers[sent_s] = await site.ask(
-            east, b"POST", "/books/1", b"x", name, HEADERS
-        )
+        answers[sent_s] = await site.ask(east, b"POST", "/books/1", b"x", name, HEADERS)
 
     async with trio.open_nursery() as nursery:
         for sent_s in (1.9, 2.3, 2.6, 2.8):
--- a/tests/promises/test_review_leaving.py
+++ b/tests/promises/test_review_leaving.py
@@ -31,7 +31,12 @@
     async def ask() -> None:
         outcomes.append(
             await fleet.caller().call_service(
-                host.address, "booking", "/slots", method=method, action="a", ticket=ticket
+                host.address,
+                "booking",
+                "/slots",
+                method=method,
+                action="a",
+                ticket=ticket,
             )
         )
 
