Retry all answers of a target that died, beyond the host's saved retries

When more than 10 answers ran on a target that died, the others ended at once with an error (streams) or "unknown" (complete answers), though other targets lived: "the host's retry budget is empty".

Cause: each retry took one of the host's 10 saved retries.

Change: a retry after a target's death takes nothing from the host's budget. It runs as a trial, one at a time on each target, and the request's three attempts remain, so these retries can't sustain an overload.

--- a/src/lycheepath/core/retries/budget.py
+++ b/src/lycheepath/core/retries/budget.py
@@ -4,7 +4,8 @@
 A request has one budget end to end. A host that forwards it passes on the remaining
 budget and makes no further attempts itself, so the attempts of all hops add up instead
 of multiplying. Each host also has a budget over all of its requests: retries are
-limited to a share of the recent successes.
+limited to a share of the recent successes. Retries after a target's death take nothing
+from it: they run as trials, one at a time on each target.
 """
 
 from __future__ import annotations
--- a/src/lycheepath/core/retries/decision.py
+++ b/src/lycheepath/core/retries/decision.py
@@ -37,7 +37,7 @@
 
 def decide_retry(
     budget: RequestBudget,
-    host_budget: HostBudget,
+    host_budget: HostBudget | None,
     repeatable: bool,
     expected_s: float,
     now: float,
@@ -48,6 +48,7 @@
 
     ``repeatable`` means that running the request twice does no harm, or that it
     certainly did not run. ``expected_s`` is the estimated time of another attempt.
+    ``host_budget`` is None if the host's retries of this kind are limited otherwise.
     """
     if not repeatable:
         return Absent(Reason.RETRIES_SPENT, detail="may not be repeated")
@@ -56,7 +57,7 @@
     after_s = draw_backoff(MAX_ATTEMPTS - budget.attempts_left, random)
     if now + after_s + expected_s > budget.deadline:
         return Absent(Reason.DEADLINE, detail="no time is left for another attempt")
-    if not host_budget.take():
+    if host_budget is not None and not host_budget.take():
         return Absent(Reason.RETRIES_SPENT, 1.0, "the host's retry budget is empty")
     return Retry(after_s, budget.spend())
 
--- a/src/lycheepath/host/chat.py
+++ b/src/lycheepath/host/chat.py
@@ -267,9 +267,16 @@
 
 
 async def _wait_to_retry(node: Node, answer: _AnswerState, choice: Choice) -> None:
+    """
+    Wait until the next attempt may be made, or raise if there is none.
+
+    If the target died, the next attempt is a trial, of which each target runs one
+    at a time. That limits these retries, so they don't take from the host's budget.
+    """
+    deaths = node.containment.find_death_targets(answer.suspect.fingerprint)
     retry = decide_retry(
         answer.budget,
-        node.retry_budget,
+        None if choice.target in deaths else node.retry_budget,
         True,
         choice.first_token_s,
         node.now(),
--- a/tests/promises/test_answers.py
+++ b/tests/promises/test_answers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
 import httpx
@@ -44,6 +45,37 @@
     return outcomes
 
 
+async def start_fleet_preferring_one_engine(fleet: Fleet) -> str:
+    """Start a host that sends to runner-1 while it lives, and two more engines."""
+    await fleet.start_engine("runner-1", "accra-a", token_ms=30)
+    for name in ("runner-2", "runner-3"):
+        await fleet.start_engine(name, "accra-a", token_ms=20)
+        listed_as_slow = replace(fleet.targets[name], prefill_tokens_per_s=10.0)
+        fleet.targets[name] = listed_as_slow
+    fleet.add_host("host-1", "accra-a")
+    await fleet.publish_environment()
+    return (await fleet.start_host("host-1")).address
+
+
+async def ask_until_preferred_dies(
+    fleet: Fleet, address: str, count: int, tokens: int
+) -> list[Outcome]:
+    """Kill runner-1 once it runs all requests and each has this many tokens."""
+    async with trio.open_nursery() as nursery:
+
+        async def kill_preferred() -> None:
+            generated: list[int] = []
+            while len(generated) < count or min(generated) < tokens:
+                await trio.sleep(0.02)
+                seen = (await fleet.read("runner-1", "/control/seen"))["seen"]
+                generated = [entry["tokens"] for entry in seen]
+            assert all(number < 60 for number in generated), generated
+            await fleet.processes["runner-1"].kill()
+
+        nursery.start_soon(kill_preferred)
+        return await ask_many(fleet, address, count)
+
+
 @pytest.mark.xfail(strict=False, reason="KNOWN-RED.txt, issue 21")
 async def test_answers_are_complete_when_a_target_dies_mid_stream(
     fleet: Fleet,
@@ -64,6 +96,15 @@
     assert [outcome.kind for outcome in outcomes] == [Kind.WHOLE] * 12, outcomes
 
 
+async def test_answers_are_complete_when_a_target_dies_with_most_of_the_requests(
+    fleet: Fleet,
+) -> None:
+    """A host saves up 10 retries; all 12 requests run on the target that dies."""
+    address = await start_fleet_preferring_one_engine(fleet)
+    outcomes = await ask_until_preferred_dies(fleet, address, 12, tokens=2)
+    assert [outcome.kind for outcome in outcomes] == [Kind.WHOLE] * 12, outcomes
+
+
 @pytest.mark.parametrize(
     "fault",
     [{"stop_after_tokens": 7}, {"duplicate_token_at": 5}, {"fail_status": 500}],
