Free a target when a trial ends before it is passed

Of several answers that a target's death cut off near their ends, all but the first one on each other target waited for 15 s and then ended with an error ("another trial runs") or "unknown", though nothing ran there.

Cause: a trial's lease on its target was released once the trial was passed, two tokens beyond the death's point (at most 32) counted from the resumption. An answer with fewer tokens left, or a trial that failed otherwise, never released it; it lapsed after 20 s, later than others wait.

Change: the lease is released when the attempt on trial ends, however it ends. The request no longer runs there then, and doesn't come back to a target it has tried.

Seen first in a trial of test_answers_are_complete_when_a_target_dies_mid_stream with one engine stopped for 1.3 s: 9 whole, 1 ended, 2 unknown after 16.45 s.

--- a/src/lycheepath/host/chat.py
+++ b/src/lycheepath/host/chat.py
@@ -325,6 +325,8 @@
         _record_failure(node, answer, target, failure, str(error))
     finally:
         _record_end(node, answer, failure)
+        if trial:
+            node.spawn(release_lease, node, target.id, request_id)
 
 
 def _record_end(node: Node, answer: _AnswerState, failure: FailureKind | None) -> None:
--- a/tests/promises/test_answers.py
+++ b/tests/promises/test_answers.py
@@ -105,6 +105,15 @@
     assert [outcome.kind for outcome in outcomes] == [Kind.WHOLE] * 12, outcomes
 
 
+async def test_answers_are_complete_when_a_target_dies_near_their_end(
+    fleet: Fleet,
+) -> None:
+    """Too few tokens are left for the answers to pass their trials."""
+    address = await start_fleet_preferring_one_engine(fleet)
+    outcomes = await ask_until_preferred_dies(fleet, address, 5, tokens=40)
+    assert [outcome.kind for outcome in outcomes] == [Kind.WHOLE] * 5, outcomes
+
+
 @pytest.mark.parametrize(
     "fault",
     [{"stop_after_tokens": 7}, {"duplicate_token_at": 5}, {"fail_status": 500}],
