Name two predicates of hosts that end for what they tell

A newcomer would take _has_no_answer, which is False, for its opposite, and _has_other_host for relay.has_other_host, which looks at one region. No change of behaviour; 9 tests of relayed streams and of requests that outlast a drain pass.

--- a/src/lycheepath/gateway/node.py
+++ b/src/lycheepath/gateway/node.py
@@ -316,7 +316,7 @@
                 left_s,
                 draining_s,
                 exchange.relayed,
-                self._has_other_host(exchange),
+                self._others_may_resume(exchange),
             )
             if is_first and must_be_whole:
                 exchange.withhold_answer(self.buffers)
@@ -332,7 +332,7 @@
             )
         return admitted
 
-    def _has_other_host(self, exchange: Exchange) -> bool:
+    def _others_may_resume(self, exchange: Exchange) -> bool:
         """Whether another host is ready in a region that may serve a request."""
         homes = exchange.route.home_regions
         return any(
--- a/src/lycheepath/host/ends.py
+++ b/src/lycheepath/host/ends.py
@@ -24,13 +24,13 @@
 
     ``was_sent`` tells whether the request may have run by then.
     """
-    with node.scopes.limit(_has_no_answer) as scope:
+    with node.scopes.limit(_is_final) as scope:
         yield
     if scope.cancelled_caught:
         run = Run.UNKNOWN if was_sent() else Run.NOT_RUN
         raise RequestFailedError(HOST_ENDS, run)
 
 
-def _has_no_answer() -> bool:
-    # Streams that have begun can end with an event that names the failure.
+def _is_final() -> bool:
+    """Whether an answer can't be replaced by a failure: a stream can end with one."""
     return False
