Ask during a host's drain with one function in the tests of relayed streams

Three tests had the same play of callers beside a drain. It stands once, beside the other plays of late streams; two tests check the number of answers besides.

--- a/tests/gateway/test_cut_deliveries.py
+++ b/tests/gateway/test_cut_deliveries.py
@@ -17,13 +17,14 @@
 from lycheepath.core.placement.draining import DRAIN_NOTICE_S
 from lycheepath.gateway.process import drain
 from standins.pausing_target import STREAM_HEAD
-from standins.site import Answer, Site, write_chunk, write_request
+from standins.site import Site, write_chunk, write_request
 from tests.gateway.test_fleet import wait_until_live
 from tests.gateway.test_late_streams import (
     GRACE_S,
     HEADERS,
     OFTEN,
     SilentTarget,
+    ask_during_drain,
     keep_busy,
     start_hosts,
 )
@@ -114,18 +115,8 @@
     await site.add_target("books", target.behave, "west-a", slots=64)
     east, west = await start_hosts(site, 1, "west-a")
     await wait_until_live(east, west)
-    answers: list[Answer] = []
-
-    async def ask(sent_s: float) -> None:
-        await trio.sleep(sent_s)
-        name = f"r{sent_s}"
-        answers.append(await site.ask(east, b"POST", "/books/1", b"x", name, HEADERS))
-
-    async with trio.open_nursery() as nursery:
-        for sent_s in (2.6, 2.7, 2.8):
-            nursery.start_soon(ask, sent_s)
-        await drain(west)
-        site.stop_gateway(west)
+    answers = await ask_during_drain(site, east, west, (2.6, 2.7, 2.8))
+    assert len(answers) == 3
     assert all(answer.whole for answer in answers)
 
 
--- a/tests/gateway/test_last_answers.py
+++ b/tests/gateway/test_last_answers.py
@@ -23,6 +23,7 @@
     GRACE_S,
     HEADERS,
     SilentTarget,
+    ask_during_drain,
     keep_busy,
     start_hosts,
 )
@@ -50,19 +51,9 @@
     east, west = await start_hosts(site, 1, "west-a")
     west2 = await site.start_gateway("west-2", "west-a")
     await wait_until_live(east, west, west2)
-    answers: list[Answer] = []
-
-    async def ask(sent_s: float) -> None:
-        await trio.sleep(sent_s)
-        name = f"r{sent_s}"
-        answers.append(await site.ask(east, b"POST", "/books/1", b"x", name, HEADERS))
-
     async with trio.open_nursery() as nursery:
-        for sent_s in (1.0, 1.1, 1.2, 1.3):
-            nursery.start_soon(ask, sent_s)
         nursery.start_soon(drain, west2)
-        await drain(west)
-        site.stop_gateway(west)
+        await ask_during_drain(site, east, west, (1.0, 1.1, 1.2, 1.3))
     assert len(runs) == 4
 
 
@@ -161,16 +152,6 @@
     await site.add_target("books", target.behave, "west-a", slots=64)
     east, west = await start_hosts(site, 1, "west-a", resumable=True)
     await wait_until_live(east, west)
-    answers: dict[float, Answer] = {}
-
-    async def ask(sent_s: float) -> None:
-        await trio.sleep(sent_s)
-        name = f"r{sent_s}"
-        answers[sent_s] = await site.ask(east, b"POST", "/books/1", b"x", name, HEADERS)
-
-    async with trio.open_nursery() as nursery:
-        for sent_s in (1.9, 2.3, 2.6, 2.8):
-            nursery.start_soon(ask, sent_s)
-        await drain(west)
-        site.stop_gateway(west)
-    assert all(answer.whole for answer in answers.values())
+    answers = await ask_during_drain(site, east, west, (1.9, 2.3, 2.6, 2.8))
+    assert len(answers) == 4
+    assert all(answer.whole for answer in answers)
--- a/tests/gateway/test_late_streams.py
+++ b/tests/gateway/test_late_streams.py
@@ -100,6 +100,25 @@
         await site.ask(node, b"POST", "/slow/1", b"x", "slow", HEADERS)
 
 
+async def ask_during_drain(
+    site: Site, asked: GatewayNode, stopping: GatewayNode, sent_s: tuple[float, ...]
+) -> list[Answer]:
+    """Stop a host at once; return the answers to streams sent some seconds later."""
+    answers: list[Answer] = []
+
+    async def ask(after_s: float) -> None:
+        await trio.sleep(after_s)
+        name = f"r{after_s}"
+        answers.append(await site.ask(asked, b"POST", "/books/1", b"x", name, HEADERS))
+
+    async with trio.open_nursery() as nursery:
+        for after_s in sent_s:
+            nursery.start_soon(ask, after_s)
+        await drain(stopping)
+        site.stop_gateway(stopping)
+    return answers
+
+
 async def start_hosts(
     site: Site, hosts: int, zone: str, kind: str = "streaming", resumable: bool = False
 ) -> list[GatewayNode]:
